--- /dev/null
+++ b/include/tamarack/admission.hpp
@@ -0,0 +1,136 @@
+// Admission: which requests an endpoint starts, queues or refuses, by class, tenant, deadline and memory.
+//
+// Pure: the caller passes the time and carries out the returned actions.
+#pragma once
+
+#include "tamarack/tables.hpp"
+
+#include <deque>
+#include <set>
+
+namespace tamarack {
+
+enum class refusal_reason {
+    overloaded,    // the queue is full or the deadline cannot be met
+    tenant_limit,  // the tenant already has its share of this endpoint
+    expired,       // the deadline passed in the queue
+    too_large,     // its KV cache can never fit
+    leaving,       // the endpoint is shutting down
+    not_held,      // the item is neither resident nor loadable here in time
+    key_conflict,  // the key was used with another request
+    key_too_old,   // the key is older than the claims that can be checked
+    claims_down,   // the log that decides about callers' keys is not reachable
+    unknown_key,   // the key names another incarnation
+    key_held,      // another instance claimed the key
+    endpoint_down, // the endpoint refused the connection
+    no_route,      // no row of the routes matches
+    no_endpoint,   // no endpoint of the pool takes new work
+    not_ready,     // no tables are known yet, or the endpoint's state is not known yet
+};
+
+std::string_view to_string(refusal_reason reason);
+
+// Whether the refusal says that the key may have run elsewhere, so that "not run" cannot be said.
+bool key_may_have_run(refusal_reason reason);
+
+// Whether another endpoint may accept what this one refused.
+bool retriable_elsewhere(refusal_reason reason);
+
+struct admission_limits {
+    std::int64_t slots_ = 1;        // requests that run at once
+    std::int64_t tenant_slots_ = 0; // of one tenant, running and queued; 0 for no limit
+    std::int64_t queue_ = 256;      // requests that wait at once
+    std::int64_t kv_mb_ = 0;        // KV cache of all running requests; 0 for no limit
+};
+
+struct admission_request {
+    std::uint64_t id_ = 0;
+    traffic_class class_ = traffic_class::interactive;
+    std::string tenant_;
+    std::string item_; // must be resident before the start; empty for plain services
+    time_ms deadline_ = 0;
+    std::int64_t kv_mb_ = 0;
+    std::int64_t load_wait_ms_ = 0; // until the item is expected to be resident
+};
+
+struct start_action {
+    std::uint64_t id_;
+};
+
+// The request was not started and never will be.
+struct refuse_action {
+    std::uint64_t id_;
+    refusal_reason reason_;
+    std::int64_t retry_after_ms_;
+};
+
+using admission_action = std::variant<start_action, refuse_action>;
+using admission_actions = std::vector<admission_action>;
+
+class admission {
+public:
+    explicit admission(const admission_limits& limits) : limits_(limits) {}
+
+    // Takes new limits; requests that run are not affected.
+    admission_actions set_limits(const admission_limits& limits, time_ms now);
+
+    // Takes the items that are resident now.
+    admission_actions set_resident(std::set<std::string> items, time_ms now);
+
+    // Whether `submit` would refuse the request now.
+    std::optional<refuse_action> preview(const admission_request& request, time_ms now) const;
+
+    // Starts, queues or refuses. A request that cannot meet its deadline is refused at once.
+    admission_actions submit(admission_request request, time_ms now);
+
+    // A started request ended after `service_ms`.
+    admission_actions finish(std::uint64_t id, std::int64_t service_ms, time_ms now);
+
+    // A queued request was withdrawn. Returns whether it was still queued, that is, whether it did not run.
+    bool withdraw(std::uint64_t id);
+
+    // Refuses queued requests whose deadline can no longer be met.
+    admission_actions expire(time_ms now);
+
+    // Refuses all queued requests and every later one.
+    admission_actions drain(time_ms now);
+
+    // Expected wait of a new request of the class, in ms.
+    std::int64_t expected_wait_ms(traffic_class kind) const;
+
+    std::int64_t running() const { return std::int64_t(running_.size()); }
+    std::int64_t queued() const { return std::int64_t(queues_[0].size() + queues_[1].size()); }
+    std::int64_t kv_in_use_mb() const { return kv_in_use_mb_; }
+
+private:
+    struct running_request {
+        traffic_class class_;
+        std::string tenant_;
+        std::int64_t kv_mb_;
+    };
+
+    using queue = std::deque<admission_request>;
+
+    queue& queue_of(traffic_class kind) { return queues_[std::size_t(kind)]; }
+    const queue& queue_of(traffic_class kind) const { return queues_[std::size_t(kind)]; }
+    std::int64_t service_ms(traffic_class kind) const;
+    std::int64_t tenant_load(const std::string& tenant) const;
+    std::optional<refusal_reason> reason_to_refuse(const admission_request& request, time_ms now) const;
+    refuse_action refuse(const admission_request& request, refusal_reason reason) const;
+    bool startable(const admission_request& request) const;
+    queue::iterator first_startable(traffic_class kind);
+    bool start_next(admission_actions& actions);
+    void dispatch(admission_actions& actions);
+
+    admission_limits limits_;
+    bool draining_ = false;
+    std::set<std::string> resident_;
+    std::map<std::uint64_t, running_request> running_;
+    std::map<std::string, std::int64_t> tenant_load_;
+    std::int64_t kv_in_use_mb_ = 0;
+    queue queues_[2];
+    double mean_service_ms_[2] = {0.0, 0.0};
+    std::int64_t starts_since_deferrable_ = 0;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarack/kernel.hpp
@@ -0,0 +1,125 @@
+// Kernel: typed errors, results, hashing and the registry through which plug-ins register themselves.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace tamarack {
+
+// What kind of failure occurred; callers branch on the kind, people read the message.
+enum class error_kind {
+    invalid,     // the input is wrong and repeating it will not help
+    conflict,    // somebody else's change was accepted first
+    not_found,   // nothing has this name
+    unreachable, // no byte left this process; the operation was not started
+    interrupted, // bytes left this process; whether the operation took effect is unknown
+    timeout,     // the time limit passed; whether the operation took effect is unknown
+    too_large,   // a declared limit was exceeded
+    unavailable, // a dependency refused or is down
+};
+
+// A typed failure. `message` says what is wrong and `remedy` says what to do about it.
+struct error {
+    error_kind kind_;
+    std::string message_;
+    std::string remedy_;
+};
+
+// Returns "message; remedy" for logs and answers.
+std::string to_string(const error& failure);
+
+// Returns the name of the kind in snake_case.
+std::string_view to_string(error_kind kind);
+
+// Either a value or the error that prevented it.
+template <typename T>
+using result = std::variant<T, error>;
+
+template <typename T>
+bool ok(const result<T>& outcome) {
+    return outcome.index() == 0;
+}
+
+template <typename T>
+T& value(result<T>& outcome) {
+    return std::get<0>(outcome);
+}
+
+template <typename T>
+const T& value(const result<T>& outcome) {
+    return std::get<0>(outcome);
+}
+
+template <typename T>
+const error& failure(const result<T>& outcome) {
+    return std::get<1>(outcome);
+}
+
+// The success value of operations that return nothing else.
+struct done {};
+
+// Time as the decisions see it: milliseconds since an arbitrary origin of the process, never wall-clock time.
+using time_ms = std::int64_t;
+
+// 64-bit hash of `bytes`, the same in every process and build.
+std::uint64_t hash64(std::string_view bytes, std::uint64_t seed = 0);
+
+// A number for this run of this process: rises with the wall clock of its machine and differs between
+// processes that start in the same millisecond.
+std::uint64_t new_incarnation();
+
+// Mixes two hashes into one; not commutative.
+std::uint64_t mix64(std::uint64_t first, std::uint64_t second);
+
+// Sixteen hexadecimal digits of `number`.
+std::string to_hex(std::uint64_t number);
+
+// Plug-ins of one interface by name. A plug-in registers itself with a static `registration`.
+template <typename Plugin>
+class registry {
+public:
+    // The one registry of this interface in the process.
+    static registry& instance() {
+        static registry one;
+        return one;
+    }
+
+    void add(std::string name, Plugin plugin) {
+        plugins_.insert_or_assign(std::move(name), std::move(plugin));
+    }
+
+    // The plug-in of that name, or null.
+    const Plugin* find(std::string_view name) const {
+        auto found = plugins_.find(name);
+        return found == plugins_.end() ? nullptr : &found->second;
+    }
+
+    // All names, sorted, for error messages.
+    std::vector<std::string> names() const {
+        std::vector<std::string> all;
+        for (const auto& [name, plugin] : plugins_) {
+            all.push_back(name);
+        }
+        return all;
+    }
+
+private:
+    std::map<std::string, Plugin, std::less<>> plugins_;
+};
+
+// Registers `plugin` under `name` when a static object of this type is constructed.
+template <typename Plugin>
+struct registration {
+    registration(std::string name, Plugin plugin) {
+        registry<Plugin>::instance().add(std::move(name), std::move(plugin));
+    }
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarack/settings.hpp
@@ -0,0 +1,57 @@
+// Settings: the checked JSON files from which the programs learn their addresses, data centre and limits.
+#pragma once
+
+#include "tamarack/kernel.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace tamarack {
+
+struct entry_settings {
+    std::string id_;
+    std::string data_centre_;
+    boost::asio::ip::tcp::endpoint listen_; // callers
+    boost::asio::ip::tcp::endpoint admin_;  // /metrics, /healthz, /readyz
+    boost::asio::ip::tcp::endpoint log_;
+    boost::asio::ip::tcp::endpoint list_;
+    std::string log_level_ = "info";
+    std::int64_t traffic_threads_ = 2;
+    std::int64_t heartbeat_limit_ms_ = 2'000; // without a heartbeat an agent gets no new work
+    std::int64_t list_interval_ms_ = 500;
+    std::int64_t shutdown_ms_ = 60'000; // for requests in flight after SIGTERM
+    std::int64_t max_body_bytes_ = 4 * 1024 * 1024;
+    std::int64_t max_header_bytes_ = 16 * 1024;
+    std::int64_t max_connections_ = 10'000;
+    std::int64_t idle_ms_ = 60'000;
+    std::int64_t write_ms_ = 30'000;
+};
+
+struct agent_settings {
+    std::string id_;
+    std::string pool_;
+    std::string data_centre_;
+    boost::asio::ip::tcp::endpoint listen_; // entries and other agents
+    boost::asio::ip::tcp::endpoint admin_;
+    boost::asio::ip::tcp::endpoint endpoint_; // the engine or service
+    boost::asio::ip::tcp::endpoint log_;
+    boost::asio::ip::tcp::endpoint list_;
+    std::string log_level_ = "info";
+    std::string placement_ = "rendezvous";
+    std::int64_t heartbeat_ms_ = 500;
+    std::int64_t report_interval_ms_ = 100;
+    std::int64_t settle_ms_ = 3'000; // after which no order or report is still under way
+    std::int64_t list_interval_ms_ = 500;
+    std::int64_t claims_limit_ms_ = 1'500; // for one call of the log about claims
+    std::int64_t claims_window_ms_ = 3'600'000;
+    std::int64_t shutdown_ms_ = 60'000;
+};
+
+// Reads and checks a settings file. Fails with `not_found` or `invalid`; the message lists every fault.
+result<entry_settings> load_entry_settings(const std::string& path);
+result<agent_settings> load_agent_settings(const std::string& path);
+
+// The same for text, for tests.
+result<entry_settings> parse_entry_settings(std::string_view text);
+result<agent_settings> parse_agent_settings(std::string_view text);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/admission/admission.cpp
@@ -0,0 +1,249 @@
+#include "tamarack/admission.hpp"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+// Of so many consecutive starts at least one is a deferrable request, if one waits.
+constexpr std::int64_t deferrable_share = 8;
+
+constexpr double service_smoothing = 0.2;
+constexpr std::int64_t min_retry_after_ms = 1'000;
+
+} // namespace
+
+std::string_view to_string(refusal_reason reason) {
+    switch (reason) {
+    case refusal_reason::overloaded:
+        return "overloaded";
+    case refusal_reason::tenant_limit:
+        return "tenant_limit";
+    case refusal_reason::expired:
+        return "expired";
+    case refusal_reason::too_large:
+        return "too_large";
+    case refusal_reason::leaving:
+        return "leaving";
+    case refusal_reason::not_held:
+        return "not_held";
+    case refusal_reason::key_conflict:
+        return "key_conflict";
+    case refusal_reason::key_too_old:
+        return "key_too_old";
+    case refusal_reason::claims_down:
+        return "claims_down";
+    case refusal_reason::unknown_key:
+        return "unknown_key";
+    case refusal_reason::key_held:
+        return "key_held";
+    case refusal_reason::endpoint_down:
+        return "endpoint_down";
+    case refusal_reason::no_route:
+        return "no_route";
+    case refusal_reason::no_endpoint:
+        return "no_endpoint";
+    case refusal_reason::not_ready:
+        return "not_ready";
+    }
+    return "unknown";
+}
+
+bool key_may_have_run(refusal_reason reason) {
+    return reason == refusal_reason::unknown_key || reason == refusal_reason::key_held;
+}
+
+bool retriable_elsewhere(refusal_reason reason) {
+    switch (reason) {
+    case refusal_reason::overloaded:
+    case refusal_reason::leaving:
+    case refusal_reason::not_held:
+    case refusal_reason::endpoint_down:
+    case refusal_reason::not_ready:
+        return true;
+    default:
+        return false;
+    }
+}
+
+admission_actions admission::set_limits(const admission_limits& limits, time_ms now) {
+    limits_ = limits;
+    return expire(now);
+}
+
+admission_actions admission::set_resident(std::set<std::string> items, time_ms now) {
+    resident_ = std::move(items);
+    return expire(now);
+}
+
+std::int64_t admission::service_ms(traffic_class kind) const {
+    return std::int64_t(mean_service_ms_[std::size_t(kind)]);
+}
+
+std::int64_t admission::tenant_load(const std::string& tenant) const {
+    auto found = tenant_load_.find(tenant);
+    return found == tenant_load_.end() ? 0 : found->second;
+}
+
+std::int64_t admission::expected_wait_ms(traffic_class kind) const {
+    const bool free_slot = running() < limits_.slots_;
+    if (free_slot && queued() == 0) {
+        return 0;
+    }
+    double work_ms = double(queue_of(traffic_class::interactive).size()) * mean_service_ms_[0];
+    if (kind == traffic_class::deferrable) {
+        work_ms += double(queue_of(traffic_class::deferrable).size()) * mean_service_ms_[1];
+    }
+    const double next_slot_ms = free_slot ? 0.0 : std::max(mean_service_ms_[0], mean_service_ms_[1]);
+    return std::int64_t((work_ms + next_slot_ms) / double(limits_.slots_));
+}
+
+std::optional<refusal_reason> admission::reason_to_refuse(const admission_request& request,
+                                                          time_ms now) const {
+    if (draining_) {
+        return refusal_reason::leaving;
+    }
+    if (limits_.kv_mb_ > 0 && request.kv_mb_ > limits_.kv_mb_) {
+        return refusal_reason::too_large;
+    }
+    if (limits_.tenant_slots_ > 0 && tenant_load(request.tenant_) >= limits_.tenant_slots_) {
+        return refusal_reason::tenant_limit;
+    }
+    if (queued() >= limits_.queue_) {
+        return refusal_reason::overloaded;
+    }
+    const bool resident = request.item_.empty() || resident_.contains(request.item_);
+    const std::int64_t load_ms = resident ? 0 : request.load_wait_ms_;
+    const std::int64_t finish_in_ms = expected_wait_ms(request.class_) + load_ms + service_ms(request.class_);
+    if (now + finish_in_ms > request.deadline_) {
+        return resident ? refusal_reason::overloaded : refusal_reason::not_held;
+    }
+    return std::nullopt;
+}
+
+refuse_action admission::refuse(const admission_request& request, refusal_reason reason) const {
+    const std::int64_t wait_ms = std::max(expected_wait_ms(request.class_), request.load_wait_ms_);
+    return {request.id_, reason, std::max(min_retry_after_ms, wait_ms)};
+}
+
+std::optional<refuse_action> admission::preview(const admission_request& request, time_ms now) const {
+    if (auto reason = reason_to_refuse(request, now)) {
+        return refuse(request, *reason);
+    }
+    return std::nullopt;
+}
+
+admission_actions admission::submit(admission_request request, time_ms now) {
+    if (auto refusal = preview(request, now)) {
+        return {*refusal};
+    }
+    ++tenant_load_[request.tenant_];
+    queue_of(request.class_).push_back(std::move(request));
+    admission_actions actions;
+    dispatch(actions);
+    return actions;
+}
+
+bool admission::startable(const admission_request& request) const {
+    const bool resident = request.item_.empty() || resident_.contains(request.item_);
+    const bool kv_fits = limits_.kv_mb_ == 0 || kv_in_use_mb_ + request.kv_mb_ <= limits_.kv_mb_;
+    return resident && kv_fits;
+}
+
+admission::queue::iterator admission::first_startable(traffic_class kind) {
+    queue& waiting = queue_of(kind);
+    return std::find_if(waiting.begin(), waiting.end(),
+                        [&](const admission_request& request) { return startable(request); });
+}
+
+bool admission::start_next(admission_actions& actions) {
+    if (running() >= limits_.slots_) {
+        return false;
+    }
+    auto interactive = first_startable(traffic_class::interactive);
+    auto deferrable = first_startable(traffic_class::deferrable);
+    const bool has_interactive = interactive != queue_of(traffic_class::interactive).end();
+    const bool has_deferrable = deferrable != queue_of(traffic_class::deferrable).end();
+    if (!has_interactive && !has_deferrable) {
+        return false;
+    }
+    const bool deferrable_turn = has_deferrable && starts_since_deferrable_ + 1 >= deferrable_share;
+    const traffic_class kind =
+        !has_interactive || deferrable_turn ? traffic_class::deferrable : traffic_class::interactive;
+    auto chosen = kind == traffic_class::deferrable ? deferrable : interactive;
+    starts_since_deferrable_ = kind == traffic_class::deferrable ? 0 : starts_since_deferrable_ + 1;
+    kv_in_use_mb_ += chosen->kv_mb_;
+    running_.emplace(chosen->id_, running_request{kind, chosen->tenant_, chosen->kv_mb_});
+    actions.push_back(start_action{chosen->id_});
+    queue_of(kind).erase(chosen);
+    return true;
+}
+
+void admission::dispatch(admission_actions& actions) {
+    while (start_next(actions)) {
+    }
+}
+
+admission_actions admission::finish(std::uint64_t id, std::int64_t service_ms, time_ms now) {
+    auto found = running_.find(id);
+    if (found == running_.end()) {
+        return {};
+    }
+    double& mean = mean_service_ms_[std::size_t(found->second.class_)];
+    mean = mean == 0.0 ? double(service_ms) : mean + service_smoothing * (double(service_ms) - mean);
+    kv_in_use_mb_ -= found->second.kv_mb_;
+    if (--tenant_load_[found->second.tenant_] == 0) {
+        tenant_load_.erase(found->second.tenant_);
+    }
+    running_.erase(found);
+    return expire(now);
+}
+
+bool admission::withdraw(std::uint64_t id) {
+    for (queue& waiting : queues_) {
+        auto found = std::find_if(waiting.begin(), waiting.end(),
+                                  [&](const admission_request& request) { return request.id_ == id; });
+        if (found == waiting.end()) {
+            continue;
+        }
+        if (--tenant_load_[found->tenant_] == 0) {
+            tenant_load_.erase(found->tenant_);
+        }
+        waiting.erase(found);
+        return true;
+    }
+    return false;
+}
+
+admission_actions admission::expire(time_ms now) {
+    admission_actions actions;
+    dispatch(actions);
+    for (queue& waiting : queues_) {
+        for (std::size_t index = 0; index < waiting.size();) {
+            const admission_request request = waiting[index];
+            if (now + service_ms(request.class_) <= request.deadline_) {
+                ++index;
+                continue;
+            }
+            withdraw(request.id_);
+            actions.push_back(refuse(request, refusal_reason::expired));
+        }
+    }
+    return actions;
+}
+
+admission_actions admission::drain(time_ms) {
+    draining_ = true;
+    admission_actions actions;
+    for (queue& waiting : queues_) {
+        while (!waiting.empty()) {
+            const admission_request request = waiting.front();
+            withdraw(request.id_);
+            actions.push_back(refuse(request, refusal_reason::leaving));
+        }
+    }
+    return actions;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/agent/shutdown_machine.cpp
@@ -0,0 +1,102 @@
+#include "agent/shutdown_machine.hpp"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace tamarack::agent {
+
+namespace {
+
+namespace front = boost::msm::front;
+
+struct listed_as_leaving {};
+struct stop_requested {};
+struct drained {};
+struct limit_passed {};
+
+struct shutdown_front : front::state_machine_def<shutdown_front> {
+    struct serving : front::state<> {};
+    struct leaving : front::state<> {};
+    struct draining : front::state<> {};
+    struct stopped : front::state<> {};
+
+    using initial_state = serving;
+
+    template <typename Source, typename Event, typename Target>
+    using row = front::Row<Source, Event, Target, front::none, front::none>;
+
+    struct transition_table
+        : boost::mpl::vector<row<serving, listed_as_leaving, leaving>, row<serving, stop_requested, draining>,
+                             row<leaving, stop_requested, draining>, row<draining, drained, stopped>,
+                             row<draining, limit_passed, stopped>> {};
+
+    template <typename Machine, typename Event>
+    void no_transition(const Event&, Machine&, int) {}
+};
+
+} // namespace
+
+struct shutdown_machine::machine : boost::msm::back::state_machine<shutdown_front> {};
+
+namespace {
+
+template <typename State, typename Machine>
+bool in_state(const Machine& one) {
+    using states = typename Machine::stt;
+    return one.current_state()[0] == boost::msm::back::get_state_id<states, State>::value;
+}
+
+} // namespace
+
+std::string_view to_string(shutdown_phase phase) {
+    switch (phase) {
+    case shutdown_phase::serving:
+        return "serving";
+    case shutdown_phase::leaving:
+        return "leaving";
+    case shutdown_phase::draining:
+        return "draining";
+    case shutdown_phase::stopped:
+        return "stopped";
+    }
+    return "unknown";
+}
+
+shutdown_machine::shutdown_machine() : machine_(std::make_unique<machine>()) {
+    machine_->start();
+}
+
+shutdown_machine::~shutdown_machine() = default;
+
+void shutdown_machine::process(shutdown_event event) {
+    switch (event) {
+    case shutdown_event::listed_as_leaving:
+        machine_->process_event(listed_as_leaving{});
+        break;
+    case shutdown_event::stop_requested:
+        machine_->process_event(stop_requested{});
+        break;
+    case shutdown_event::drained:
+        machine_->process_event(drained{});
+        break;
+    case shutdown_event::limit_passed:
+        machine_->process_event(limit_passed{});
+        break;
+    }
+}
+
+shutdown_phase shutdown_machine::phase() const {
+    if (in_state<shutdown_front::serving>(*machine_)) {
+        return shutdown_phase::serving;
+    }
+    if (in_state<shutdown_front::leaving>(*machine_)) {
+        return shutdown_phase::leaving;
+    }
+    if (in_state<shutdown_front::draining>(*machine_)) {
+        return shutdown_phase::draining;
+    }
+    return shutdown_phase::stopped;
+}
+
+} // namespace tamarack::agent
--- /dev/null
+++ b/src/configuration/codec.cpp
@@ -0,0 +1,132 @@
+#include "configuration/codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace tamarack {
+
+namespace {
+
+nlohmann::json rows_of(const tables& source) {
+    nlohmann::json routes = nlohmann::json::array();
+    for (const auto& [name, row] : source.routes_) {
+        routes.push_back(to_json(row));
+    }
+    nlohmann::json pools = nlohmann::json::array();
+    for (const auto& [name, row] : source.pools_) {
+        pools.push_back(to_json(row));
+    }
+    return {{"routes", std::move(routes)}, {"pools", std::move(pools)}};
+}
+
+bool is_text(const nlohmann::json& object, const char* field) {
+    return object.contains(field) && object[field].is_string();
+}
+
+bool is_number(const nlohmann::json& object, const char* field) {
+    return object.contains(field) && object[field].is_number_integer();
+}
+
+bool is_list(const nlohmann::json& object, const char* field) {
+    return object.contains(field) && object[field].is_array();
+}
+
+bool read_names(const nlohmann::json& list, std::vector<std::string>& names) {
+    for (const nlohmann::json& name : list) {
+        if (!name.is_string()) {
+            return false;
+        }
+        names.push_back(name.get<std::string>());
+    }
+    return true;
+}
+
+nlohmann::json parse_object(std::string_view text) {
+    nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+    return parsed.is_object() ? parsed : nlohmann::json();
+}
+
+bool has_kind(const nlohmann::json& object, std::string_view kind) {
+    return object.is_object() && is_text(object, "kind") && object["kind"] == kind;
+}
+
+} // namespace
+
+std::string encode_change(const config_change& change) {
+    nlohmann::json json = {{"kind", "change"},
+                           {"id", change.id_},
+                           {"author", change.author_},
+                           {"base", change.base_},
+                           {"put_routes", nlohmann::json::array()},
+                           {"put_pools", nlohmann::json::array()},
+                           {"removed_routes", change.removed_routes_},
+                           {"removed_pools", change.removed_pools_}};
+    for (const route_row& row : change.put_routes_) {
+        json["put_routes"].push_back(to_json(row));
+    }
+    for (const pool_row& row : change.put_pools_) {
+        json["put_pools"].push_back(to_json(row));
+    }
+    return json.dump();
+}
+
+std::optional<config_change> decode_change(std::string_view text, std::vector<table_fault>& faults) {
+    const nlohmann::json json = parse_object(text);
+    const bool shaped = has_kind(json, "change") && is_text(json, "id") && is_text(json, "author") &&
+                        is_number(json, "base") && is_list(json, "put_routes") &&
+                        is_list(json, "put_pools") && is_list(json, "removed_routes") &&
+                        is_list(json, "removed_pools");
+    if (!shaped) {
+        return std::nullopt;
+    }
+    config_change change;
+    change.id_ = json["id"].get<std::string>();
+    change.author_ = json["author"].get<std::string>();
+    change.base_ = json["base"].get<std::int64_t>();
+    for (const nlohmann::json& row : json["put_routes"]) {
+        change.put_routes_.push_back(parse_route(row, faults));
+    }
+    for (const nlohmann::json& row : json["put_pools"]) {
+        change.put_pools_.push_back(parse_pool(row, faults));
+    }
+    const bool named = read_names(json["removed_routes"], change.removed_routes_) &&
+                       read_names(json["removed_pools"], change.removed_pools_);
+    if (!named) {
+        return std::nullopt;
+    }
+    return change;
+}
+
+std::string encode_state(const config_state& state) {
+    nlohmann::json json = rows_of(state.tables_);
+    json["kind"] = "snapshot";
+    json["version"] = state.version_;
+    json["through"] = state.through_;
+    return json.dump();
+}
+
+bool is_snapshot(std::string_view text) {
+    return has_kind(parse_object(text), "snapshot");
+}
+
+result<config_state> decode_state(std::string_view text) {
+    const nlohmann::json json = parse_object(text);
+    const bool shaped = has_kind(json, "snapshot") && is_number(json, "version") &&
+                        is_number(json, "through") && is_list(json, "routes") && is_list(json, "pools");
+    if (!shaped) {
+        return error{error_kind::invalid, "the text is not a configuration state", "ask another peer"};
+    }
+    config_state state;
+    state.version_ = json["version"].get<std::int64_t>();
+    state.through_ = json["through"].get<std::int64_t>();
+    std::vector<table_fault> faults;
+    state.tables_ = parse_tables({{"routes", json["routes"]}}, {{"pools", json["pools"]}}, faults);
+    if (!faults.empty()) {
+        return error{error_kind::invalid, to_string(faults.front()), "ask another peer"};
+    }
+    if (state.version_ < no_version || state.through_ < state.version_) {
+        return error{error_kind::invalid, "the state's version is above its last offset", "ask another peer"};
+    }
+    return state;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/ctl/commands.hpp
@@ -0,0 +1,41 @@
+// The commands of tamarackctl. Each prints its result and returns the exit code.
+#pragma once
+
+#include "tamarack/configuration.hpp"
+#include "tamarack/platform.hpp"
+
+namespace tamarack::ctl {
+
+// Exit codes of all commands.
+inline constexpr int exit_ok = 0;
+inline constexpr int exit_rejected = 1;    // faulty tables, or the change was rejected
+inline constexpr int exit_usage = 2;       // wrong flags or files
+inline constexpr int exit_unavailable = 3; // a service could not be reached, or the outcome is unknown
+
+struct options {
+    bool json_ = false;
+    std::string routes_file_;
+    std::string pools_file_;
+    std::string log_;
+    std::string list_;
+    std::string instances_; // admin addresses, separated by commas
+    std::string author_;
+    std::string id_;
+    std::int64_t base_ = -2; // no_base to take the version in force
+    std::string method_;
+    std::string path_;
+    std::string tenant_;
+    std::string model_;
+    std::string key_;
+};
+
+inline constexpr std::int64_t no_base = -2;
+
+int validate(const options& given);
+int publish(const options& given);
+int history(const options& given);
+int show(const options& given);
+int status(const options& given);
+int explain(const options& given);
+
+} // namespace tamarack::ctl
--- /dev/null
+++ b/src/ctl/session.cpp
@@ -0,0 +1,141 @@
+#include "ctl/session.hpp"
+
+#include "tamarack/http.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace tamarack::ctl {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds call_limit{5'000};
+
+result<nlohmann::json> read_json(const std::string& path, const char* flag) {
+    std::ifstream file(path);
+    if (!file) {
+        return error{error_kind::not_found, "cannot read \"" + path + "\"",
+                     std::string("give an existing file with --") + flag};
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    nlohmann::json parsed = nlohmann::json::parse(text.str(), nullptr, false);
+    if (parsed.is_discarded()) {
+        return error{error_kind::invalid, "\"" + path + "\" is not valid JSON", "correct the file"};
+    }
+    return parsed;
+}
+
+asio::awaitable<result<log_view>> follow_to_end(log_client log) {
+    config_reader reader;
+    log_view view;
+    while (true) {
+        const std::int64_t from = reader.next_offset();
+        result<log_batch> batch =
+            co_await log.read_(std::string(config_stream), from, std::chrono::milliseconds(0));
+        if (!ok(batch)) {
+            co_return failure(batch);
+        }
+        std::vector<verdict> decided = reader.absorb(value(batch).first_retained_, value(batch).records_);
+        view.verdicts_.insert(view.verdicts_.end(), decided.begin(), decided.end());
+        if (reader.next_offset() >= value(batch).next_) {
+            break;
+        }
+    }
+    if (!reader.synchronised()) {
+        co_return error{error_kind::unavailable, "the log has no snapshot from which its tables can be known",
+                        "wait until an entry has written one"};
+    }
+    view.state_ = reader.state();
+    co_return view;
+}
+
+} // namespace
+
+template <typename T>
+T run(std::function<asio::awaitable<T>()> work) {
+    asio::io_context context(1);
+    std::optional<T> outcome;
+    asio::co_spawn(context, work(), [&](std::exception_ptr failed, T returned) {
+        if (!failed) {
+            outcome = std::move(returned);
+        }
+    });
+    context.run();
+    return std::move(*outcome);
+}
+
+template result<std::int64_t> run(std::function<asio::awaitable<result<std::int64_t>>()>);
+template result<http::response> run(std::function<asio::awaitable<result<http::response>>()>);
+template result<std::vector<listed_instance>>
+    run(std::function<asio::awaitable<result<std::vector<listed_instance>>>()>);
+
+result<asio::ip::tcp::endpoint> address_flag(const std::string& text, const char* flag) {
+    auto parsed = http::parse_endpoint(text);
+    if (!ok(parsed)) {
+        return error{error_kind::invalid, std::string("--") + flag + " is not an address",
+                     failure(parsed).remedy_};
+    }
+    return parsed;
+}
+
+result<log_view> read_log(const options& given) {
+    const auto address = address_flag(given.log_, "log");
+    if (!ok(address)) {
+        return failure(address);
+    }
+    const log_client log = http_log_client(value(address), call_limit);
+    return run<result<log_view>>([log] { return follow_to_end(log); });
+}
+
+result<tables> read_tables(const options& given) {
+    const result<nlohmann::json> routes = read_json(given.routes_file_, "routes");
+    if (!ok(routes)) {
+        return failure(routes);
+    }
+    const result<nlohmann::json> pools = read_json(given.pools_file_, "pools");
+    if (!ok(pools)) {
+        return failure(pools);
+    }
+    std::vector<table_fault> faults;
+    tables parsed = parse_tables(value(routes), value(pools), faults);
+    if (faults.empty()) {
+        faults = check_tables(parsed);
+    }
+    if (faults.empty()) {
+        return parsed;
+    }
+    std::string message;
+    for (const table_fault& fault : faults) {
+        message += (message.empty() ? "" : "\n") + to_string(fault);
+    }
+    return error{error_kind::conflict, message, "correct the tables"};
+}
+
+int report(const options& given, const error& wrong) {
+    if (given.json_) {
+        const nlohmann::json body = {
+            {"error",
+             {{"kind", to_string(wrong.kind_)}, {"message", wrong.message_}, {"remedy", wrong.remedy_}}}};
+        std::cout << body.dump() << "\n";
+    } else {
+        std::cerr << wrong.message_ << "\n" << wrong.remedy_ << "\n";
+    }
+    switch (wrong.kind_) {
+    case error_kind::conflict:
+        return exit_rejected;
+    case error_kind::invalid:
+    case error_kind::not_found:
+        return exit_usage;
+    default:
+        return exit_unavailable;
+    }
+}
+
+} // namespace tamarack::ctl
--- /dev/null
+++ b/src/ctl/status_commands.cpp
@@ -0,0 +1,120 @@
+// status and explain: the commands about the running system.
+#include "ctl/session.hpp"
+
+#include "tamarack/http.hpp"
+#include "tamarack/placement.hpp"
+
+#include <algorithm>
+#include <iostream>
+#include <sstream>
+
+namespace tamarack::ctl {
+
+namespace {
+
+constexpr std::chrono::milliseconds call_limit{2'000};
+
+std::vector<std::string> split(const std::string& text) {
+    std::vector<std::string> parts;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, ',');) {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+nlohmann::json instance_status(const std::string& text) {
+    const auto address = address_flag(text, "instances");
+    if (!ok(address)) {
+        return {{"address", text}, {"reachable", false}, {"problem", failure(address).message_}};
+    }
+    http::request outgoing{"GET", "/readyz", {}, {}};
+    const http::call_limits limits{call_limit, call_limit};
+    const auto fetched =
+        run<result<http::response>>([&] { return http::fetch(value(address), outgoing, limits); });
+    if (!ok(fetched)) {
+        return {{"address", text}, {"reachable", false}, {"problem", failure(fetched).message_}};
+    }
+    nlohmann::json body = nlohmann::json::parse(value(fetched).body_, nullptr, false);
+    if (!body.is_object()) {
+        body = nlohmann::json::object();
+    }
+    body["address"] = text;
+    body["reachable"] = true;
+    return body;
+}
+
+result<std::vector<listed_instance>> read_list(const options& given) {
+    const auto address = address_flag(given.list_, "list");
+    if (!ok(address)) {
+        return failure(address);
+    }
+    const list_client list = http_list_client(value(address), call_limit);
+    return run<result<std::vector<listed_instance>>>([list] { return list.fetch_(); });
+}
+
+nlohmann::json explain_endpoints(const options& given, const pool_row& pool, const std::string& model,
+                                 std::span<const listed_instance> instances) {
+    std::vector<std::string> endpoints;
+    for (const listed_instance& instance : instances) {
+        if (instance.role_ == "agent" && instance.pool_ == pool.name_ && !instance.leaving_) {
+            endpoints.push_back(instance.id_);
+        }
+    }
+    if (pool.kind_ == endpoint_kind::engine) {
+        home_map homes = assign_homes(pool, endpoints);
+        return {{"homes", homes[model]},
+                {"why", "the homes of the model, by rendezvous over the pool's endpoints"}};
+    }
+    if (given.key_.empty()) {
+        return {{"endpoints", endpoints}, {"why", "the less loaded of two endpoints of the pool"}};
+    }
+    std::sort(endpoints.begin(), endpoints.end(), [&](const std::string& left, const std::string& right) {
+        return rendezvous_weight(given.key_, left) > rendezvous_weight(given.key_, right);
+    });
+    return {{"endpoints", endpoints}, {"why", "the first usable endpoint by rendezvous over the key"}};
+}
+
+} // namespace
+
+int status(const options& given) {
+    bool all_ready = true;
+    nlohmann::json rows = nlohmann::json::array();
+    for (const std::string& address : split(given.instances_)) {
+        nlohmann::json row = instance_status(address);
+        all_ready = all_ready && row.value("ready", false);
+        if (!given.json_) {
+            std::cout << row.dump() << "\n";
+        }
+        rows.push_back(std::move(row));
+    }
+    if (given.json_) {
+        std::cout << nlohmann::json{{"instances", rows}}.dump() << "\n";
+    }
+    return all_ready ? exit_ok : exit_unavailable;
+}
+
+int explain(const options& given) {
+    const result<log_view> view = read_log(given);
+    if (!ok(view)) {
+        return report(given, failure(view));
+    }
+    const result<std::vector<listed_instance>> instances = read_list(given);
+    if (!ok(instances)) {
+        return report(given, failure(instances));
+    }
+    const tables& in_force = value(view).state_.tables_;
+    const model_reference model = parse_model_reference(given.model_);
+    const route_row* route = match_route(in_force, {given.method_, given.path_, given.tenant_, model.model_});
+    if (route == nullptr) {
+        return report(given, {error_kind::conflict, "no route matches", "publish a route for this request"});
+    }
+    const pool_row& pool = in_force.pools_.find(route->pool_)->second;
+    nlohmann::json body = {
+        {"version", value(view).state_.version_}, {"route", to_json(*route)}, {"pool", pool.name_}};
+    body["choice"] = explain_endpoints(given, pool, model.model_, value(instances));
+    std::cout << body.dump(given.json_ ? -1 : 2) << "\n";
+    return exit_ok;
+}
+
+} // namespace tamarack::ctl
--- /dev/null
+++ b/src/entry/agent_link.cpp
@@ -0,0 +1,156 @@
+#include "entry/agent_link.hpp"
+
+#include "tamarack/observe.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace tamarack::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds connect_limit{500};
+constexpr std::chrono::milliseconds reconnect_pause{100};
+
+} // namespace
+
+time_ms steady_now_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
+agent_link::agent_link(asio::any_io_executor executor, listed_instance instance, wire::hello greeting,
+                       link_events events)
+    : executor_(std::move(executor)), instance_(std::move(instance)), greeting_(std::move(greeting)),
+      events_(std::move(events)) {}
+
+void agent_link::start() {
+    asio::co_spawn(
+        executor_, [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->run(); },
+        asio::detached);
+}
+
+void agent_link::stop() {
+    stopped_ = true;
+    if (connection_) {
+        connection_->close();
+    }
+}
+
+asio::awaitable<void> agent_link::run() {
+    while (!stopped_) {
+        boost::system::error_code bad_address;
+        const auto address = asio::ip::make_address(instance_.address_, bad_address);
+        if (bad_address) {
+            log_warning("entry", "Endpoint " + instance_.id_ + " has no valid address.");
+            co_return;
+        }
+        const asio::ip::tcp::endpoint remote(address, instance_.port_);
+        auto connected = co_await wire::connect(remote, connect_limit);
+        if (ok(connected) && !stopped_) {
+            co_await serve_connection(value(connected));
+        }
+        asio::steady_timer pause(executor_, reconnect_pause);
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<void> agent_link::serve_connection(std::shared_ptr<wire::connection> connection) {
+    connection->send({events_.config_version_(), greeting_});
+    while (!stopped_) {
+        result<wire::frame> received = co_await connection->receive();
+        if (!ok(received)) {
+            break;
+        }
+        const auto* greeting = std::get_if<wire::hello>(&value(received).message_);
+        if (greeting != nullptr && greeting->protocol_ != wire::protocol_version) {
+            log_warning("entry", "Endpoint " + instance_.id_ + " speaks another protocol version.");
+            break;
+        }
+        if (greeting != nullptr) {
+            incarnation_ = greeting->incarnation_;
+            connection_ = connection;
+        }
+        if (connection_) {
+            take(value(received));
+        }
+    }
+    connection->close();
+    lose();
+}
+
+void agent_link::lose() {
+    connection_.reset();
+    asked_for_version_ = -1;
+    const auto boxes = std::exchange(boxes_, {});
+    for (const auto& [attempt, box] : boxes) {
+        box->put(link_lost{});
+    }
+    events_.lost_(instance_.id_);
+}
+
+template <typename Message>
+void agent_link::deliver(Message message) {
+    auto found = boxes_.find(message.attempt_);
+    if (found != boxes_.end()) {
+        found->second->put(std::move(message));
+    }
+}
+
+void agent_link::compare_config(std::int64_t agent_version) {
+    if (agent_version > events_.config_version_() && agent_version > asked_for_version_) {
+        asked_for_version_ = agent_version;
+        send(wire::config_fetch{});
+    }
+}
+
+void agent_link::take(const wire::frame& received) {
+    compare_config(received.config_version_);
+    std::visit(
+        [this](const auto& message) {
+            using kind = std::decay_t<decltype(message)>;
+            if constexpr (std::is_same_v<kind, wire::status>) {
+                clock_offset_ms_ = message.clock_ms_ - steady_now_ms();
+                events_.status_(instance_.id_, message);
+            } else if constexpr (std::is_same_v<kind, wire::config_fetch>) {
+                send(wire::config_state{events_.config_state_()});
+            } else if constexpr (std::is_same_v<kind, wire::config_state>) {
+                events_.peer_config_(message.state_);
+            } else if constexpr (std::is_constructible_v<attempt_event, kind>) {
+                deliver(message);
+            }
+        },
+        received.message_);
+}
+
+bool agent_link::send(wire::message message) {
+    return connection_ && connection_->send({events_.config_version_(), std::move(message)});
+}
+
+bool agent_link::submit(const wire::submit& request, std::shared_ptr<mailbox> box) {
+    boxes_[request.attempt_] = std::move(box);
+    if (send(request)) {
+        return true;
+    }
+    boxes_.erase(request.attempt_);
+    return false;
+}
+
+bool agent_link::request_key(std::uint64_t attempt, std::shared_ptr<mailbox> box) {
+    boxes_[attempt] = std::move(box);
+    if (send(wire::key_request{attempt})) {
+        return true;
+    }
+    boxes_.erase(attempt);
+    return false;
+}
+
+std::int64_t agent_link::agent_clock_ms() const {
+    return steady_now_ms() + clock_offset_ms_;
+}
+
+} // namespace tamarack::entry
--- /dev/null
+++ b/src/entry/caller_request.hpp
@@ -0,0 +1,32 @@
+// What an entry learns from a caller's HTTP request. Kinds of request are plug-ins that register themselves.
+#pragma once
+
+#include "tamarack/http.hpp"
+#include "tamarack/tables.hpp"
+
+namespace tamarack::entry {
+
+struct caller_request {
+    std::string tenant_ = "default";
+    std::optional<traffic_class> class_;      // header Tamarack-Class
+    std::optional<std::int64_t> deadline_ms_; // header Tamarack-Deadline-Ms
+    std::string key_;                         // header Idempotency-Key
+    std::int64_t key_issued_ms_ = 0;          // header Idempotency-Key-Issued, Unix time in ms
+    std::string model_;                       // as written in the body; empty for plain services
+    std::int64_t kv_tokens_ = 0;
+    std::uint64_t affinity_ = 0; // requests with a common prompt prefix share it; zero for none
+};
+
+// A kind of request: which paths it serves and how it is read.
+struct request_kind {
+    std::function<bool(std::string_view path)> serves_;
+    std::function<result<caller_request>(const http::request&)> read_;
+};
+
+// Reads the request with the registered kind that serves its path. Fails with `invalid`.
+result<caller_request> read_caller_request(const http::request& incoming);
+
+// Reads the headers that all kinds share. Fails with `invalid`.
+result<caller_request> read_common_headers(const http::request& incoming);
+
+} // namespace tamarack::entry
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,158 @@
+#include "tamarack/http.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+
+namespace tamarack::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t part_bytes = 64 * 1024;
+constexpr std::uint64_t max_answer_bytes = 256ULL * 1024 * 1024;
+constexpr int http_1_1 = 11;
+
+error call_error(const beast::error_code& failed, const char* phase) {
+    if (failed == beast::error::timeout) {
+        return {error_kind::timeout, std::string("the time limit passed while ") + phase,
+                "allow more time or look at the endpoint"};
+    }
+    return {error_kind::interrupted,
+            std::string("the connection broke while ") + phase + ": " + failed.message(),
+            "look at the endpoint"};
+}
+
+struct call {
+    explicit call(const asio::any_io_executor& executor) : stream_(executor) {
+        parser_.body_limit(max_answer_bytes);
+    }
+
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    bhttp::response_parser<bhttp::buffer_body> parser_;
+};
+
+class beast_stream : public answer_stream {
+public:
+    explicit beast_stream(std::shared_ptr<call> open_call) : call_(std::move(open_call)) {
+        const auto& message = call_->parser_.get();
+        status_ = int(message.result_int());
+        content_type_ = std::string(message[bhttp::field::content_type]);
+    }
+
+    ~beast_stream() override { cancel(); }
+
+    int status() const override { return status_; }
+    std::string_view content_type() const override { return content_type_; }
+
+    awaitable<result<std::string>> read() override {
+        const std::shared_ptr<call> held = call_;
+        while (!held->parser_.is_done()) {
+            auto& body = held->parser_.get().body();
+            body.data = part_.data();
+            body.size = part_.size();
+            auto [read_error, read] =
+                co_await bhttp::async_read_some(held->stream_, held->buffer_, held->parser_, no_throw);
+            const bool part_full = read_error == bhttp::error::need_buffer;
+            if (read_error && !part_full) {
+                co_return call_error(read_error, "reading the answer");
+            }
+            const std::size_t filled = part_.size() - body.size;
+            if (filled > 0) {
+                co_return std::string(part_.data(), filled);
+            }
+        }
+        co_return std::string();
+    }
+
+    void cancel() override { call_->stream_.close(); }
+
+private:
+    std::shared_ptr<call> call_;
+    std::array<char, part_bytes> part_;
+    int status_ = 0;
+    std::string content_type_;
+};
+
+bhttp::request<bhttp::string_body> convert(request outgoing, const tcp::endpoint& remote) {
+    bhttp::request<bhttp::string_body> message;
+    message.version(http_1_1);
+    message.method_string(outgoing.method_);
+    message.target(outgoing.target_);
+    message.set(bhttp::field::host, remote.address().to_string() + ":" + std::to_string(remote.port()));
+    for (const header& one : outgoing.headers_) {
+        message.set(one.name_, one.value_);
+    }
+    message.keep_alive(false);
+    message.body() = std::move(outgoing.body_);
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+awaitable<result<std::unique_ptr<answer_stream>>> open(tcp::endpoint remote, request outgoing,
+                                                       call_limits limits,
+                                                       std::function<void(std::function<void()>)> started) {
+    auto current = std::make_shared<call>(co_await asio::this_coro::executor);
+    if (started) {
+        started([weak = std::weak_ptr<call>(current)] {
+            if (auto alive = weak.lock()) {
+                alive->stream_.close();
+            }
+        });
+    }
+    current->stream_.expires_after(limits.connect_);
+    auto [connect_error] = co_await current->stream_.async_connect(remote, no_throw);
+    if (connect_error) {
+        co_return error{error_kind::unreachable, "cannot connect: " + connect_error.message(),
+                        "check that the endpoint runs and its address is right"};
+    }
+    boost::system::error_code ignored;
+    current->stream_.socket().set_option(tcp::no_delay(true), ignored);
+    current->stream_.expires_after(limits.total_);
+    const auto message = convert(std::move(outgoing), remote);
+    auto [write_error, written] = co_await bhttp::async_write(current->stream_, message, no_throw);
+    if (write_error) {
+        co_return call_error(write_error, "sending the request");
+    }
+    auto [read_error, read] =
+        co_await bhttp::async_read_header(current->stream_, current->buffer_, current->parser_, no_throw);
+    if (read_error) {
+        co_return call_error(read_error, "waiting for the answer");
+    }
+    co_return std::make_unique<beast_stream>(current);
+}
+
+awaitable<result<response>> fetch(tcp::endpoint remote, request outgoing, call_limits limits) {
+    auto opened = co_await open(remote, std::move(outgoing), limits);
+    if (!ok(opened)) {
+        co_return failure(opened);
+    }
+    answer_stream& stream = *value(opened);
+    response collected;
+    collected.status_ = stream.status();
+    collected.headers_.push_back({"Content-Type", std::string(stream.content_type())});
+    while (true) {
+        result<std::string> part = co_await stream.read();
+        if (!ok(part)) {
+            co_return failure(part);
+        }
+        if (value(part).empty()) {
+            co_return collected;
+        }
+        collected.body_ += value(part);
+    }
+}
+
+} // namespace tamarack::http
--- /dev/null
+++ b/src/http/message.cpp
@@ -0,0 +1,84 @@
+#include "tamarack/http.hpp"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace tamarack::http {
+
+namespace {
+
+bool same_name(std::string_view left, std::string_view right) {
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+}
+
+std::optional<std::string_view> find_header(const std::vector<header>& headers, std::string_view name) {
+    for (const header& one : headers) {
+        if (same_name(one.name_, name)) {
+            return one.value_;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::string_view> request::find(std::string_view name) const {
+    return find_header(headers_, name);
+}
+
+std::optional<std::string_view> response::find(std::string_view name) const {
+    return find_header(headers_, name);
+}
+
+std::string_view request::path() const {
+    return std::string_view(target_).substr(0, target_.find('?'));
+}
+
+std::optional<std::string_view> request::query(std::string_view name) const {
+    const std::size_t question = target_.find('?');
+    if (question == std::string::npos) {
+        return std::nullopt;
+    }
+    std::string_view rest = std::string_view(target_).substr(question + 1);
+    while (!rest.empty()) {
+        const std::string_view pair = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+        const std::size_t equals = pair.find('=');
+        if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+            return pair.substr(equals + 1);
+        }
+    }
+    return std::nullopt;
+}
+
+response json_response(int status, std::string body) {
+    return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+result<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string_view text) {
+    const error wrong{error_kind::invalid, "\"" + std::string(text) + "\" is not an address",
+                      "write an IP number and a port, as in 127.0.0.1:8080"};
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return wrong;
+    }
+    std::string host(text.substr(0, colon));
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+    }
+    const std::string_view digits = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto [last, code] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    boost::system::error_code address_error;
+    const auto address = boost::asio::ip::make_address(host, address_error);
+    if (code != std::errc() || last != digits.data() + digits.size() || address_error) {
+        return wrong;
+    }
+    return boost::asio::ip::tcp::endpoint(address, port);
+}
+
+} // namespace tamarack::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,291 @@
+#include "tamarack/http.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+namespace tamarack::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr int http_1_1 = 11;
+
+request convert(const bhttp::request<bhttp::string_body>& parsed) {
+    request converted;
+    converted.method_ = std::string(parsed.method_string());
+    converted.target_ = std::string(parsed.target());
+    for (const auto& field : parsed) {
+        converted.headers_.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    converted.body_ = parsed.body();
+    return converted;
+}
+
+// Watches the socket of an exchange for the caller's leaving. Shared with the waiting coroutine, which may
+// outlive the exchange.
+struct gone_watch {
+    beast::tcp_stream& stream_;
+    std::function<void()> gone_;
+    bool active_ = true;
+};
+
+// Whether the peer closed the connection; unread bytes count as alive.
+bool peer_closed(tcp::socket& socket) {
+    char byte = 0;
+    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+class beast_exchange : public exchange {
+public:
+    beast_exchange(beast::tcp_stream& stream, request incoming, bool keep_alive,
+                   std::chrono::milliseconds write)
+        : stream_(stream), incoming_(std::move(incoming)), keep_alive_(keep_alive), write_limit_(write) {}
+
+    ~beast_exchange() override { stop_watching(); }
+
+    const request& incoming() const override { return incoming_; }
+
+    awaitable<bool> reply(response answer) override {
+        stop_watching();
+        bhttp::response<bhttp::string_body> message{bhttp::status(answer.status_), http_1_1};
+        for (const header& one : answer.headers_) {
+            message.set(one.name_, one.value_);
+        }
+        message.keep_alive(keep_alive_);
+        message.body() = std::move(answer.body_);
+        message.prepare_payload();
+        stream_.expires_after(write_limit_);
+        auto [write_error, written] = co_await bhttp::async_write(stream_, message, no_throw);
+        answered_ = true;
+        co_return note(!write_error);
+    }
+
+    awaitable<bool> begin(int status, std::vector<header> headers) override {
+        bhttp::response<bhttp::empty_body> message{bhttp::status(status), http_1_1};
+        for (const header& one : headers) {
+            message.set(one.name_, one.value_);
+        }
+        message.keep_alive(keep_alive_);
+        message.chunked(true);
+        bhttp::response_serializer<bhttp::empty_body> serializer{message};
+        stream_.expires_after(write_limit_);
+        auto [write_error, written] = co_await bhttp::async_write_header(stream_, serializer, no_throw);
+        answered_ = true;
+        co_return note(!write_error);
+    }
+
+    awaitable<bool> write(std::string_view part) override {
+        if (part.empty()) {
+            co_return alive_;
+        }
+        stream_.expires_after(write_limit_);
+        auto [write_error, written] =
+            co_await asio::async_write(stream_, bhttp::make_chunk(asio::buffer(part)), no_throw);
+        co_return note(!write_error);
+    }
+
+    awaitable<bool> finish() override {
+        stop_watching();
+        stream_.expires_after(write_limit_);
+        auto [write_error, written] = co_await asio::async_write(stream_, bhttp::make_chunk_last(), no_throw);
+        co_return note(!write_error);
+    }
+
+    void abort() override {
+        stop_watching();
+        alive_ = false;
+        stream_.close();
+    }
+
+    void on_gone(std::function<void()> gone) override {
+        stop_watching();
+        watch_ = std::make_shared<gone_watch>(gone_watch{stream_, std::move(gone)});
+        stream_.socket().async_wait(tcp::socket::wait_read,
+                                    [watch = watch_](boost::system::error_code failed) {
+                                        if (!watch->active_ || failed) {
+                                            return;
+                                        }
+                                        if (peer_closed(watch->stream_.socket())) {
+                                            watch->active_ = false;
+                                            watch->gone_();
+                                        }
+                                    });
+    }
+
+    bool usable_again() const { return alive_ && answered_ && keep_alive_; }
+    bool answered() const { return answered_; }
+
+private:
+    bool note(bool success) {
+        alive_ = alive_ && success;
+        return success;
+    }
+
+    void stop_watching() {
+        if (!watch_ || !watch_->active_) {
+            return;
+        }
+        watch_->active_ = false;
+        boost::system::error_code ignored;
+        stream_.socket().cancel(ignored);
+    }
+
+    beast::tcp_stream& stream_;
+    request incoming_;
+    bool keep_alive_;
+    std::chrono::milliseconds write_limit_;
+    bool alive_ = true;
+    bool answered_ = false;
+    std::shared_ptr<gone_watch> watch_;
+};
+
+response refusal_for(const beast::error_code& failed) {
+    if (failed == bhttp::error::body_limit) {
+        return json_response(413, R"({"error":{"kind":"too_large","message":"the body is over the limit",)"
+                                  R"("remedy":"send a smaller body"}})");
+    }
+    if (failed == bhttp::error::header_limit) {
+        return json_response(431, R"({"error":{"kind":"too_large","message":"the header is over the limit",)"
+                                  R"("remedy":"send fewer or shorter header fields"}})");
+    }
+    return json_response(400, R"({"error":{"kind":"invalid","message":"the request is not valid HTTP/1.1",)"
+                              R"("remedy":"correct the request"}})");
+}
+
+bool caller_can_be_told(const beast::error_code& failed) {
+    return failed.category() == beast::http::make_error_code(bhttp::error::bad_target).category() &&
+           failed != bhttp::error::end_of_stream && failed != bhttp::error::partial_message;
+}
+
+} // namespace
+
+struct server::state : std::enable_shared_from_this<server::state> {
+    state(asio::io_context& context, server_limits limits, handler handle)
+        : context_(context), acceptor_(context), limits_(limits), handle_(std::move(handle)) {}
+
+    awaitable<void> accept_loop() {
+        const auto self = shared_from_this();
+        while (acceptor_.is_open()) {
+            auto [accept_error, socket] = co_await acceptor_.async_accept(no_throw);
+            if (accept_error == asio::error::operation_aborted) {
+                co_return;
+            }
+            if (!accept_error) {
+                asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+            }
+        }
+    }
+
+    awaitable<void> serve(tcp::socket socket) {
+        const auto self = shared_from_this();
+        beast::tcp_stream stream(std::move(socket));
+        boost::system::error_code ignored;
+        stream.socket().set_option(tcp::no_delay(true), ignored);
+        ++connections_;
+        if (connections_ > limits_.connections_) {
+            co_await refuse(stream,
+                            json_response(503, R"({"error":{"kind":"unavailable","message":"too many )"
+                                               R"(connections","remedy":"come back later"}})"));
+        } else {
+            beast::flat_buffer buffer;
+            while (co_await serve_one(stream, buffer)) {
+            }
+        }
+        --connections_;
+        stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    // Returns whether the connection may carry another request.
+    awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+        bhttp::request_parser<bhttp::string_body> parser;
+        parser.header_limit(std::uint32_t(limits_.header_bytes_));
+        parser.body_limit(limits_.body_bytes_);
+        stream.expires_after(limits_.idle_);
+        auto [read_error, read] = co_await bhttp::async_read(stream, buffer, parser, no_throw);
+        if (read_error) {
+            if (caller_can_be_told(read_error)) {
+                co_await refuse(stream, refusal_for(read_error));
+            }
+            co_return false;
+        }
+        stream.expires_never();
+        const bool keep_alive = parser.get().keep_alive() && acceptor_.is_open();
+        beast_exchange current(stream, convert(parser.get()), keep_alive, limits_.write_);
+        co_await handle_(current);
+        if (!current.answered()) {
+            co_await current.reply(json_response(500,
+                                                 R"({"error":{"kind":"unavailable","message":"no answer",)"
+                                                 R"("remedy":"report this as a fault"}})"));
+        }
+        co_return current.usable_again();
+    }
+
+    awaitable<void> refuse(beast::tcp_stream& stream, response answer) {
+        beast_exchange current(stream, request(), false, limits_.write_);
+        answer.headers_.push_back({"Connection", "close"});
+        co_await current.reply(std::move(answer));
+    }
+
+    asio::io_context& context_;
+    tcp::acceptor acceptor_;
+    server_limits limits_;
+    handler handle_;
+    std::size_t connections_ = 0;
+};
+
+server::server(asio::io_context& context, server_limits limits, handler handle)
+    : state_(std::make_shared<state>(context, limits, std::move(handle))) {}
+
+server::~server() {
+    stop_accepting();
+}
+
+result<done> server::listen(const tcp::endpoint& local) {
+    boost::system::error_code failed;
+    tcp::acceptor& acceptor = state_->acceptor_;
+    acceptor.open(local.protocol(), failed);
+    if (!failed) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+        const int enable = 1;
+        ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT, &enable, sizeof(enable));
+        acceptor.bind(local, failed);
+    }
+    if (!failed) {
+        acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    }
+    if (failed) {
+        return error{error_kind::unavailable,
+                     "cannot listen on port " + std::to_string(local.port()) + ": " + failed.message(),
+                     "choose a free address in the settings"};
+    }
+    asio::co_spawn(state_->context_, state_->accept_loop(), asio::detached);
+    return done{};
+}
+
+std::uint16_t server::port() const {
+    boost::system::error_code ignored;
+    return state_->acceptor_.local_endpoint(ignored).port();
+}
+
+void server::stop_accepting() {
+    boost::system::error_code ignored;
+    state_->acceptor_.close(ignored);
+}
+
+std::size_t server::connections() const {
+    return state_->connections_;
+}
+
+} // namespace tamarack::http
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,57 @@
+#include "tamarack/membership.hpp"
+
+#include <algorithm>
+
+namespace tamarack {
+
+void membership::absorb_list(std::span<const listed_instance> instances) {
+    std::set<std::string_view> listed;
+    for (const listed_instance& instance : instances) {
+        if (instance.role_ != "agent") {
+            continue;
+        }
+        listed.insert(instance.id_);
+        endpoints_[instance.id_].instance_ = instance;
+    }
+    std::erase_if(endpoints_, [&](const auto& entry) {
+        return !listed.contains(entry.first) && !entry.second.connected_;
+    });
+}
+
+void membership::absorb_status(std::string_view id, const agent_status& status, time_ms now) {
+    auto found = endpoints_.find(id);
+    if (found == endpoints_.end()) {
+        return;
+    }
+    endpoint_view& endpoint = found->second;
+    const bool same_incarnation = endpoint.status_.incarnation_ == status.incarnation_;
+    const bool left_before = same_incarnation && endpoint.status_.leaving_;
+    endpoint.connected_ = true;
+    endpoint.heard_at_ = now;
+    endpoint.status_ = status;
+    endpoint.status_.leaving_ = status.leaving_ || left_before;
+}
+
+void membership::connection_lost(std::string_view id) {
+    auto found = endpoints_.find(id);
+    if (found != endpoints_.end()) {
+        found->second.connected_ = false;
+    }
+}
+
+bool membership::takes_new_work(const endpoint_view& endpoint, time_ms now) const {
+    const bool heard = endpoint.connected_ && now - endpoint.heard_at_ <= heartbeat_limit_ms_;
+    return heard && !endpoint.instance_.leaving_ && !endpoint.status_.leaving_;
+}
+
+std::vector<const endpoint_view*> membership::pool_endpoints(std::string_view pool) const {
+    std::vector<const endpoint_view*> found;
+    for (const auto& [id, endpoint] : endpoints_) {
+        if (endpoint.instance_.pool_ == pool) {
+            found.push_back(&endpoint);
+        }
+    }
+    return found;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/planning/planning.cpp
@@ -0,0 +1,203 @@
+#include "tamarack/planning.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarack {
+
+namespace {
+
+constexpr double threshold_for_attainment = 2.0;
+constexpr double threshold_for_moves = 12.0;
+
+struct wanted_item {
+    std::string item_;
+    std::int64_t memory_mb_;
+};
+
+// Items of one model that can be loaded now: the model, and its adapters once it is ready.
+std::vector<wanted_item> loadable_items(const plan_facts& facts, const model_row& model) {
+    std::vector<wanted_item> items{{item_name(model), model.memory_mb_}};
+    if (!facts.memory_->resident().contains(item_name(model))) {
+        return items;
+    }
+    for (const adapter_row& adapter : model.adapters_) {
+        items.push_back({item_name(model, adapter), adapter.memory_mb_});
+    }
+    return items;
+}
+
+std::optional<wanted_item> first_missing(const plan_facts& facts, const model_row& model) {
+    for (wanted_item& wanted : loadable_items(facts, model)) {
+        if (!facts.memory_->resident().contains(wanted.item_) && !facts.memory_->in_flight(wanted.item_)) {
+            return std::move(wanted);
+        }
+    }
+    return std::nullopt;
+}
+
+bool fits(const plan_facts& facts, std::int64_t memory_mb) {
+    const std::int64_t after_mb =
+        facts.memory_->weights_mb() + facts.memory_->reserve_mb() + facts.kv_in_use_mb_;
+    return after_mb + memory_mb <= facts.memory_->capacity_mb();
+}
+
+const model_row* model_of_item(const plan_facts& facts, std::string_view item) {
+    return find_model(*facts.pool_, parse_model_reference(item).model_);
+}
+
+// The name under which the tables in force want the same model or adapter; empty if they do not.
+std::string name_in_force(const plan_facts& facts, const std::string& item) {
+    const model_row* model = model_of_item(facts, item);
+    const model_reference reference = parse_model_reference(item);
+    if (model == nullptr) {
+        return {};
+    }
+    if (reference.adapter_.empty()) {
+        return item_name(*model);
+    }
+    const adapter_row* adapter = find_adapter(*model, reference.adapter_);
+    return adapter == nullptr ? std::string() : item_name(*model, *adapter);
+}
+
+bool is_home(const plan_facts& facts, const std::string& item) {
+    return facts.home_models_.contains(parse_model_reference(item).model_);
+}
+
+const item_use& use_of(const plan_facts& facts, const std::string& item) {
+    static const item_use unused;
+    auto found = facts.uses_.find(item);
+    return found == facts.uses_.end() ? unused : found->second;
+}
+
+// An item that no accepted table names, or that a newer version has replaced here or elsewhere.
+std::optional<drop_step> obsolete_item(const plan_facts& facts) {
+    for (const auto& [item, memory_mb] : facts.memory_->resident()) {
+        if (facts.memory_->in_flight(item)) {
+            continue;
+        }
+        const std::string current = name_in_force(facts, item);
+        const std::string model = parse_model_reference(item).model_;
+        if (current.empty()) {
+            return drop_step{item, model, {}, false};
+        }
+        if (current != item && facts.memory_->resident().contains(current)) {
+            return drop_step{item, model, current, false};
+        }
+        if (current != item && !is_home(facts, item)) {
+            return drop_step{item, model, current, true};
+        }
+    }
+    return std::nullopt;
+}
+
+// The extra copy that was not used for the longest time. Adapters go before their model.
+std::optional<drop_step> idle_extra_copy(const plan_facts& facts, time_ms unused_since) {
+    std::optional<drop_step> best;
+    time_ms best_used = unused_since;
+    bool best_adapter = false;
+    for (const auto& [item, memory_mb] : facts.memory_->resident()) {
+        const item_use& use = use_of(facts, item);
+        if (is_home(facts, item) || use.running_ > 0 || facts.memory_->in_flight(item)) {
+            continue;
+        }
+        const bool adapter = item.find(':') != std::string::npos;
+        const bool better =
+            use.last_used_ < best_used || (use.last_used_ == best_used && adapter && !best_adapter);
+        if (better) {
+            best = drop_step{item, parse_model_reference(item).model_, item, true};
+            best_used = use.last_used_;
+            best_adapter = adapter;
+        }
+    }
+    return best;
+}
+
+std::optional<plan_step> make_room(const plan_facts& facts, time_ms unused_since) {
+    if (auto drop = idle_extra_copy(facts, unused_since)) {
+        return *drop;
+    }
+    return std::nullopt;
+}
+
+std::optional<plan_step> home_step(const plan_facts& facts) {
+    bool short_of_room = false;
+    for (const std::string& name : facts.home_models_) {
+        const model_row* model = find_model(*facts.pool_, name);
+        const auto missing = model == nullptr ? std::nullopt : first_missing(facts, *model);
+        if (!missing) {
+            continue;
+        }
+        if (fits(facts, missing->memory_mb_)) {
+            return load_step{missing->item_, missing->memory_mb_, false};
+        }
+        short_of_room = true;
+    }
+    return short_of_room ? make_room(facts, facts.now_ + 1) : std::nullopt;
+}
+
+std::optional<plan_step> extra_step(const plan_facts& facts) {
+    const double threshold = extra_copy_threshold(facts.pool_->attainment_weight_);
+    for (const model_row& model : facts.pool_->models_) {
+        if (facts.demand_ == nullptr || facts.demand_->level(model.name_, facts.now_) < threshold) {
+            continue;
+        }
+        const auto missing = first_missing(facts, model);
+        if (!missing) {
+            continue;
+        }
+        if (fits(facts, missing->memory_mb_)) {
+            return load_step{missing->item_, missing->memory_mb_, true};
+        }
+        return make_room(facts, facts.now_ - extra_copy_hold_ms);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void demand_meter::note_miss(std::string_view model, time_ms now) {
+    const double before = level(model, now);
+    meters_.insert_or_assign(std::string(model), meter{before + 1.0, now});
+}
+
+double demand_meter::level(std::string_view model, time_ms now) const {
+    auto found = meters_.find(model);
+    if (found == meters_.end()) {
+        return 0.0;
+    }
+    const double half_lives = double(now - found->second.at_) / double(demand_half_life_ms);
+    return found->second.level_ * std::exp2(-half_lives);
+}
+
+void demand_meter::clear(std::string_view model) {
+    auto found = meters_.find(model);
+    if (found != meters_.end()) {
+        meters_.erase(found);
+    }
+}
+
+double extra_copy_threshold(double attainment_weight) {
+    return threshold_for_moves + attainment_weight * (threshold_for_attainment - threshold_for_moves);
+}
+
+std::int64_t home_memory_mb(const plan_facts& facts) {
+    std::int64_t total = 0;
+    for (const std::string& name : facts.home_models_) {
+        const model_row* model = find_model(*facts.pool_, name);
+        total += model == nullptr ? 0 : unit_memory_mb(*model);
+    }
+    return total;
+}
+
+std::optional<plan_step> next_plan_step(const plan_facts& facts) {
+    if (auto step = home_step(facts)) {
+        return step;
+    }
+    if (auto drop = obsolete_item(facts)) {
+        return *drop;
+    }
+    return extra_step(facts);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/platform/config_follower.cpp
@@ -0,0 +1,106 @@
+#include "tamarack/observe.hpp"
+#include "tamarack/platform.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace tamarack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds read_wait{1'000};
+constexpr std::chrono::milliseconds retry_pause{200};
+
+} // namespace
+
+struct config_follower::state_data {
+    state_data(asio::any_io_executor executor, log_client log,
+               std::function<void(const config_state&)> changed, bool writes_snapshots, double share)
+        : executor_(std::move(executor)), log_(std::move(log)), changed_(std::move(changed)),
+          writes_snapshots_(writes_snapshots), share_(share) {}
+
+    void report_change(std::int64_t version_before) {
+        if (reader_.state().version_ != version_before) {
+            changed_(reader_.state());
+        }
+    }
+
+    void take_batch(const log_batch& batch) {
+        const std::int64_t version_before = reader_.state().version_;
+        for (const verdict& decided : reader_.absorb(batch.first_retained_, batch.records_)) {
+            if (decided.kind_ == verdict_kind::rejected) {
+                log_info("config", "Change " + decided.id_ + " was rejected: " + decided.reason_ + ".");
+            }
+        }
+        report_change(version_before);
+    }
+
+    // A failed append is repeated with the next batch; a doubled snapshot does no harm.
+    asio::awaitable<void> renew_snapshot(const log_batch& batch) {
+        const bool usable = reader_.synchronised() && reader_.state().version_ != no_version;
+        const std::int64_t last_ms = reader_.last_snapshot_time_ms();
+        if (!writes_snapshots_ || !usable ||
+            !snapshot_due(last_ms, batch.now_ms_, batch.retention_ms_, share_)) {
+            co_return;
+        }
+        co_await log_.append_(std::string(config_stream), encode_state(reader_.state()));
+    }
+
+    static asio::awaitable<void> follow(std::shared_ptr<state_data> self) {
+        while (!self->stopped_) {
+            const std::int64_t from = self->reader_.next_offset();
+            result<log_batch> batch = co_await self->log_.read_(std::string(config_stream), from, read_wait);
+            if (self->stopped_) {
+                co_return;
+            }
+            if (ok(batch)) {
+                self->take_batch(value(batch));
+                co_await self->renew_snapshot(value(batch));
+                continue;
+            }
+            asio::steady_timer pause(self->executor_, retry_pause);
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+    }
+
+    asio::any_io_executor executor_;
+    log_client log_;
+    std::function<void(const config_state&)> changed_;
+    bool writes_snapshots_;
+    double share_;
+    bool stopped_ = false;
+    config_reader reader_;
+};
+
+config_follower::config_follower(asio::any_io_executor executor, log_client log,
+                                 std::function<void(const config_state&)> changed, bool writes_snapshots,
+                                 double share)
+    : data_(std::make_shared<state_data>(std::move(executor), std::move(log), std::move(changed),
+                                         writes_snapshots, share)) {}
+
+config_follower::~config_follower() {
+    data_->stopped_ = true;
+}
+
+void config_follower::start() {
+    asio::co_spawn(data_->executor_, state_data::follow(data_), asio::detached);
+}
+
+void config_follower::absorb_peer_state(std::string_view encoded) {
+    const result<config_state> peer_state = decode_state(encoded);
+    const std::int64_t version_before = data_->reader_.state().version_;
+    if (ok(peer_state) && data_->reader_.adopt(value(peer_state))) {
+        data_->report_change(version_before);
+    }
+}
+
+const config_state& config_follower::state() const {
+    return data_->reader_.state();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/tables/match.cpp
@@ -0,0 +1,86 @@
+#include "tamarack/tables.hpp"
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+bool field_matches(std::string_view pattern, std::string_view given) {
+    return pattern == "*" || pattern == given;
+}
+
+// A prefix matches whole path segments only, so that "/book" does not match "/bookkeeping".
+bool path_matches(std::string_view prefix, std::string_view path) {
+    if (!path.starts_with(prefix)) {
+        return false;
+    }
+    return prefix.ends_with('/') || path.size() == prefix.size() || path[prefix.size()] == '/';
+}
+
+bool route_matches(const route_row& route, const request_facts& request) {
+    return path_matches(route.path_prefix_, request.path_) && field_matches(route.method_, request.method_) &&
+           field_matches(route.tenant_, request.tenant_) &&
+           (route.model_ == "*" || parse_model_reference(route.model_).model_ == request.model_);
+}
+
+int exactness(const route_row& route) {
+    return int(route.method_ != "*") + int(route.tenant_ != "*") + int(route.model_ != "*");
+}
+
+bool more_specific(const route_row& left, const route_row& right) {
+    if (left.path_prefix_.size() != right.path_prefix_.size()) {
+        return left.path_prefix_.size() > right.path_prefix_.size();
+    }
+    return exactness(left) > exactness(right);
+}
+
+void split_version(std::string_view text, std::string& name, std::string& version) {
+    const std::size_t at = text.find('@');
+    name = text.substr(0, at);
+    version = at == std::string_view::npos ? std::string_view() : text.substr(at + 1);
+}
+
+} // namespace
+
+const route_row* match_route(const tables& in_force, const request_facts& request) {
+    const route_row* best = nullptr;
+    for (const auto& [name, route] : in_force.routes_) {
+        if (route_matches(route, request) && (best == nullptr || more_specific(route, *best))) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+model_reference parse_model_reference(std::string_view text) {
+    model_reference reference;
+    const std::size_t colon = text.find(':');
+    split_version(text.substr(0, colon), reference.model_, reference.model_version_);
+    if (colon != std::string_view::npos) {
+        split_version(text.substr(colon + 1), reference.adapter_, reference.adapter_version_);
+    }
+    return reference;
+}
+
+std::string item_name(const model_row& model) {
+    return model.name_ + "@" + model.version_;
+}
+
+std::string item_name(const model_row& model, const adapter_row& adapter) {
+    return model.name_ + ":" + adapter.name_ + "@" + adapter.version_;
+}
+
+const model_row* find_model(const pool_row& pool, std::string_view name) {
+    auto found = std::find_if(pool.models_.begin(), pool.models_.end(),
+                              [&](const model_row& model) { return model.name_ == name; });
+    return found == pool.models_.end() ? nullptr : &*found;
+}
+
+const adapter_row* find_adapter(const model_row& model, std::string_view name) {
+    auto found = std::find_if(model.adapters_.begin(), model.adapters_.end(),
+                              [&](const adapter_row& adapter) { return adapter.name_ == name; });
+    return found == model.adapters_.end() ? nullptr : &*found;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/choices.hpp
@@ -0,0 +1,36 @@
+// A sequence of choices that drives a model under test. A property library generates and shrinks the
+// sequence.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <vector>
+
+namespace tamarack::fixtures {
+
+class choices {
+public:
+    explicit choices(std::vector<std::uint32_t> sequence) : sequence_(std::move(sequence)) {}
+
+    bool left() const { return at_ < sequence_.size(); }
+
+    // A number below `bound`; zero once the sequence has ended.
+    std::uint64_t below(std::uint64_t bound) { return left() ? sequence_[at_++] % bound : 0; }
+
+private:
+    std::vector<std::uint32_t> sequence_;
+    std::size_t at_ = 0;
+};
+
+// A sequence from a seed, for searches that must find a fault.
+inline std::vector<std::uint32_t> random_sequence(std::uint64_t seed, std::size_t length) {
+    std::mt19937_64 random(seed);
+    std::vector<std::uint32_t> sequence(length);
+    for (std::uint32_t& choice : sequence) {
+        choice = std::uint32_t(random() >> 32);
+    }
+    return sequence;
+}
+
+} // namespace tamarack::fixtures
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,89 @@
+#include "fixtures.hpp"
+#include "tamarack/membership.hpp"
+
+namespace tamarack {
+
+namespace {
+
+struct membership_fixture {
+    membership members_{2'000};
+
+    static listed_instance listed(const std::string& id, bool leaving = false) {
+        return {id, "agent", "desk", "dc1", "127.0.0.1", 1'000, leaving};
+    }
+
+    void list(std::vector<listed_instance> instances) { members_.absorb_list(instances); }
+
+    void hear(const std::string& id, std::uint64_t incarnation, bool leaving, time_ms now) {
+        agent_status status;
+        status.incarnation_ = incarnation;
+        status.leaving_ = leaving;
+        members_.absorb_status(id, status, now);
+    }
+
+    bool usable(const std::string& id, time_ms now) const {
+        auto found = members_.endpoints().find(id);
+        return found != members_.endpoints().end() && members_.takes_new_work(found->second, now);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(membership_fixture, "endpoint_listed_but_never_heard_takes_no_work") {
+    list({listed("a")});
+    CHECK_FALSE(usable("a", 0));
+    hear("a", 1, false, 10);
+    CHECK(usable("a", 10));
+}
+
+TEST_CASE_FIXTURE(membership_fixture, "endpoint_silent_beyond_the_heartbeat_limit_takes_no_work") {
+    list({listed("a")});
+    hear("a", 1, false, 0);
+    CHECK(usable("a", 2'000));
+    CHECK_FALSE(usable("a", 2'001));
+    hear("a", 1, false, 3'000);
+    CHECK(usable("a", 3'000));
+}
+
+TEST_CASE_FIXTURE(membership_fixture, "endpoint_that_says_it_leaves_takes_no_work_although_the_list_lags") {
+    list({listed("a")});
+    hear("a", 1, false, 0);
+    hear("a", 1, true, 10);
+    CHECK_FALSE(usable("a", 10));
+    list({listed("a")});
+    CHECK_FALSE(usable("a", 11));
+    hear("a", 1, false, 20); // a late status of the same incarnation
+    CHECK_FALSE(usable("a", 20));
+    hear("a", 2, false, 30); // another incarnation took the slot
+    CHECK(usable("a", 30));
+}
+
+TEST_CASE_FIXTURE(membership_fixture, "endpoint_that_the_list_calls_leaving_takes_no_work") {
+    list({listed("a")});
+    hear("a", 1, false, 0);
+    list({listed("a", true)});
+    CHECK_FALSE(usable("a", 1));
+}
+
+TEST_CASE_FIXTURE(membership_fixture, "list_that_is_empty_by_mistake_cuts_no_connected_endpoint_off") {
+    list({listed("a"), listed("b")});
+    hear("a", 1, false, 0);
+    list({});
+    CHECK(usable("a", 100));
+    CHECK(members_.endpoints().size() == 1);
+    members_.connection_lost("a");
+    list({});
+    CHECK(members_.endpoints().empty());
+}
+
+TEST_CASE_FIXTURE(membership_fixture, "entries_and_other_pools_are_no_endpoints_of_the_pool") {
+    listed_instance entry = listed("e");
+    entry.role_ = "entry";
+    listed_instance other = listed("o");
+    other.pool_ = "advisor";
+    list({listed("a"), entry, other});
+    REQUIRE(members_.pool_endpoints("desk").size() == 1);
+    CHECK(members_.pool_endpoints("desk")[0]->instance_.id_ == "a");
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tools/load/tamarack_load.cpp
@@ -0,0 +1,1 @@
+int main() {}
