--- a/src/agent/engine_orders.cpp
+++ b/src/agent/engine_orders.cpp
@@ -158,7 +158,11 @@
     for (const listed_instance& peer : peers) {
         const bool other =
             peer.role_ == "agent" && peer.pool_ == settings_.pool_ && peer.id_ != settings_.id_;
-        if (other && !peer.leaving_ && co_await ask_for_grant(peer, step.rely_on_)) {
+        if (!other || peer.leaving_) {
+            continue;
+        }
+        const bool granted = co_await ask_for_grant(peer, step.rely_on_);
+        if (granted) {
             co_return true;
         }
     }
--- a/src/entry/serve.cpp
+++ b/src/entry/serve.cpp
@@ -207,7 +207,8 @@
         const std::string key = own_key.empty() ? request.bound_key_ : own_key;
         const std::string detail =
             last.detail_.empty() ? "the instance that holds its key cannot be asked" : last.detail_;
-        co_await current.reply(unknown_answer(detail, request.route_.idempotent_ ? std::string() : key));
+        http::response answer = unknown_answer(detail, request.route_.idempotent_ ? std::string() : key);
+        co_await current.reply(std::move(answer));
         co_return;
     }
     co_await current.reply(not_run_answer(last.reason_, std::max(last.retry_after_ms_, std::int64_t(0))));
@@ -306,8 +307,10 @@
     const std::shared_ptr<agent_link> link = links_[endpoint];
     if (!link->connected()) {
         const bool keyed = decode_bound_key(request.facts_.key_) || !request.redirect_.empty();
-        co_return keyed ? interrupted_result("the instance that holds the key is not reachable")
-                        : not_sent_result(refusal_reason::no_endpoint);
+        if (keyed) {
+            co_return interrupted_result("the instance that holds the key is not reachable");
+        }
+        co_return not_sent_result(refusal_reason::no_endpoint);
     }
     if (request.facts_.key_.empty()) {
         const bound_key own{endpoint, link->incarnation(), link->agent_clock_ms(), random_()};
@@ -335,7 +338,11 @@
 asio::awaitable<attempt_result> shard::give_up(agent_link& link, mailbox& box, std::uint64_t attempt_id) {
     link.send(wire::cancel{attempt_id});
     const auto until = clock::now() + cancel_limit;
-    while (auto event = co_await box.take(until)) {
+    while (true) {
+        const std::optional<attempt_event> event = co_await box.take(until);
+        if (!event) {
+            break;
+        }
         if (const auto* said = std::get_if<wire::refused>(&*event)) {
             co_return refused_result(*said);
         }
--- a/tools/harness/cluster.cpp
+++ b/tools/harness/cluster.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <thread>
@@ -63,7 +64,11 @@
     folder_ = ::mkdtemp(pattern.data());
 }
 
+// With TAMARACK_KEEP_LOGS set, the logs of the processes stay.
 cluster::~cluster() {
+    if (std::getenv("TAMARACK_KEEP_LOGS") != nullptr) {
+        return;
+    }
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
 }
