Prove memory, leaving, reachability, whole answers and configuration with real processes

Change: process tests under kills, freezes, lost, late and unanswered orders, lagging reports, a wrong or missing list, log outage, retention and malformed input; the stand-ins' own ledgers and run counts are what is checked. Before: none of these tests.

--- /dev/null
+++ b/tests/process/configuration_process_test.cpp
@@ -0,0 +1,123 @@
+#include "desk_cluster.hpp"
+
+namespace tamarack::process_tests {
+
+namespace {
+
+// Time from acceptance until a change is in force everywhere.
+constexpr std::int64_t in_force_bound_ms = 5'000;
+
+struct config_cluster : desk_cluster {
+    static json routes_with_deadline(std::int64_t deadline_ms) {
+        json changed = routes();
+        changed[0]["deadline_ms"] = deadline_ms;
+        return changed;
+    }
+
+    json last_verdict() { return json::parse(system_.ctl_output()); }
+
+    // Versions that all instances say are in force.
+    std::set<std::int64_t> versions() {
+        std::set<std::int64_t> all;
+        for (const auto& [id, one] : system_.endpoints()) {
+            all.insert(system_.get(one.admin_port_, "/readyz").value("version", std::int64_t(-2)));
+        }
+        for (const auto& [id, one] : system_.entries()) {
+            all.insert(system_.get(one.admin_port_, "/readyz").value("version", std::int64_t(-2)));
+        }
+        return all;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(config_cluster, "publish_accepted_change_is_in_force_everywhere_within_the_bound") {
+    for (int round = 1; round <= 5; ++round) {
+        REQUIRE(system_.publish(routes_with_deadline(3'000 + round), pools()) == 0);
+        const std::int64_t accepted_at = now_ms();
+        REQUIRE(system_.wait_until_version(last_verdict()["offset"]));
+        CHECK(now_ms() - accepted_at < in_force_bound_ms);
+    }
+}
+
+TEST_CASE_FIXTURE(config_cluster, "publish_by_two_operators_from_one_base_one_is_rejected_with_the_reason") {
+    CHECK(system_.publish(routes_with_deadline(3'001), pools(), {"--base=0", "--author=ana"}) == 0);
+    const std::int64_t winner = last_verdict()["offset"];
+    CHECK(system_.publish(routes_with_deadline(3'002), pools(), {"--base=0", "--author=ben"}) == 1);
+    CHECK(last_verdict()["reason"].get<std::string>().find("in force") != std::string::npos);
+    REQUIRE(system_.wait_until_version(winner));
+    CHECK(versions() == std::set<std::int64_t>{winner});
+}
+
+TEST_CASE_FIXTURE(config_cluster, "publish_answer_lost_is_accepted_once_by_its_id") {
+    system_.set_faults(system_.log_port(), {{"lose_answers", 1}});
+    CHECK(system_.publish(routes_with_deadline(3'001), pools(), {"--id=change-1"}) == 0);
+    const std::int64_t offset = last_verdict()["offset"];
+    CHECK(system_.publish(routes_with_deadline(3'001), pools(), {"--id=change-1"}) == 0);
+    CHECK(last_verdict()["offset"] == offset);
+}
+
+TEST_CASE_FIXTURE(config_cluster, "publish_faulty_tables_are_refused_before_the_log") {
+    json bad = routes();
+    bad[0]["pool"] = "nowhere";
+    CHECK(system_.publish(bad, pools()) == 1);
+    CHECK(system_.ctl_output().find("nowhere") != std::string::npos);
+    CHECK(versions() == std::set<std::int64_t>{0});
+}
+
+TEST_CASE_FIXTURE(config_cluster, "log_down_restarted_instances_get_the_state_from_peers_and_never_go_back") {
+    REQUIRE(system_.publish(routes_with_deadline(3'500), pools()) == 0);
+    const std::int64_t version = last_verdict()["offset"];
+    REQUIRE(system_.wait_until_version(version));
+    system_.set_faults(system_.log_port(), {{"outage", 1}});
+    node("desk-a").agent_.kill();
+    system_.start_agent(node("desk-a"));
+    CHECK(system_.wait_until_version(version));
+    system_.entries().at("entry-1").entry_.kill();
+    system_.start_entry(system_.entries().at("entry-1"));
+    CHECK(system_.wait_until_version(version));
+    CHECK(versions() == std::set<std::int64_t>{version});
+    CHECK(send("entry-1", "during-outage").outcome() == "answered");
+    system_.set_faults(system_.log_port(), {{"outage", 0}});
+    check_record();
+}
+
+TEST_CASE_FIXTURE(config_cluster, "instance_without_log_and_peers_stays_unready") {
+    system_.set_faults(system_.log_port(), {{"outage", 1}});
+    system_.set_faults(system_.list_port(), {{"outage", 1}});
+    entry_node& alone = system_.add_entry("entry-alone");
+    REQUIRE(cluster::wait_for([&] { return system_.get(alone.admin_port_, "/readyz").contains("ready"); }));
+    const caller_answer answer = call(alone.port_, booking("alone"));
+    CHECK(answer.outcome() == "not_run");
+    CHECK(answer.status_ == 503);
+    CHECK_FALSE(system_.get(alone.admin_port_, "/readyz")["ready"].get<bool>());
+}
+
+TEST_CASE_FIXTURE(config_cluster, "instance_frozen_through_changes_and_retention_catches_up") {
+    node("desk-a").agent_.signal(SIGSTOP);
+    system_.entries().at("entry-1").entry_.signal(SIGSTOP);
+    for (int round = 1; round <= 3; ++round) {
+        REQUIRE(system_.publish(routes_with_deadline(3'000 + round), pools()) == 0);
+    }
+    const std::int64_t version = last_verdict()["offset"];
+    call(system_.log_port(), {"POST", "/trim", {}, R"({"stream":"config"})"});
+    node("desk-a").agent_.signal(SIGCONT);
+    system_.entries().at("entry-1").entry_.signal(SIGCONT);
+    CHECK(system_.wait_until_version(version));
+    CHECK(versions() == std::set<std::int64_t>{version});
+}
+
+TEST_CASE_FIXTURE(config_cluster, "random_records_in_the_log_change_nothing") {
+    const std::set<std::int64_t> before = versions();
+    std::string bytes;
+    for (int index = 0; index < 200; ++index) {
+        bytes += char(index * 37 + 11);
+        call(system_.log_port(), {"POST", "/v1/streams/config", {}, bytes});
+    }
+    REQUIRE(system_.publish(routes_with_deadline(3'900), pools()) == 0);
+    const std::int64_t version = last_verdict()["offset"];
+    CHECK(system_.wait_until_version(version));
+    CHECK(version > *before.rbegin());
+}
+
+} // namespace tamarack::process_tests
--- /dev/null
+++ b/tests/process/whole_answers_test.cpp
@@ -0,0 +1,77 @@
+#include "engine_cluster.hpp"
+
+namespace tamarack::process_tests {
+
+namespace {
+
+struct streams_cluster : engine_cluster {
+    json models_ = json::array({model("a", 200, "1", 2), model("b", 200, "1", 2), model("c", 200, "1", 2)});
+
+    std::vector<std::pair<std::uint16_t, caller_request>> streams(int count, std::int64_t tokens) {
+        std::vector<std::pair<std::uint16_t, caller_request>> requests;
+        for (int index = 0; index < count; ++index) {
+            const std::string name(1, char('a' + index % 3));
+            requests.emplace_back(
+                port(index % 2 == 0 ? "entry-1" : "entry-2"),
+                completion(name, "stream " + std::to_string(index), tokens, index % 4 != 0));
+        }
+        return requests;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(streams_cluster, "two_hundred_streams_through_two_entries_are_all_whole") {
+    start(4, true, models_);
+    const auto requests = streams(200, 30);
+    const auto answers = call_all(requests);
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        CHECK(answer_text(answers[index]) == expected_text(requests[index].second));
+    }
+}
+
+TEST_CASE_FIXTURE(streams_cluster, "agents_killed_mid_stream_every_answer_is_whole_or_visibly_incomplete") {
+    start(4, true, models_);
+    const auto requests = streams(120, 150);
+    std::vector<caller_answer> answers;
+    std::thread callers([&] { answers = call_all(requests); });
+    CHECK(cluster::wait_for([this] {
+        return system_.get(node("engine-0").endpoint_port_, "/v1/ledger").value("running", 0) > 5;
+    }));
+    node("engine-0").agent_.kill();
+    node("engine-1").endpoint_.kill();
+    callers.join();
+    int whole = 0;
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        const caller_answer& answer = answers[index];
+        const std::string text = answer_text(answer);
+        const bool complete = text == expected_text(requests[index].second);
+        whole += complete ? 1 : 0;
+        const bool said_so =
+            answer.outcome() == "cut" || answer.outcome() == "not_run" || answer.outcome() == "unknown";
+        CHECK((complete || said_so));
+    }
+    CHECK(whole >= 40);
+}
+
+TEST_CASE_FIXTURE(streams_cluster, "engine_cuts_a_stream_the_caller_sees_an_incomplete_answer") {
+    start(1, true, json::array({model("a", 200)}));
+    system_.set_faults(node("engine-0").endpoint_port_, {{"cut_after_tokens", 5}});
+    const caller_answer streamed = call(port("entry-1"), completion("a", "p", 20, true));
+    CHECK(streamed.outcome() == "cut");
+    CHECK(answer_text(streamed).empty());
+}
+
+TEST_CASE_FIXTURE(streams_cluster, "caller_that_goes_away_its_request_is_cancelled_at_the_engine") {
+    start(1, true, json::array({model("a", 200)}));
+    const std::int64_t impatient_ms = 300;
+    const caller_answer gone = call(port("entry-1"), completion("a", "p", 5'000, true), impatient_ms);
+    CHECK_FALSE(gone.whole_);
+    CHECK(cluster::wait_for(
+        [this] {
+            return system_.get(node("engine-0").endpoint_port_, "/v1/ledger").value("running", -1) == 0;
+        },
+        5'000));
+}
+
+} // namespace tamarack::process_tests
