--- a/tools/harness/caller.cpp
+++ b/tools/harness/caller.cpp
@@ -24,6 +24,8 @@
     return text;
 }
 
+} // namespace
+
 asio::awaitable<void> exchange(std::uint16_t port, const caller_request& request, std::int64_t limit_ms,
                                caller_answer& answer) {
     const std::int64_t began = now_ms();
@@ -62,8 +64,6 @@
     answer.body_ = parser.get().body();
 }
 
-} // namespace
-
 std::string caller_answer::header(const std::string& name) const {
     auto found = headers_.find(lower(name));
     return found == headers_.end() ? std::string() : found->second;
