--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -50,7 +50,7 @@
 
 // Reports allocations and bytes for each iteration.
 class allocation_count {
-  public:
+public:
     explicit allocation_count(benchmark::State& state)
         : state_(state), allocations_(allocations), bytes_(allocated_bytes) {}
 
@@ -60,7 +60,7 @@
         state_.counters["bytes"] = double(allocated_bytes - bytes_) / iterations;
     }
 
-  private:
+private:
     benchmark::State& state_;
     std::int64_t allocations_;
     std::int64_t bytes_;
@@ -136,7 +136,11 @@
         benchmark::DoNotOptimize(assign_homes(in_force.pools_.at("pool"), endpoints));
     }
 }
-BENCHMARK(assign_homes_by_endpoints)->Args({12, 20})->Args({100, 210})->Args({1'000, 210})->Args({12'000, 210});
+BENCHMARK(assign_homes_by_endpoints)
+    ->Args({12, 20})
+    ->Args({100, 210})
+    ->Args({1'000, 210})
+    ->Args({12'000, 210});
 
 void apply_change_by_models(benchmark::State& state) {
     config_state base;
@@ -200,7 +204,8 @@
 void encode_heartbeat_by_items(benchmark::State& state) {
     wire::status said;
     for (std::int64_t index = 0; index < state.range(0); ++index) {
-        said.resident_.push_back("model-" + std::to_string(index / 5) + ":adapter-" + std::to_string(index % 5) + "@1");
+        said.resident_.push_back("model-" + std::to_string(index / 5) + ":adapter-" +
+                                 std::to_string(index % 5) + "@1");
     }
     const wire::frame frame{1, said};
     state.counters["frame_bytes"] = double(wire::encode_frame(frame).size());
--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -1,5 +1,6 @@
-// tamarack-path-bench: real processes side by side in one run. Reports the latency that entry and agent add to a call
-// of the engine, the processor time and memory of each role, and the bytes that an idle link carries.
+// tamarack-path-bench: real processes side by side in one run. Reports the latency that entry and agent add
+// to a call of the engine, the processor time and memory of each role, and the bytes that an idle link
+// carries.
 //
 // With --check it exits with 1 if the added latency is over its bound.
 #include "harness/cluster.hpp"
@@ -21,6 +22,15 @@
 // The path may add at most this share of the first-token target of 1.2 s: one hundredth.
 constexpr double added_latency_bound_ms = 12.0;
 
+constexpr std::int64_t few_tokens_of_answer = 4;
+constexpr std::int64_t many_tokens_of_answer = 104;
+
+// Processor time for each further token, in microseconds.
+double slope_us(const json& few, const json& many, const char* field) {
+    const double tokens = many["tokens"].get<double>() - few["tokens"].get<double>();
+    return 1'000.0 * (many[field].get<double>() - few[field].get<double>()) / tokens;
+}
+
 double median(std::vector<double>& values) {
     std::sort(values.begin(), values.end());
     return values.empty() ? 0.0 : values[values.size() / 2];
@@ -80,10 +90,12 @@
     }
     const double direct_ms = median(direct);
     const double through_ms = median(through);
-    return {{"direct_median_ms", direct_ms}, {"through_median_ms", through_ms}, {"added_ms", through_ms - direct_ms}};
+    return {{"direct_median_ms", direct_ms},
+            {"through_median_ms", through_ms},
+            {"added_ms", through_ms - direct_ms}};
 }
 
-json measure_throughput(cluster& system, bool& whole) {
+json measure_throughput(cluster& system, std::int64_t tokens, bool& whole) {
     constexpr int requests_at_once = 50;
     constexpr int batches = 40;
     entry_node& entry = system.entries().at("entry-1");
@@ -92,8 +104,9 @@
     for (auto& [id, node] : system.endpoints()) {
         agents_before += cpu_ms(node.agent_.pid());
     }
-    const caller_request request = completion("a", "throughput", 4, true);
-    const std::vector<std::pair<std::uint16_t, caller_request>> batch(requests_at_once, {entry.port_, request});
+    const caller_request request = completion("a", "throughput", tokens, true);
+    const std::vector<std::pair<std::uint16_t, caller_request>> batch(requests_at_once,
+                                                                      {entry.port_, request});
     for (int index = 0; index < batches; ++index) {
         for (const caller_answer& answer : call_all(batch)) {
             whole = whole && answer_text(answer) == expected_text(request);
@@ -106,6 +119,7 @@
         agents_cpu += double(cpu_ms(node.agent_.pid()));
     }
     return {{"requests", requests},
+            {"tokens", tokens},
             {"entry_cpu_ms_per_request", entry_cpu / requests},
             {"agent_cpu_ms_per_request", agents_cpu / requests},
             {"entry_requests_per_core_second", 1'000.0 * requests / std::max(1.0, entry_cpu)},
@@ -140,7 +154,11 @@
     json report;
     report["idle"] = measure_idle(system);
     report["latency"] = measure_latency(system, whole);
-    report["throughput"] = measure_throughput(system, whole);
+    json few_tokens = measure_throughput(system, few_tokens_of_answer, whole);
+    json many_tokens = measure_throughput(system, many_tokens_of_answer, whole);
+    report["cpu_us_per_token"] = {{"entry", slope_us(few_tokens, many_tokens, "entry_cpu_ms_per_request")},
+                                  {"agent", slope_us(few_tokens, many_tokens, "agent_cpu_ms_per_request")}};
+    report["throughput"] = json::array({std::move(few_tokens), std::move(many_tokens)});
     report["all_answers_whole"] = whole;
     std::cout << report.dump(2) << std::endl;
     const double added_ms = report["latency"]["added_ms"];
--- a/tools/harness/cluster.hpp
+++ b/tools/harness/cluster.hpp
@@ -35,8 +35,8 @@
 };
 
 // Sends one request on its own connection and fills in the answer. Both outlive the call.
-boost::asio::awaitable<void> exchange(std::uint16_t port, const caller_request& request, std::int64_t limit_ms,
-                                      caller_answer& answer);
+boost::asio::awaitable<void> exchange(std::uint16_t port, const caller_request& request,
+                                      std::int64_t limit_ms, caller_answer& answer);
 
 // Sends one request and waits for the answer.
 caller_answer call(std::uint16_t port, const caller_request& request, std::int64_t limit_ms = 30'000);
--- a/tools/load/tamarack_load.cpp
+++ b/tools/load/tamarack_load.cpp
@@ -1,4 +1,5 @@
-// tamarack-load: sends requests at a fixed rate, whatever the answers, and reports by class what became of them.
+// tamarack-load: sends requests at a fixed rate, whatever the answers, and reports by class what became of
+// them.
 #include "harness/cluster.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -71,7 +72,8 @@
     planned.port_ = std::uint16_t(std::stoi(ports[std::size_t(number) % ports.size()]));
     planned.class_ = deferrable ? "deferrable" : "interactive";
     planned.deadline_ms_ = deferrable ? FLAGS_deferrable_deadline_ms : FLAGS_deadline_ms;
-    planned.request_ = completion(models[model], "load " + std::to_string(number), FLAGS_tokens, FLAGS_stream);
+    planned.request_ =
+        completion(models[model], "load " + std::to_string(number), FLAGS_tokens, FLAGS_stream);
     planned.request_.headers_.push_back({"Tamarack-Class", planned.class_});
     planned.request_.headers_.push_back({"Tamarack-Deadline-Ms", std::to_string(planned.deadline_ms_)});
     return planned;
@@ -109,8 +111,9 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    gflags::SetUsageMessage("tamarack-load --ports=P,P --models=M,M [flags]\n"
-                            "Prints one JSON object. Exit codes: 0 no wrong or cut answer, 1 there was one, 2 usage.");
+    gflags::SetUsageMessage(
+        "tamarack-load --ports=P,P --models=M,M [flags]\n"
+        "Prints one JSON object. Exit codes: 0 no wrong or cut answer, 1 there was one, 2 usage.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const std::vector<std::string> ports = split(FLAGS_ports);
     const std::vector<std::string> models = split(FLAGS_models);
