Expect service times by the size of a request

Ruled out: stale load at the entries (refusals were spread evenly), starvation of a class. Change: service time is learned for a unit of work.

--- a/bench/policy/baselines.cpp
+++ b/bench/policy/baselines.cpp
@@ -13,7 +13,7 @@
 
 // Engines with a queue each; what is missing is loaded, and unused items make room for it.
 class queueing_policy : public policy {
-  public:
+public:
     explicit queueing_policy(world& where) : where_(where), nodes_(where.engines_.size()) {
         place_homes(where.deployment_.pool_);
     }
@@ -36,7 +36,7 @@
         }
     }
 
-  protected:
+protected:
     virtual std::optional<std::size_t> choose(const request& one) = 0;
     virtual bool may_load() const { return true; }
 
@@ -65,7 +65,7 @@
     world& where_;
     home_map homes_;
 
-  private:
+private:
     struct node {
         std::deque<request> queue_;
         std::map<std::string, std::int64_t> uses_;
@@ -171,10 +171,10 @@
 };
 
 class round_robin : public queueing_policy {
-  public:
+public:
     using queueing_policy::queueing_policy;
 
-  protected:
+protected:
     std::optional<std::size_t> choose(const request&) override {
         for (std::size_t tries = 0; tries < where_.engines_.size(); ++tries) {
             next_ = (next_ + 1) % where_.engines_.size();
@@ -185,15 +185,15 @@
         return std::nullopt;
     }
 
-  private:
+private:
     std::size_t next_ = 0;
 };
 
 class least_loaded : public queueing_policy {
-  public:
+public:
     using queueing_policy::queueing_policy;
 
-  protected:
+protected:
     std::optional<std::size_t> choose(const request&) override {
         std::optional<std::size_t> best;
         for (std::size_t index = 0; index < where_.engines_.size(); ++index) {
@@ -207,7 +207,7 @@
 
 // As many copies of each model as fit evenly, the less loaded of them; nothing is ever moved.
 class static_placement : public queueing_policy {
-  public:
+public:
     explicit static_placement(world& where) : queueing_policy(where) {
         pool_row pool = where.deployment_.pool_;
         while (every_model_placed_with(pool, pool.models_.front().copies_ + 1)) {
@@ -218,7 +218,7 @@
         place_homes(pool);
     }
 
-  protected:
+protected:
     bool may_load() const override { return false; }
 
     std::optional<std::size_t> choose(const request& one) override {
@@ -233,7 +233,7 @@
         return best;
     }
 
-  private:
+private:
     bool every_model_placed_with(pool_row& pool, std::int64_t copies) const {
         pool_row more = pool;
         std::vector<std::string> ids;
--- a/bench/policy/tamarack.cpp
+++ b/bench/policy/tamarack.cpp
@@ -29,9 +29,10 @@
 }
 
 class tamarack_policy : public policy {
-  public:
+public:
     explicit tamarack_policy(world& where)
-        : where_(where), pool_(where.deployment_.pool_), random_(7), retries_(retries_per_request, retry_reserve) {
+        : where_(where), pool_(where.deployment_.pool_), random_(7),
+          retries_(retries_per_request, retry_reserve) {
         find_homes();
         for (engine& one : where.engines_) {
             load_homes(one);
@@ -62,7 +63,7 @@
         }
     }
 
-  private:
+private:
     struct sent_request {
         request request_;
         std::set<std::size_t> tried_;
@@ -72,7 +73,8 @@
         // The models of the fencing and the settle time start from an engine whose state is known.
         static constexpr time_ms settled_at = 60'000;
 
-        explicit agent(const pool_row& pool) : memory_(make_ledger_settings(pool), 0), gate_(admission_limits()) {}
+        explicit agent(const pool_row& pool)
+            : memory_(make_ledger_settings(pool), 0), gate_(admission_limits()) {}
 
         ledger memory_;
         admission gate_;
@@ -255,9 +257,12 @@
         asked.class_ = one.class_;
         asked.tenant_ = "tenant";
         asked.item_ = one.item_;
+        asked.work_ = one.tokens_;
         asked.deadline_ = one.deadline_ + agent::settled_at;
-        asked.load_wait_ms_ = here.serving_.contains(one.item_) ? 0 : where_.deployment_.store_.model_load_ms_;
-        const bool arriving = is_home(one.model_, where_.engines_[index]) || here.memory_.in_flight(one.item_);
+        asked.load_wait_ms_ =
+            here.serving_.contains(one.item_) ? 0 : where_.deployment_.store_.model_load_ms_;
+        const bool arriving =
+            is_home(one.model_, where_.engines_[index]) || here.memory_.in_flight(one.item_);
         if (!here.serving_.contains(one.item_) && !arriving) {
             here.demand_.note_miss(one.model_, now());
             try_again(index, {std::move(one), std::move(tried)});
--- a/bench/policy/world.cpp
+++ b/bench/policy/world.cpp
@@ -18,7 +18,8 @@
 constexpr std::int64_t model_memory_mb = 14'000;
 constexpr std::int64_t adapter_memory_mb = 60;
 
-deployment make(int engines, int models, int adapters, bool fencing, double attainment_weight, store_limits store) {
+deployment make(int engines, int models, int adapters, bool fencing, double attainment_weight,
+                store_limits store) {
     deployment made;
     pool_row& pool = made.pool_;
     pool.name_ = "pool";
@@ -45,14 +46,16 @@
 // Requests a second that all engines together can serve with full batches.
 double capacity(const world& where) {
     const auto slots = double(where.deployment_.pool_.slots_);
-    const double service = double(prefill_ms) + double(mean_tokens) * (decode_base_ms + decode_slope_ms * slots);
+    const double service =
+        double(prefill_ms) + double(mean_tokens) * (decode_base_ms + decode_slope_ms * slots);
     return double(where.engines_.size()) * slots * 1'000.0 / service;
 }
 
 // Draws requests of one scenario.
 class arrivals {
-  public:
-    arrivals(world& where, const scenario& what, std::uint64_t seed) : where_(where), what_(what), random_(seed) {}
+public:
+    arrivals(world& where, const scenario& what, std::uint64_t seed)
+        : where_(where), what_(what), random_(seed) {}
 
     void schedule(policy& receiver, std::uint64_t number) {
         std::exponential_distribution<double> gap(capacity(where_) * what_.load_ / 1'000.0);
@@ -66,7 +69,7 @@
         });
     }
 
-  private:
+private:
     std::size_t draw_model() {
         const auto& models = where_.deployment_.pool_.models_;
         std::vector<double> weights;
@@ -86,7 +89,8 @@
         one.id_ = number + 1;
         one.model_ = model.name_;
         one.item_ = item_name(model);
-        if (!model.adapters_.empty() && (what_.cold_adapters_ || uniform(random_) < what_.adapter_fraction_)) {
+        if (!model.adapters_.empty() &&
+            (what_.cold_adapters_ || uniform(random_) < what_.adapter_fraction_)) {
             one.item_ = item_name(model, model.adapters_[random_() % model.adapters_.size()]);
         }
         const bool deferrable = uniform(random_) < deferrable_fraction;
--- a/bench/policy/world.hpp
+++ b/bench/policy/world.hpp
@@ -59,7 +59,7 @@
 
 // Virtual time: actions in the order of their times.
 class timeline {
-  public:
+public:
     void at(time_ms when, std::function<void()> action);
     void after(time_ms delay, std::function<void()> action) { at(now_ + delay, std::move(action)); }
     time_ms now() const { return now_; }
@@ -67,7 +67,7 @@
     // Runs all actions up to `until`.
     void run(time_ms until);
 
-  private:
+private:
     struct entry {
         time_ms when_;
         std::uint64_t number_;
@@ -85,12 +85,12 @@
 
 // The weight store that all engines share.
 class weight_store {
-  public:
+public:
     weight_store(timeline& time, const store_limits& limits) : time_(time), limits_(limits) {}
 
     void load(const std::string& item, std::function<void()> loaded);
 
-  private:
+private:
     timeline& time_;
     store_limits limits_;
     time_ms next_start_ = 0;
@@ -134,7 +134,7 @@
 
 // A policy that is compared: it takes each request and answers or refuses it through the world.
 class policy {
-  public:
+public:
     virtual ~policy() = default;
     virtual void arrive(request one) = 0;
     virtual void engine_died(std::size_t index) = 0;
@@ -161,6 +161,7 @@
 
 std::vector<scenario> all_scenarios();
 
-measures run(const deployment& deployed, const scenario& what, const policy_factory& make, std::uint64_t seed);
+measures run(const deployment& deployed, const scenario& what, const policy_factory& make,
+             std::uint64_t seed);
 
 } // namespace tamarack::policy_bench
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -1,4 +1,5 @@
-// tamarack-policy-bench: the policy against three baselines at the sizes of both deployments, in virtual time.
+// tamarack-policy-bench: the policy against three baselines at the sizes of both deployments, in virtual
+// time.
 #include "policy/world.hpp"
 
 #include <gflags/gflags.h>
@@ -31,8 +32,8 @@
     const auto total = double(std::max<std::int64_t>(1, measured.requests()));
     std::printf("  %-12s %8.1f %6.3f %6lld %7.3f %6.3f | %6lld %6lld %6lld | %6lld %6lld %7.3f\n", name,
                 double(measured.in_time()) / double(accelerators), double(measured.in_time()) / total,
-                static_cast<long long>(measured.moves_), double(refused) / total, double(refused_late) / total,
-                static_cast<long long>(percentile(fast.latencies_ms_, 0.50)),
+                static_cast<long long>(measured.moves_), double(refused) / total,
+                double(refused_late) / total, static_cast<long long>(percentile(fast.latencies_ms_, 0.50)),
                 static_cast<long long>(percentile(fast.latencies_ms_, 0.95)),
                 static_cast<long long>(percentile(fast.latencies_ms_, 0.99)),
                 static_cast<long long>(percentile(slow.latencies_ms_, 0.50)),
@@ -58,11 +59,12 @@
             if (!FLAGS_only.empty() && FLAGS_only != what.name_) {
                 continue;
             }
-            std::printf("%s %s\n  %-12s %8s %6s %6s %7s %6s | %20s | %21s\n", name, what.name_.c_str(), "policy",
-                        "per_acc", "attain", "moves", "refused", "late", "interactive p50/95/99",
+            std::printf("%s %s\n  %-12s %8s %6s %6s %7s %6s | %20s | %21s\n", name, what.name_.c_str(),
+                        "policy", "per_acc", "attain", "moves", "refused", "late", "interactive p50/95/99",
                         "deferrable p50/95, ok");
             for (const auto& [policy_name, make] : policies) {
-                print_row(policy_name, run(deployed, what, make, FLAGS_seed), std::size_t(deployed.pool_.endpoints_));
+                print_row(policy_name, run(deployed, what, make, FLAGS_seed),
+                          std::size_t(deployed.pool_.endpoints_));
             }
         }
     }
--- a/include/tamarack/admission.hpp
+++ b/include/tamarack/admission.hpp
@@ -51,6 +51,7 @@
     time_ms deadline_ = 0;
     std::int64_t kv_mb_ = 0;
     std::int64_t load_wait_ms_ = 0; // until the item is expected to be resident
+    std::int64_t work_ = 1; // size of the request, such as its tokens; service time is taken as proportional
 };
 
 struct start_action {
@@ -107,13 +108,15 @@
         traffic_class class_;
         std::string tenant_;
         std::int64_t kv_mb_;
+        std::int64_t work_;
     };
 
     using queue = std::deque<admission_request>;
 
     queue& queue_of(traffic_class kind) { return queues_[std::size_t(kind)]; }
     const queue& queue_of(traffic_class kind) const { return queues_[std::size_t(kind)]; }
-    std::int64_t service_ms(traffic_class kind) const;
+    std::int64_t service_ms(const admission_request& request) const;
+    double waiting_ms(traffic_class kind) const;
     std::int64_t tenant_load(const std::string& tenant) const;
     std::optional<refusal_reason> reason_to_refuse(const admission_request& request, time_ms now) const;
     refuse_action refuse(const admission_request& request, refusal_reason reason) const;
@@ -129,7 +132,8 @@
     std::map<std::string, std::int64_t> tenant_load_;
     std::int64_t kv_in_use_mb_ = 0;
     queue queues_[2];
-    double mean_service_ms_[2] = {0.0, 0.0};
+    double mean_ms_for_work_[2] = {0.0, 0.0}; // for one unit of work
+    double mean_service_ms_ = 0.0;            // of one request
     std::int64_t starts_since_deferrable_ = 0;
 };
 
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -12,6 +12,10 @@
 constexpr double service_smoothing = 0.2;
 constexpr std::int64_t min_retry_after_ms = 1'000;
 
+void smooth(double& mean, double sample) {
+    mean = mean == 0.0 ? sample : mean + service_smoothing * (sample - mean);
+}
+
 } // namespace
 
 std::string_view to_string(refusal_reason reason) {
@@ -77,8 +81,17 @@
     return expire(now);
 }
 
-std::int64_t admission::service_ms(traffic_class kind) const {
-    return std::int64_t(mean_service_ms_[std::size_t(kind)]);
+std::int64_t admission::service_ms(const admission_request& request) const {
+    return std::int64_t(double(request.work_) * mean_ms_for_work_[std::size_t(request.class_)]);
+}
+
+// Work that waits in one class, in ms of one slot.
+double admission::waiting_ms(traffic_class kind) const {
+    std::int64_t work = 0;
+    for (const admission_request& waiting : queue_of(kind)) {
+        work += waiting.work_;
+    }
+    return double(work) * mean_ms_for_work_[std::size_t(kind)];
 }
 
 std::int64_t admission::tenant_load(const std::string& tenant) const {
@@ -91,11 +104,11 @@
     if (free_slot && queued() == 0) {
         return 0;
     }
-    double work_ms = double(queue_of(traffic_class::interactive).size()) * mean_service_ms_[0];
+    double work_ms = waiting_ms(traffic_class::interactive);
     if (kind == traffic_class::deferrable) {
-        work_ms += double(queue_of(traffic_class::deferrable).size()) * mean_service_ms_[1];
+        work_ms += waiting_ms(traffic_class::deferrable);
     }
-    const double next_slot_ms = free_slot ? 0.0 : std::max(mean_service_ms_[0], mean_service_ms_[1]);
+    const double next_slot_ms = free_slot ? 0.0 : mean_service_ms_;
     return std::int64_t((work_ms + next_slot_ms) / double(limits_.slots_));
 }
 
@@ -115,7 +128,7 @@
     }
     const bool resident = request.item_.empty() || resident_.contains(request.item_);
     const std::int64_t load_ms = resident ? 0 : request.load_wait_ms_;
-    const std::int64_t finish_in_ms = expected_wait_ms(request.class_) + load_ms + service_ms(request.class_);
+    const std::int64_t finish_in_ms = expected_wait_ms(request.class_) + load_ms + service_ms(request);
     if (now + finish_in_ms > request.deadline_) {
         return resident ? refusal_reason::overloaded : refusal_reason::not_held;
     }
@@ -174,7 +187,7 @@
     auto chosen = kind == traffic_class::deferrable ? deferrable : interactive;
     starts_since_deferrable_ = kind == traffic_class::deferrable ? 0 : starts_since_deferrable_ + 1;
     kv_in_use_mb_ += chosen->kv_mb_;
-    running_.emplace(chosen->id_, running_request{kind, chosen->tenant_, chosen->kv_mb_});
+    running_.emplace(chosen->id_, running_request{kind, chosen->tenant_, chosen->kv_mb_, chosen->work_});
     actions.push_back(start_action{chosen->id_});
     queue_of(kind).erase(chosen);
     return true;
@@ -190,8 +203,9 @@
     if (found == running_.end()) {
         return {};
     }
-    double& mean = mean_service_ms_[std::size_t(found->second.class_)];
-    mean = mean == 0.0 ? double(service_ms) : mean + service_smoothing * (double(service_ms) - mean);
+    const double ms_for_work = double(service_ms) / double(std::max<std::int64_t>(1, found->second.work_));
+    smooth(mean_ms_for_work_[std::size_t(found->second.class_)], ms_for_work);
+    smooth(mean_service_ms_, double(service_ms));
     kv_in_use_mb_ -= found->second.kv_mb_;
     if (--tenant_load_[found->second.tenant_] == 0) {
         tenant_load_.erase(found->second.tenant_);
@@ -222,7 +236,7 @@
     for (queue& waiting : queues_) {
         for (std::size_t index = 0; index < waiting.size();) {
             const admission_request request = waiting[index];
-            if (now + service_ms(request.class_) <= request.deadline_) {
+            if (now + service_ms(request) <= request.deadline_) {
                 ++index;
                 continue;
             }
--- a/src/agent/requests.cpp
+++ b/src/agent/requests.cpp
@@ -201,6 +201,7 @@
     request.deadline_ = pending.deadline_;
     request.kv_mb_ = pending.kv_mb_;
     request.load_wait_ms_ = pending.load_wait_ms_;
+    request.work_ = std::max<std::int64_t>(1, pending.request_->kv_tokens_);
     return request;
 }
 
