Send heartbeats without items, and versions instead of whole states

Change: items only after a change, heartbeats each 1 s, a new version is announced by a greeting and fetched by whoever is behind.

--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -203,6 +203,7 @@
 
 void encode_heartbeat_by_items(benchmark::State& state) {
     wire::status said;
+    said.same_items_ = state.range(0) == 0;
     for (std::int64_t index = 0; index < state.range(0); ++index) {
         said.resident_.push_back("model-" + std::to_string(index / 5) + ":adapter-" +
                                  std::to_string(index % 5) + "@1");
--- a/include/tamarack/membership.hpp
+++ b/include/tamarack/membership.hpp
@@ -31,6 +31,7 @@
     std::int64_t running_ = 0;
     std::int64_t wait_ms_ = 0;          // expected wait before a new request starts
     std::vector<std::string> resident_; // item names that are ready to serve
+    bool same_items_ = false;           // `resident_` was left out, since it has not changed
 };
 
 // An endpoint as routing sees it.
--- a/include/tamarack/settings.hpp
+++ b/include/tamarack/settings.hpp
@@ -16,7 +16,7 @@
     boost::asio::ip::tcp::endpoint list_;
     std::string log_level_ = "info";
     std::int64_t traffic_threads_ = 2;
-    std::int64_t heartbeat_limit_ms_ = 2'000; // without a heartbeat an agent gets no new work
+    std::int64_t heartbeat_limit_ms_ = 2'500; // without a heartbeat an agent gets no new work
     std::int64_t list_interval_ms_ = 500;
     std::int64_t shutdown_ms_ = 60'000; // for requests in flight after SIGTERM
     std::int64_t max_body_bytes_ = 4 * 1024 * 1024;
@@ -37,7 +37,7 @@
     boost::asio::ip::tcp::endpoint list_;
     std::string log_level_ = "info";
     std::string placement_ = "rendezvous";
-    std::int64_t heartbeat_ms_ = 500;
+    std::int64_t heartbeat_ms_ = 1'000;
     std::int64_t report_interval_ms_ = 100;
     std::int64_t settle_ms_ = 3'000; // after which no order or report is still under way
     std::int64_t list_interval_ms_ = 500;
--- a/include/tamarack/wire.hpp
+++ b/include/tamarack/wire.hpp
@@ -39,8 +39,9 @@
     std::int64_t queued_ = 0;
     std::int64_t running_ = 0;
     std::int64_t wait_ms_ = 0;
-    std::int64_t clock_ms_ = 0; // for issuing bound keys
-    std::vector<std::string> resident_;
+    std::int64_t clock_ms_ = 0;         // for issuing bound keys
+    std::vector<std::string> resident_; // empty if `same_items_`
+    bool same_items_ = false;           // nothing has changed since the last full status
 };
 
 // A request for this attempt. The deadline travels as the remaining budget.
--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -134,7 +134,7 @@
         perform(admission_.expire(now));
         if (now >= next_heartbeat) {
             next_heartbeat = now + settings_.heartbeat_ms_;
-            broadcast_status();
+            send_heartbeat();
             report_metrics();
         }
         pause.expires_after(tick_interval);
@@ -142,7 +142,7 @@
     }
 }
 
-void control::broadcast_status() {
+wire::status control::current_status() const {
     wire::status said;
     said.incarnation_ = incarnation_;
     said.leaving_ = !shutdown_.accepts_work();
@@ -150,11 +150,24 @@
     said.running_ = admission_.running();
     said.wait_ms_ = admission_.expected_wait_ms(traffic_class::interactive);
     said.clock_ms_ = steady_now_ms();
+    return said;
+}
+
+// Tells all entries everything, after a change.
+void control::broadcast_status() {
+    wire::status said = current_status();
     const std::set<std::string> serving = serving_items();
     said.resident_.assign(serving.begin(), serving.end());
     traffic_.broadcast(std::move(said));
 }
 
+// Tells all entries that this agent lives and how loaded it is.
+void control::send_heartbeat() {
+    wire::status said = current_status();
+    said.same_items_ = true;
+    traffic_.heartbeat(std::move(said));
+}
+
 void control::report_metrics() {
     measures_.set("tamarack_agent_running", "Requests that run", {}, double(admission_.running()));
     measures_.set("tamarack_agent_queued", "Requests that wait", {}, double(admission_.queued()));
--- a/src/agent/control.hpp
+++ b/src/agent/control.hpp
@@ -87,7 +87,9 @@
     boost::asio::awaitable<void> tick();
     boost::asio::awaitable<void> shut_down();
     boost::asio::awaitable<void> handle_admin(http::exchange& current);
+    wire::status current_status() const;
     void broadcast_status();
+    void send_heartbeat();
     void report_metrics();
     bool endpoint_known() const;
     bool ready() const;
--- a/src/agent/traffic.cpp
+++ b/src/agent/traffic.cpp
@@ -284,6 +284,14 @@
     });
 }
 
+void traffic::heartbeat(wire::message message) {
+    asio::post(context_, [this, message = std::move(message)] {
+        for (const auto& [id, to] : sessions_) {
+            send_on(*to, message);
+        }
+    });
+}
+
 void traffic::set_config_version(std::int64_t version) {
     asio::post(context_, [this, version] { config_version_ = version; });
 }
--- a/src/agent/traffic.hpp
+++ b/src/agent/traffic.hpp
@@ -64,6 +64,9 @@
 
     // Sends to all entries, and to each new one first.
     void broadcast(wire::message message);
+
+    // Sends to all entries that are connected now.
+    void heartbeat(wire::message message);
     void set_config_version(std::int64_t version);
 
 private:
--- a/src/entry/shard.cpp
+++ b/src/entry/shard.cpp
@@ -28,7 +28,8 @@
 }
 
 agent_status status_of(const wire::status& said) {
-    return {said.incarnation_, said.leaving_, said.queued_, said.running_, said.wait_ms_, said.resident_};
+    return {said.incarnation_, said.leaving_,  said.queued_,    said.running_,
+            said.wait_ms_,     said.resident_, said.same_items_};
 }
 
 } // namespace
@@ -78,7 +79,8 @@
         return;
     }
     for (const auto& [id, link] : links_) {
-        link->send(wire::config_state{view_->encoded_config_});
+        // Carries the new version; an agent that is behind asks for the state.
+        link->send(greeting());
     }
 }
 
@@ -102,6 +104,10 @@
     }
 }
 
+wire::hello shard::greeting() const {
+    return {wire::protocol_version, settings_.id_, "entry", incarnation_};
+}
+
 std::shared_ptr<agent_link> shard::make_link(const listed_instance& instance) {
     link_events events;
     events.status_ = [this](const std::string& id, const wire::status& said) { take_status(id, said); };
@@ -112,8 +118,7 @@
     events.config_version_ = [this] { return view_->config_.version_; };
     events.config_state_ = [this] { return view_->encoded_config_; };
     events.peer_config_ = [this](std::string encoded) { events_.peer_config_(std::move(encoded)); };
-    const wire::hello greeting{wire::protocol_version, settings_.id_, "entry", incarnation_};
-    return std::make_shared<agent_link>(context_.get_executor(), instance, greeting, std::move(events));
+    return std::make_shared<agent_link>(context_.get_executor(), instance, greeting(), std::move(events));
 }
 
 void shard::take_status(const std::string& id, const wire::status& said) {
--- a/src/entry/shard.hpp
+++ b/src/entry/shard.hpp
@@ -28,7 +28,7 @@
 
 class shard {
 public:
-    // `index` is unique within the process; shard 0 also passes new configurations on to the agents.
+    // `index` is unique within the process; shard 0 also tells the agents of new configurations.
     shard(const entry_settings& settings, std::uint64_t incarnation, std::size_t index, metrics& measures,
           shard_events events);
 
@@ -52,6 +52,7 @@
 
     void take_view(std::shared_ptr<const entry_view> view);
     void update_links();
+    wire::hello greeting() const;
     std::shared_ptr<agent_link> make_link(const listed_instance& instance);
     void take_status(const std::string& id, const wire::status& said);
     void note_connections();
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -26,9 +26,13 @@
     endpoint_view& endpoint = found->second;
     const bool same_incarnation = endpoint.status_.incarnation_ == status.incarnation_;
     const bool left_before = same_incarnation && endpoint.status_.leaving_;
+    std::vector<std::string> items_before = std::move(endpoint.status_.resident_);
     endpoint.connected_ = true;
     endpoint.heard_at_ = now;
     endpoint.status_ = status;
+    if (status.same_items_ && same_incarnation) {
+        endpoint.status_.resident_ = std::move(items_before);
+    }
     endpoint.status_.leaving_ = status.leaving_ || left_before;
 }
 
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -23,8 +23,8 @@
 }
 
 status convert(const fbs::Status& one) {
-    status converted{
-        one.incarnation(), one.leaving(), one.queued(), one.running(), one.wait_ms(), one.clock_ms(), {}};
+    status converted{one.incarnation(), one.leaving(),  one.queued(), one.running(),
+                     one.wait_ms(),     one.clock_ms(), {},           one.same_items()};
     if (one.resident() != nullptr) {
         for (const flatbuffers::String* item : *one.resident()) {
             converted.resident_.push_back(item->str());
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -37,9 +37,10 @@
     }
     encoded_body operator()(const status& one) const {
         const auto resident = builder_.CreateVectorOfStrings(one.resident_);
-        return {fbs::Body::Status, fbs::CreateStatus(builder_, one.incarnation_, one.leaving_, one.queued_,
-                                                     one.running_, one.wait_ms_, one.clock_ms_, resident)
-                                       .Union()};
+        return {fbs::Body::Status,
+                fbs::CreateStatus(builder_, one.incarnation_, one.leaving_, one.queued_, one.running_,
+                                  one.wait_ms_, one.clock_ms_, resident, one.same_items_)
+                    .Union()};
     }
     encoded_body operator()(const submit& one) const {
         const auto method = text(builder_, one.method_);
--- a/src/wire/frame_generated.h
+++ b/src/wire/frame_generated.h
@@ -328,7 +328,8 @@
     VT_RUNNING = 10,
     VT_WAIT_MS = 12,
     VT_CLOCK_MS = 14,
-    VT_RESIDENT = 16
+    VT_RESIDENT = 16,
+    VT_SAME_ITEMS = 18
   };
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -351,6 +352,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *resident() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_RESIDENT);
   }
+  bool same_items() const {
+    return GetField<uint8_t>(VT_SAME_ITEMS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
@@ -362,6 +366,7 @@
            VerifyOffset(verifier, VT_RESIDENT) &&
            verifier.VerifyVector(resident()) &&
            verifier.VerifyVectorOfStrings(resident()) &&
+           VerifyField<uint8_t>(verifier, VT_SAME_ITEMS, 1) &&
            verifier.EndTable();
   }
 };
@@ -391,6 +396,9 @@
   void add_resident(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> resident) {
     fbb_.AddOffset(Status::VT_RESIDENT, resident);
   }
+  void add_same_items(bool same_items) {
+    fbb_.AddElement<uint8_t>(Status::VT_SAME_ITEMS, static_cast<uint8_t>(same_items), 0);
+  }
   explicit StatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -410,7 +418,8 @@
     int64_t running = 0,
     int64_t wait_ms = 0,
     int64_t clock_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> resident = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> resident = 0,
+    bool same_items = false) {
   StatusBuilder builder_(_fbb);
   builder_.add_clock_ms(clock_ms);
   builder_.add_wait_ms(wait_ms);
@@ -418,6 +427,7 @@
   builder_.add_queued(queued);
   builder_.add_incarnation(incarnation);
   builder_.add_resident(resident);
+  builder_.add_same_items(same_items);
   builder_.add_leaving(leaving);
   return builder_.Finish();
 }
@@ -435,7 +445,8 @@
     int64_t running = 0,
     int64_t wait_ms = 0,
     int64_t clock_ms = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *resident = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *resident = nullptr,
+    bool same_items = false) {
   auto resident__ = resident ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*resident) : 0;
   return tamarack::fbs::CreateStatus(
       _fbb,
@@ -445,7 +456,8 @@
       running,
       wait_ms,
       clock_ms,
-      resident__);
+      resident__,
+      same_items);
 }
 
 struct Submit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -65,6 +65,22 @@
     CHECK_FALSE(usable("a", 1));
 }
 
+TEST_CASE_FIXTURE(membership_fixture, "heartbeat_without_items_keeps_those_of_the_same_incarnation_only") {
+    list({listed("a")});
+    agent_status full;
+    full.incarnation_ = 1;
+    full.resident_ = {"m@1"};
+    members_.absorb_status("a", full, 0);
+    agent_status light;
+    light.incarnation_ = 1;
+    light.same_items_ = true;
+    members_.absorb_status("a", light, 1);
+    CHECK(members_.endpoints().at("a").status_.resident_ == full.resident_);
+    light.incarnation_ = 2;
+    members_.absorb_status("a", light, 2);
+    CHECK(members_.endpoints().at("a").status_.resident_.empty());
+}
+
 TEST_CASE_FIXTURE(membership_fixture, "list_that_is_empty_by_mistake_cuts_no_connected_endpoint_off") {
     list({listed("a"), listed("b")});
     hear("a", 1, false, 0);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -9,7 +9,7 @@
     // One of each message, with every field set.
     std::vector<message> messages_ = {
         hello{protocol_version, "entry-1", "entry", 7},
-        status{7, true, 1, 2, 3, 4, {"a@1", "b@1"}},
+        status{7, true, 1, 2, 3, 4, {"a@1", "b@1"}, true},
         submit{1, "POST", "/p", "application/json", "desk", "m", 1, 900, true, "key", 5, 6, "body"},
         head{1, 200, "text/plain", "m@1"},
         chunk{1, 2, std::string("\0\xff", 2)},
