--- a/include/tamarack/kernel.hpp
+++ b/include/tamarack/kernel.hpp
@@ -68,6 +68,9 @@
 // Time as the decisions see it: milliseconds since an arbitrary origin of the process, never wall-clock time.
 using time_ms = std::int64_t;
 
+// This process's clock; for programs only, since decisions take the time as an argument.
+time_ms steady_now_ms();
+
 // 64-bit hash of `bytes`, the same in every process and build.
 std::uint64_t hash64(std::string_view bytes, std::uint64_t seed = 0);
 
--- a/include/tamarack/tables.hpp
+++ b/include/tamarack/tables.hpp
@@ -152,6 +152,10 @@
 std::string item_name(const model_row& model);
 std::string item_name(const model_row& model, const adapter_row& adapter);
 
+// The item by which the tables hold the named model or adapter, whatever versions the name gives; empty if
+// they do not.
+std::string item_in_force(const pool_row& pool, const model_reference& name);
+
 const model_row* find_model(const pool_row& pool, std::string_view name);
 const adapter_row* find_adapter(const model_row& model, std::string_view name);
 
--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -1,5 +1,7 @@
 #include "agent/control.hpp"
 
+#include "platform/admin.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -21,12 +23,6 @@
 
 } // namespace
 
-time_ms steady_now_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::steady_clock::now().time_since_epoch())
-        .count();
-}
-
 control::control(const agent_settings& settings)
     : settings_(settings), incarnation_(new_incarnation()), context_(1),
       log_((*registry<log_client_factory>::instance().find("http"))(
@@ -201,21 +197,12 @@
 }
 
 asio::awaitable<void> control::handle_admin(http::exchange& current) {
-    const std::string_view path = current.incoming().path();
-    if (path == "/metrics") {
-        http::response answer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, measures_.text()};
-        co_await current.reply(std::move(answer));
-    } else if (path == "/healthz") {
-        co_await current.reply(http::json_response(200, "{}"));
-    } else if (path == "/readyz") {
-        nlohmann::json body = {{"ready", ready()}, {"version", config_.state().version_}};
-        body["phase"] = to_string(shutdown_.phase());
-        body["resident"] = serving_items();
-        body["homes"] = home_models_;
-        co_await current.reply(http::json_response(ready() ? 200 : 503, body.dump()));
-    } else {
-        co_await current.reply(http::json_response(404, "{}"));
-    }
+    nlohmann::json body = {{"ready", ready()}, {"version", config_.state().version_}};
+    body["phase"] = to_string(shutdown_.phase());
+    body["resident"] = serving_items();
+    body["homes"] = home_models_;
+    http::response answer = admin_answer(current.incoming().path(), measures_, ready(), body.dump());
+    co_await current.reply(std::move(answer));
 }
 
 // Says at once that it leaves, refuses what is queued, and lets what runs go on.
--- a/src/agent/control.hpp
+++ b/src/agent/control.hpp
@@ -130,7 +130,4 @@
     std::int64_t asked_for_version_ = -1;
 };
 
-// This process's clock.
-time_ms steady_now_ms();
-
 } // namespace tamarack::agent
--- a/src/agent/requests.cpp
+++ b/src/agent/requests.cpp
@@ -18,15 +18,10 @@
 
 std::string item_that_serves(const pool_row& pool, const model_reference& wanted,
                              const std::set<std::string>& serving) {
-    const model_row* model = find_model(pool, wanted.model_);
-    if (model == nullptr) {
+    const std::string current = item_in_force(pool, wanted);
+    if (current.empty()) {
         return {};
     }
-    const adapter_row* adapter = wanted.adapter_.empty() ? nullptr : find_adapter(*model, wanted.adapter_);
-    if (!wanted.adapter_.empty() && adapter == nullptr) {
-        return {};
-    }
-    const std::string current = adapter == nullptr ? item_name(*model) : item_name(*model, *adapter);
     const std::string& version = wanted.adapter_.empty() ? wanted.model_version_ : wanted.adapter_version_;
     const std::string name = current.substr(0, current.find('@'));
     if (!version.empty()) {
--- a/src/agent/shutdown_machine.cpp
+++ b/src/agent/shutdown_machine.cpp
@@ -1,8 +1,6 @@
 #include "agent/shutdown_machine.hpp"
 
-#include <boost/msm/back/state_machine.hpp>
-#include <boost/msm/front/functor_row.hpp>
-#include <boost/msm/front/state_machine_def.hpp>
+#include "kernel/state_machine.hpp"
 
 namespace tamarack::agent {
 
@@ -15,7 +13,7 @@
 struct drained {};
 struct limit_passed {};
 
-struct shutdown_front : front::state_machine_def<shutdown_front> {
+struct shutdown_front : tolerant_front<shutdown_front> {
     struct serving : front::state<> {};
     struct leaving : front::state<> {};
     struct draining : front::state<> {};
@@ -23,32 +21,17 @@
 
     using initial_state = serving;
 
-    template <typename Source, typename Event, typename Target>
-    using row = front::Row<Source, Event, Target, front::none, front::none>;
-
     struct transition_table
-        : boost::mpl::vector<row<serving, listed_as_leaving, leaving>, row<serving, stop_requested, draining>,
-                             row<leaving, stop_requested, draining>, row<draining, drained, stopped>,
-                             row<draining, limit_passed, stopped>> {};
-
-    template <typename Machine, typename Event>
-    void no_transition(const Event&, Machine&, int) {}
+        : boost::mpl::vector<
+              transition<serving, listed_as_leaving, leaving>, transition<serving, stop_requested, draining>,
+              transition<leaving, stop_requested, draining>, transition<draining, drained, stopped>,
+              transition<draining, limit_passed, stopped>> {};
 };
 
 } // namespace
 
 struct shutdown_machine::machine : boost::msm::back::state_machine<shutdown_front> {};
 
-namespace {
-
-template <typename State, typename Machine>
-bool in_state(const Machine& one) {
-    using states = typename Machine::stt;
-    return one.current_state()[0] == boost::msm::back::get_state_id<states, State>::value;
-}
-
-} // namespace
-
 std::string_view to_string(shutdown_phase phase) {
     switch (phase) {
     case shutdown_phase::serving:
--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -17,12 +17,6 @@
 
 } // namespace
 
-time_ms steady_now_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::steady_clock::now().time_since_epoch())
-        .count();
-}
-
 agent_link::agent_link(asio::any_io_executor executor, listed_instance instance, wire::hello greeting,
                        link_events events)
     : executor_(std::move(executor)), instance_(std::move(instance)), greeting_(std::move(greeting)),
--- a/src/entry/agent_link.hpp
+++ b/src/entry/agent_link.hpp
@@ -64,7 +64,4 @@
     bool stopped_ = false;
 };
 
-// This process's clock.
-time_ms steady_now_ms();
-
 } // namespace tamarack::entry
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -1,5 +1,7 @@
 #include "entry/control.hpp"
 
+#include "platform/admin.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -118,20 +120,10 @@
 }
 
 asio::awaitable<void> control::handle_admin(http::exchange& current) {
-    const std::string_view path = current.incoming().path();
-    if (path == "/metrics") {
-        http::response answer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, measures_.text()};
-        co_await current.reply(std::move(answer));
-    } else if (path == "/healthz") {
-        co_await current.reply(http::json_response(200, "{}"));
-    } else if (path == "/readyz") {
-        nlohmann::json body = {
-            {"ready", ready()}, {"version", config_.state().version_}, {"leaving", leaving_}};
-        body["in_service"] = in_service();
-        co_await current.reply(http::json_response(ready() ? 200 : 503, body.dump()));
-    } else {
-        co_await current.reply(http::json_response(404, "{}"));
-    }
+    nlohmann::json body = {{"ready", ready()}, {"version", config_.state().version_}, {"leaving", leaving_}};
+    body["in_service"] = in_service();
+    http::response answer = admin_answer(current.incoming().path(), measures_, ready(), body.dump());
+    co_await current.reply(std::move(answer));
 }
 
 // Requests in service go on; the process ends once all are answered or the limit has passed.
--- a/src/entry/serve.cpp
+++ b/src/entry/serve.cpp
@@ -51,19 +51,6 @@
     return ended;
 }
 
-std::string item_in_tables(const pool_row& pool, const std::string& model_name) {
-    const model_reference reference = parse_model_reference(model_name);
-    const model_row* model = find_model(pool, reference.model_);
-    if (model == nullptr) {
-        return {};
-    }
-    if (reference.adapter_.empty()) {
-        return item_name(*model);
-    }
-    const adapter_row* adapter = find_adapter(*model, reference.adapter_);
-    return adapter == nullptr ? std::string() : item_name(*model, *adapter);
-}
-
 // What arrives of one answer, on its way to the caller.
 struct answer_relay {
     http::exchange& current_;
@@ -110,6 +97,37 @@
     co_return co_await relay.current_.write(part);
 }
 
+enum class part_result { taken, broken, caller_gone };
+
+part_result result_of(wire::answer_assembly::verdict verdict) {
+    return verdict == wire::answer_assembly::verdict::broken ? part_result::broken : part_result::taken;
+}
+
+// Takes a head, a chunk or an end; anything else is passed over.
+asio::awaitable<part_result> take_part_of_answer(answer_relay& relay, const attempt_event& event) {
+    using verdict = wire::answer_assembly::verdict;
+    if (const auto* last = std::get_if<wire::end>(&event)) {
+        co_return result_of(relay.assembly_.take_end(*last));
+    }
+    bool caller_there = true;
+    verdict taken = verdict::drop;
+    if (const auto* head = std::get_if<wire::head>(&event)) {
+        taken = relay.assembly_.take_head(*head);
+        if (taken == verdict::accept) {
+            relay.head_ = *head;
+        }
+        if (taken == verdict::accept && is_event_stream(*head)) {
+            caller_there = co_await begin_streaming(relay);
+        }
+    } else if (const auto* part = std::get_if<wire::chunk>(&event)) {
+        taken = relay.assembly_.take_chunk(*part);
+        if (taken == verdict::accept) {
+            caller_there = co_await take_part(relay, part->data_);
+        }
+    }
+    co_return caller_there ? result_of(taken) : part_result::caller_gone;
+}
+
 asio::awaitable<bool> finish_answer(answer_relay& relay) {
     if (relay.streaming_) {
         co_return co_await relay.current_.finish();
@@ -143,7 +161,7 @@
     }
     request.route_ = *route;
     request.pool_ = &in_force.pools_.find(route->pool_)->second;
-    request.item_ = item_in_tables(*request.pool_, request.facts_.model_);
+    request.item_ = item_in_force(*request.pool_, parse_model_reference(request.facts_.model_));
     if (request.pool_->kind_ == endpoint_kind::engine && request.item_.empty()) {
         co_await current.reply(not_run_answer(refusal_reason::no_route, 0));
         co_return;
@@ -361,7 +379,6 @@
 
 asio::awaitable<attempt_result> shard::relay(http::exchange& current, routed_request& request,
                                              agent_link& link, mailbox& box, std::uint64_t attempt_id) {
-    using verdict = wire::answer_assembly::verdict;
     answer_relay answer{current, wire::answer_assembly(attempt_id), link.id()};
     auto stopped = [&](std::string detail) {
         attempt_result ended = interrupted_result(std::move(detail));
@@ -403,24 +420,17 @@
         if (const auto* said = std::get_if<wire::failed>(&*event)) {
             co_return stopped(said->detail_);
         }
-        verdict taken = verdict::drop;
-        if (const auto* head = std::get_if<wire::head>(&*event)) {
-            taken = answer.assembly_.take_head(*head);
-            answer.head_ = *head;
-            request.first_byte_ = clock::now();
-            if (taken == verdict::accept && is_event_stream(*head) && !co_await begin_streaming(answer)) {
-                co_return abandoned();
-            }
-        } else if (const auto* part = std::get_if<wire::chunk>(&*event)) {
-            taken = answer.assembly_.take_chunk(*part);
-            if (taken == verdict::accept && !co_await take_part(answer, part->data_)) {
-                co_return abandoned();
-            }
+        const part_result taken = co_await take_part_of_answer(answer, *event);
+        if (taken == part_result::caller_gone) {
+            co_return abandoned();
+        }
+        if (const auto* part = std::get_if<wire::chunk>(&*event)) {
             link.send(wire::credit{attempt_id, part->data_.size()});
-        } else if (const auto* last = std::get_if<wire::end>(&*event)) {
-            taken = answer.assembly_.take_end(*last);
         }
-        if (taken == verdict::broken) {
+        if (std::holds_alternative<wire::head>(*event)) {
+            request.first_byte_ = clock::now();
+        }
+        if (taken == part_result::broken) {
             link.send(wire::cancel{attempt_id});
             co_return stopped("the parts of the answer did not fit together");
         }
--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -37,6 +37,11 @@
     return "unknown";
 }
 
+time_ms steady_now_ms() {
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 std::uint64_t hash64(std::string_view bytes, std::uint64_t seed) {
     return XXH64(bytes.data(), bytes.size(), seed);
 }
--- a/src/ledger/order_machine.cpp
+++ b/src/ledger/order_machine.cpp
@@ -1,8 +1,6 @@
 #include "tamarack/ledger.hpp"
 
-#include <boost/msm/back/state_machine.hpp>
-#include <boost/msm/front/functor_row.hpp>
-#include <boost/msm/front/state_machine_def.hpp>
+#include "kernel/state_machine.hpp"
 
 namespace tamarack {
 
@@ -16,7 +14,7 @@
 struct settle_time_passed {};
 struct fenced {};
 
-struct order_front : front::state_machine_def<order_front> {
+struct order_front : tolerant_front<order_front> {
     struct sending : front::state<> {};
     struct accepted : front::state<> {};
     struct overdue : front::state<> {};
@@ -26,36 +24,21 @@
 
     using initial_state = sending;
 
-    template <typename Source, typename Event, typename Target>
-    using row = front::Row<Source, Event, Target, front::none, front::none>;
-
     struct transition_table
-        : boost::mpl::vector<row<sending, confirmed, accepted>, row<sending, reported_applied, applied>,
-                             row<sending, reported_failed, failed>, row<sending, settle_time_passed, overdue>,
-                             row<sending, fenced, dead>, row<accepted, reported_applied, applied>,
-                             row<accepted, reported_failed, failed>,
-                             row<accepted, settle_time_passed, overdue>, row<accepted, fenced, dead>,
-                             row<overdue, reported_applied, applied>, row<overdue, reported_failed, failed>,
-                             row<overdue, fenced, dead>> {};
-
-    template <typename Machine, typename Event>
-    void no_transition(const Event&, Machine&, int) {}
+        : boost::mpl::vector<
+              transition<sending, confirmed, accepted>, transition<sending, reported_applied, applied>,
+              transition<sending, reported_failed, failed>, transition<sending, settle_time_passed, overdue>,
+              transition<sending, fenced, dead>, transition<accepted, reported_applied, applied>,
+              transition<accepted, reported_failed, failed>,
+              transition<accepted, settle_time_passed, overdue>, transition<accepted, fenced, dead>,
+              transition<overdue, reported_applied, applied>, transition<overdue, reported_failed, failed>,
+              transition<overdue, fenced, dead>> {};
 };
 
 } // namespace
 
 struct order_machine::machine : boost::msm::back::state_machine<order_front> {};
 
-namespace {
-
-template <typename State, typename Machine>
-bool in_state(const Machine& one) {
-    using states = typename Machine::stt;
-    return one.current_state()[0] == boost::msm::back::get_state_id<states, State>::value;
-}
-
-} // namespace
-
 order_machine::order_machine() : machine_(std::make_unique<machine>()) {
     machine_->start();
 }
--- a/src/planning/planning.cpp
+++ b/src/planning/planning.cpp
@@ -42,22 +42,9 @@
     return after_mb + memory_mb <= facts.memory_->capacity_mb();
 }
 
-const model_row* model_of_item(const plan_facts& facts, std::string_view item) {
-    return find_model(*facts.pool_, parse_model_reference(item).model_);
-}
-
 // The name under which the tables in force want the same model or adapter; empty if they do not.
 std::string name_in_force(const plan_facts& facts, const std::string& item) {
-    const model_row* model = model_of_item(facts, item);
-    const model_reference reference = parse_model_reference(item);
-    if (model == nullptr) {
-        return {};
-    }
-    if (reference.adapter_.empty()) {
-        return item_name(*model);
-    }
-    const adapter_row* adapter = find_adapter(*model, reference.adapter_);
-    return adapter == nullptr ? std::string() : item_name(*model, *adapter);
+    return item_in_force(*facts.pool_, parse_model_reference(item));
 }
 
 bool is_home(const plan_facts& facts, const std::string& item) {
--- a/src/tables/match.cpp
+++ b/src/tables/match.cpp
@@ -71,6 +71,18 @@
     return model.name_ + ":" + adapter.name_ + "@" + adapter.version_;
 }
 
+std::string item_in_force(const pool_row& pool, const model_reference& name) {
+    const model_row* model = find_model(pool, name.model_);
+    if (model == nullptr) {
+        return {};
+    }
+    if (name.adapter_.empty()) {
+        return item_name(*model);
+    }
+    const adapter_row* adapter = find_adapter(*model, name.adapter_);
+    return adapter == nullptr ? std::string() : item_name(*model, *adapter);
+}
+
 const model_row* find_model(const pool_row& pool, std::string_view name) {
     auto found = std::find_if(pool.models_.begin(), pool.models_.end(),
                               [&](const model_row& model) { return model.name_ == name; });
