Bring items back into service when their drop is given up

Cause, found by reading: an item taken out of service for a drop stayed out for ever if the plan changed before the unload was ordered; as a home model it would then be resident, never reloaded and never served. Ruled out: the drop guard, whose marks were only kept too long as well. Change: retirement is a small pure type; items resident with no unload in flight and not being dropped come back, and marks are cleared.

--- a/include/tamarack/planning.hpp
+++ b/include/tamarack/planning.hpp
@@ -68,6 +68,22 @@
 // unmet demand.
 std::optional<plan_step> next_plan_step(const plan_facts& facts);
 
+// Items that are out of service because they are about to be unloaded.
+class retirement {
+public:
+    void begin(const std::string& item) { items_.insert(item); }
+    void cancel(const std::string& item) { items_.erase(item); }
+    const std::set<std::string>& items() const { return items_; }
+
+    // Forgets items that are gone, and brings back into service those that are still resident although no
+    // unload order is in flight, except `dropping`, which the present plan step drops. Returns the items that
+    // it removed.
+    std::vector<std::string> update(const ledger& memory, std::string_view dropping);
+
+private:
+    std::set<std::string> items_;
+};
+
 // Memory that the home models of this endpoint need, in MB.
 std::int64_t home_memory_mb(const plan_facts& facts);
 
--- a/src/agent/control.hpp
+++ b/src/agent/control.hpp
@@ -69,6 +69,7 @@
     boost::asio::awaitable<void> tend_engine();
     boost::asio::awaitable<void> fence_engine();
     boost::asio::awaitable<void> take_plan_step();
+    void update_retiring(std::string_view dropping);
     boost::asio::awaitable<void> give(engine_order order);
     boost::asio::awaitable<void> drop(drop_step step);
     boost::asio::awaitable<bool> obtain_grant(const drop_step& step);
@@ -116,7 +117,7 @@
     demand_meter demand_;
     std::map<std::uint64_t, pending_request> pending_;
     std::map<std::string, item_use> uses_;
-    std::set<std::string> retiring_; // out of service, about to be unloaded
+    retirement retiring_;
     std::set<std::string> home_models_;
     home_map homes_;
     std::vector<listed_instance> instances_;
--- a/src/agent/engine_orders.cpp
+++ b/src/agent/engine_orders.cpp
@@ -89,6 +89,8 @@
         co_return;
     }
     const std::optional<plan_step> step = next_plan_step(make_plan_facts());
+    const drop_step* dropping = step ? std::get_if<drop_step>(&*step) : nullptr;
+    update_retiring(dropping == nullptr ? std::string_view() : dropping->item_);
     if (!step) {
         co_return;
     }
@@ -110,6 +112,17 @@
     co_await drop(std::get<drop_step>(*step));
 }
 
+// Items whose drop was given up or is done: their marks are cleared, and those still resident serve again.
+void control::update_retiring(std::string_view dropping) {
+    const std::vector<std::string> removed = retiring_.update(*ledger_, dropping);
+    for (const std::string& item : removed) {
+        drops_.finish(item);
+    }
+    if (!removed.empty()) {
+        refresh_admission();
+    }
+}
+
 asio::awaitable<void> control::give(engine_order order) {
     log_info("agent",
              std::string(order.kind_ == order_kind::load ? "Loads " : "Unloads ") + order.item_ + ".");
@@ -130,7 +143,7 @@
     if (not_before != drop_not_before_.end() && steady_now_ms() < not_before->second) {
         co_return;
     }
-    retiring_.insert(step.item_);
+    retiring_.begin(step.item_);
     refresh_admission();
     if (uses_[step.item_].running_ > 0) {
         co_return;
@@ -144,7 +157,7 @@
     }
     if (!std::holds_alternative<engine_order>(order)) {
         drops_.cancel(step.item_);
-        retiring_.erase(step.item_);
+        retiring_.cancel(step.item_);
         drop_not_before_[step.item_] = steady_now_ms() + drop_retry_ms;
         refresh_admission();
         co_return;
@@ -215,7 +228,7 @@
         return {};
     }
     std::set<std::string> serving = ledger_->ready_items();
-    for (const std::string& item : retiring_) {
+    for (const std::string& item : retiring_.items()) {
         serving.erase(item);
     }
     std::set<std::string> models;
@@ -246,8 +259,6 @@
         const std::int64_t weights_mb = std::max(ledger_->weights_mb(), homes_mb);
         limits.kv_mb_ =
             std::max<std::int64_t>(1, ledger_->capacity_mb() - ledger_->reserve_mb() - weights_mb);
-        std::erase_if(retiring_,
-                      [this](const std::string& item) { return !ledger_->resident().contains(item); });
     }
     const std::set<std::string> serving = serving_items();
     perform(admission_.set_limits(limits, steady_now_ms()));
--- a/src/planning/planning.cpp
+++ b/src/planning/planning.cpp
@@ -164,6 +164,21 @@
     }
 }
 
+std::vector<std::string> retirement::update(const ledger& memory, std::string_view dropping) {
+    std::vector<std::string> removed;
+    for (const std::string& item : items_) {
+        const bool gone = !memory.resident().contains(item);
+        const bool given_up = item != dropping && !memory.in_flight(item);
+        if (gone || given_up) {
+            removed.push_back(item);
+        }
+    }
+    for (const std::string& item : removed) {
+        items_.erase(item);
+    }
+    return removed;
+}
+
 double extra_copy_threshold(double attainment_weight) {
     return threshold_for_moves + attainment_weight * (threshold_for_attainment - threshold_for_moves);
 }
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -254,4 +254,18 @@
     CHECK(next() == "ask to drop a@1");
 }
 
+TEST_CASE_FIXTURE(planning_fixture, "retirement_given_up_item_serves_again_and_gone_item_is_forgotten") {
+    hold({{"a@1", 300}, {"b@1", 300}});
+    retirement retiring;
+    retiring.begin("a@1");
+    CHECK(retiring.update(memory_, "a@1").empty());
+    CHECK(retiring.update(memory_, "") == std::vector<std::string>{"a@1"});
+    CHECK(retiring.items().empty());
+    retiring.begin("a@1");
+    REQUIRE(std::holds_alternative<engine_order>(memory_.begin_unload("a@1", 1)));
+    CHECK(retiring.update(memory_, "").empty());
+    hold({{"b@1", 300}});
+    CHECK(retiring.update(memory_, "") == std::vector<std::string>{"a@1"});
+}
+
 } // namespace tamarack
