--- a/src/agent/control.hpp
+++ b/src/agent/control.hpp
@@ -77,6 +77,7 @@
     plan_facts make_plan_facts() const;
     void begin_ledger();
     void refresh_admission();
+    void learn_load_times(const std::set<std::string>& serving);
     std::set<std::string> serving_items() const;
     void stand_down();
 
@@ -124,7 +125,8 @@
     bool listed_ = false; // the list has named this endpoint
     std::vector<std::uint64_t> claims_waiting_;
     bool settling_claims_ = false;
-    double load_ms_;
+    double load_ms_; // mean time of a model's load
+    std::map<std::string, time_ms> load_began_;
     std::map<std::string, time_ms> drop_not_before_;
     std::uint64_t next_drop_ = 1;
     std::set<std::string> last_serving_;
--- a/src/agent/engine_orders.cpp
+++ b/src/agent/engine_orders.cpp
@@ -105,6 +105,7 @@
         }
         measures_.count("tamarack_moves_total", "Orders to load and unload weights",
                         {{"kind", load->extra_copy_ ? "extra_load" : "home_load"}});
+        load_began_[load->item_] = steady_now_ms();
         refresh_admission();
         co_await give(std::get<engine_order>(order));
         co_return;
@@ -245,6 +246,20 @@
     return serving;
 }
 
+// Learns how long loads of models take, which is what requests that wait for one are told.
+void control::learn_load_times(const std::set<std::string>& serving) {
+    for (auto found = load_began_.begin(); found != load_began_.end();) {
+        if (!serving.contains(found->first)) {
+            ++found;
+            continue;
+        }
+        const bool model = found->first.find(':') == std::string::npos;
+        const double took_ms = double(steady_now_ms() - found->second);
+        load_ms_ += model ? load_smoothing * (took_ms - load_ms_) : 0.0;
+        found = load_began_.erase(found);
+    }
+}
+
 void control::refresh_admission() {
     const pool_row* row = pool();
     if (row == nullptr) {
@@ -261,6 +276,7 @@
             std::max<std::int64_t>(1, ledger_->capacity_mb() - ledger_->reserve_mb() - weights_mb);
     }
     const std::set<std::string> serving = serving_items();
+    learn_load_times(serving);
     perform(admission_.set_limits(limits, steady_now_ms()));
     perform(admission_.set_resident(serving, steady_now_ms()));
     if (serving != last_serving_) {
--- a/src/agent/traffic.hpp
+++ b/src/agent/traffic.hpp
@@ -9,8 +9,6 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include <atomic>
-#include <set>
 #include <unordered_map>
 
 namespace tamarack::agent {
