Keep streams alive when an agent is replaced on another port

Cause, found by reading: an entry closed its connection to the old agent as soon as the list named the new port, cutting what ran there. Ruled out: the old agent's shutdown, which waits for its requests. Change: the old link is retired; its attempts go on, its reports are ignored, and it closes with its last attempt. Test agent_replaced_on_another_port_with_streams_in_flight_cuts_none: red before (the streams of that agent cut), green after.

--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -35,8 +35,24 @@
     }
 }
 
+void agent_link::retire() {
+    retired_ = true;
+    close_if_done();
+}
+
+void agent_link::release(std::uint64_t attempt) {
+    boxes_.erase(attempt);
+    close_if_done();
+}
+
+void agent_link::close_if_done() {
+    if (retired_ && boxes_.empty()) {
+        stop();
+    }
+}
+
 asio::awaitable<void> agent_link::run() {
-    while (!stopped_) {
+    while (!stopped_ && !retired_) {
         boost::system::error_code bad_address;
         const auto address = asio::ip::make_address(instance_.address_, bad_address);
         if (bad_address) {
@@ -84,7 +100,9 @@
     for (const auto& [attempt, box] : boxes) {
         box->put(link_lost{});
     }
-    events_.lost_(instance_.id_);
+    if (!retired_) {
+        events_.lost_(instance_.id_);
+    }
 }
 
 template <typename Message>
@@ -109,7 +127,9 @@
             using kind = std::decay_t<decltype(message)>;
             if constexpr (std::is_same_v<kind, wire::status>) {
                 clock_offset_ms_ = message.clock_ms_ - steady_now_ms();
-                events_.status_(instance_.id_, message);
+                if (!retired_) {
+                    events_.status_(instance_.id_, message);
+                }
             } else if constexpr (std::is_same_v<kind, wire::config_fetch>) {
                 send(wire::config_state{events_.config_state_()});
             } else if constexpr (std::is_same_v<kind, wire::config_state>) {
--- a/src/entry/agent_link.hpp
+++ b/src/entry/agent_link.hpp
@@ -22,14 +22,18 @@
     agent_link(boost::asio::any_io_executor executor, listed_instance instance, wire::hello greeting,
                link_events events);
 
-    // Connects, and connects again after each loss, until `stop`.
+    // Connects, and connects again after each loss, until `stop` or `retire`.
     void start();
     void stop();
 
+    // Another link takes over this endpoint: attempts under way go on here, nothing is reported any more, and
+    // the connection closes with its last attempt.
+    void retire();
+
     // Sends a request; events of its attempt go to `box` until `release`. Returns false if nothing was sent.
     bool submit(const wire::submit& request, std::shared_ptr<mailbox> box);
     bool request_key(std::uint64_t attempt, std::shared_ptr<mailbox> box);
-    void release(std::uint64_t attempt) { boxes_.erase(attempt); }
+    void release(std::uint64_t attempt);
 
     // Sends any frame; returns false if the link is down.
     bool send(wire::message message);
@@ -48,6 +52,7 @@
     void take(const wire::frame& received);
     void compare_config(std::int64_t agent_version);
     void lose();
+    void close_if_done();
 
     template <typename Message>
     void deliver(Message message);
@@ -62,6 +67,7 @@
     std::int64_t asked_for_version_ = -1;
     std::unordered_map<std::uint64_t, std::shared_ptr<mailbox>> boxes_;
     bool stopped_ = false;
+    bool retired_ = false;
 };
 
 } // namespace tamarack::entry
--- a/src/entry/shard.cpp
+++ b/src/entry/shard.cpp
@@ -93,7 +93,10 @@
             ++found;
             continue;
         }
-        found->second->stop();
+        found->second->retire();
+        if (moved) {
+            members_.connection_lost(found->first);
+        }
         found = links_.erase(found);
     }
     for (const auto& [id, endpoint] : members_.endpoints()) {
--- a/tests/process/leaving_test.cpp
+++ b/tests/process/leaving_test.cpp
@@ -68,6 +68,18 @@
     CHECK(system_.entries().at("entry-1").entry_.wait() == 0);
 }
 
+TEST_CASE_FIXTURE(leaving_cluster, "agent_replaced_on_another_port_with_streams_in_flight_cuts_none") {
+    start(2, true, models_);
+    process earlier;
+    check_none_cut([&] {
+        earlier = system_.start_replacement(node("engine-0"));
+        earlier.signal(SIGTERM);
+        system_.publish_list();
+        CHECK(system_.wait_until_ready());
+    });
+    CHECK(earlier.wait() == 0);
+}
+
 TEST_CASE_FIXTURE(leaving_cluster, "endpoint_listed_as_leaving_gets_no_new_work_within_the_bound") {
     start(2, true, models_);
     node("engine-0").leaving_ = true;
