Let entries read the last answers before an agent ends

Cause: an agent that had written everything closed its sockets with unread frames of the entry in them (credits); the kernel then resets the connection and the entry loses what it has not read yet. Streams were cut by a planned stop. Ruled out: heartbeats (sent until the end), the replaced link (the list does not change in this test), the order of end and loss in the entry (one queue).

--- a/include/tamarack/wire.hpp
+++ b/include/tamarack/wire.hpp
@@ -189,6 +189,10 @@
     void close();
     bool closed() const { return closed_; }
 
+    // Says that nothing more is sent. The other side reads all that was sent and then closes; closing at once
+    // while its frames are unread would reset the connection and lose what it has not read yet.
+    void finish_sending();
+
     // Whether frames are queued or being written.
     bool sending() const { return writing_ && !closed_; }
 
--- a/src/agent/traffic.cpp
+++ b/src/agent/traffic.cpp
@@ -52,13 +52,17 @@
     asio::co_spawn(context_, flush_and_stop(), asio::detached);
 }
 
-// The last answers go out before the thread ends.
+// The last answers are written and read by the other side before the thread ends.
 asio::awaitable<void> traffic::flush_and_stop() {
     const auto until = std::chrono::steady_clock::now() + flush_limit;
     const auto unsent = [](const auto& entry) { return entry.second->connection_->sending(); };
     asio::steady_timer pause(context_);
-    while (std::any_of(sessions_.begin(), sessions_.end(), unsent) &&
-           std::chrono::steady_clock::now() < until) {
+    bool finished = false;
+    while (!sessions_.empty() && std::chrono::steady_clock::now() < until) {
+        if (!finished && std::none_of(sessions_.begin(), sessions_.end(), unsent)) {
+            finish_sending();
+            finished = true;
+        }
         pause.expires_after(flush_interval);
         co_await pause.async_wait(asio::use_awaitable);
     }
@@ -66,6 +70,14 @@
     context_.stop();
 }
 
+void traffic::finish_sending() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    for (const auto& [id, to] : sessions_) {
+        to->connection_->finish_sending();
+    }
+}
+
 asio::awaitable<void> traffic::accept_loop() {
     while (true) {
         auto [failed, socket] = co_await acceptor_.async_accept(asio::as_tuple(asio::use_awaitable));
--- a/src/agent/traffic.hpp
+++ b/src/agent/traffic.hpp
@@ -72,6 +72,7 @@
     struct job;
 
     boost::asio::awaitable<void> flush_and_stop();
+    void finish_sending();
     boost::asio::awaitable<void> accept_loop();
     boost::asio::awaitable<void> serve(std::shared_ptr<session> from);
     void take(const std::shared_ptr<session>& from, wire::message message);
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -99,6 +99,11 @@
     writing_ = false;
 }
 
+void connection::finish_sending() {
+    boost::system::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void connection::close() {
     if (closed_) {
         return;
--- a/tests/process/leaving_test.cpp
+++ b/tests/process/leaving_test.cpp
@@ -37,7 +37,8 @@
         meanwhile();
         callers.join();
         for (std::size_t index = 0; index < answers.size(); ++index) {
-            CHECK(answer_text(answers[index]) == expected_text(requests[index].second));
+            const bool whole = answer_text(answers[index]) == expected_text(requests[index].second);
+            CHECK(whole);
         }
     }
 
--- a/tests/process/whole_answers_test.cpp
+++ b/tests/process/whole_answers_test.cpp
@@ -26,7 +26,8 @@
     const auto requests = streams(200, 30);
     const auto answers = call_all(requests);
     for (std::size_t index = 0; index < answers.size(); ++index) {
-        CHECK(answer_text(answers[index]) == expected_text(requests[index].second));
+        const bool whole = answer_text(answers[index]) == expected_text(requests[index].second);
+        CHECK(whole);
     }
 }
 
