Mend what a newcomer would stumble over

One place now tells how much memory KV caches may use, lists of flags are split in one place, the harness gives an agent its ports in one place, and the comment on a shard's draining says what it does.

--- a/include/tamarack/kernel.hpp
+++ b/include/tamarack/kernel.hpp
@@ -81,6 +81,9 @@
 // Mixes two hashes into one; not commutative.
 std::uint64_t mix64(std::uint64_t first, std::uint64_t second);
 
+// The parts of a list that is separated by commas, as flags carry it.
+std::vector<std::string> split_list(std::string_view text);
+
 // Sixteen hexadecimal digits of `number`.
 std::string to_hex(std::uint64_t number);
 
--- a/include/tamarack/ledger.hpp
+++ b/include/tamarack/ledger.hpp
@@ -148,8 +148,9 @@
     // Memory that weights hold or may come to hold, in MB, without the reserve.
     std::int64_t weights_mb() const;
 
-    // Memory that KV caches may use now, in MB.
-    std::int64_t kv_budget_mb() const;
+    // Memory that KV caches may use now, in MB. At least `kept_for_weights_mb` stays free for weights even
+    // while less is loaded.
+    std::int64_t kv_budget_mb(std::int64_t kept_for_weights_mb = 0) const;
 
     std::int64_t reserve_mb() const { return settings_.stale_reserve_mb_; }
     std::int64_t capacity_mb() const { return capacity_mb_; }
--- a/src/agent/engine_orders.cpp
+++ b/src/agent/engine_orders.cpp
@@ -271,9 +271,7 @@
     if (ledger_) {
         // Room for the home models stays free of KV caches even while they are not loaded.
         const std::int64_t homes_mb = home_memory_mb(make_plan_facts());
-        const std::int64_t weights_mb = std::max(ledger_->weights_mb(), homes_mb);
-        limits.kv_mb_ =
-            std::max<std::int64_t>(1, ledger_->capacity_mb() - ledger_->reserve_mb() - weights_mb);
+        limits.kv_mb_ = std::max<std::int64_t>(1, ledger_->kv_budget_mb(homes_mb));
     }
     const std::set<std::string> serving = serving_items();
     learn_load_times(serving);
--- a/src/ctl/status_commands.cpp
+++ b/src/ctl/status_commands.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <iostream>
-#include <sstream>
 
 namespace tamarack::ctl {
 
@@ -14,15 +13,6 @@
 
 constexpr std::chrono::milliseconds call_limit{2'000};
 
-std::vector<std::string> split(const std::string& text) {
-    std::vector<std::string> parts;
-    std::istringstream stream(text);
-    for (std::string part; std::getline(stream, part, ',');) {
-        parts.push_back(part);
-    }
-    return parts;
-}
-
 nlohmann::json instance_status(const std::string& text) {
     const auto address = address_flag(text, "instances");
     if (!ok(address)) {
@@ -80,7 +70,7 @@
 int status(const options& given) {
     bool all_ready = true;
     nlohmann::json rows = nlohmann::json::array();
-    for (const std::string& address : split(given.instances_)) {
+    for (const std::string& address : split_list(given.instances_)) {
         nlohmann::json row = instance_status(address);
         all_ready = all_ready && row.value("ready", false);
         if (!given.json_) {
--- a/src/entry/shard.hpp
+++ b/src/entry/shard.hpp
@@ -39,8 +39,10 @@
     // From any thread: takes a new view.
     void update(std::shared_ptr<const entry_view> view);
 
-    // From any thread: stops accepting; `run` returns once the exchanges in service have ended.
+    // From any thread: stops accepting; exchanges in service go on.
     void drain();
+
+    // From any thread: closes the links and lets `run` return.
     void stop();
 
     // From any thread: number of exchanges in service, and of agents connected.
--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <random>
@@ -59,6 +60,16 @@
     return XXH64(both.data(), sizeof(both), 0);
 }
 
+std::vector<std::string> split_list(std::string_view text) {
+    std::vector<std::string> parts;
+    while (!text.empty()) {
+        const std::string_view part = text.substr(0, text.find(','));
+        parts.emplace_back(part);
+        text.remove_prefix(std::min(text.size(), part.size() + 1));
+    }
+    return parts;
+}
+
 std::string to_hex(std::uint64_t number) {
     std::array<char, 17> digits{};
     std::snprintf(digits.data(), digits.size(), "%016llx", static_cast<unsigned long long>(number));
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -212,8 +212,9 @@
     return total;
 }
 
-std::int64_t ledger::kv_budget_mb() const {
-    return std::max<std::int64_t>(0, capacity_mb_ - settings_.stale_reserve_mb_ - weights_mb());
+std::int64_t ledger::kv_budget_mb(std::int64_t kept_for_weights_mb) const {
+    const std::int64_t for_weights_mb = std::max(weights_mb(), kept_for_weights_mb);
+    return std::max<std::int64_t>(0, capacity_mb_ - settings_.stale_reserve_mb_ - for_weights_mb);
 }
 
 std::set<std::string> ledger::ready_items() const {
--- a/tools/harness/cluster.cpp
+++ b/tools/harness/cluster.cpp
@@ -21,6 +21,13 @@
     return loopback + std::to_string(port);
 }
 
+void give_ports(endpoint_node& node) {
+    node.agent_port_ = free_port();
+    node.admin_port_ = free_port();
+    node.settings_["listen"] = address(node.agent_port_);
+    node.settings_["admin"] = address(node.admin_port_);
+}
+
 } // namespace
 
 std::int64_t now_ms() {
@@ -106,14 +113,11 @@
     flags.push_back("--store=" + address(store_port_));
     node.endpoint_port_ = options.engine_ ? start_standin(node.endpoint_, "fake-engine", flags)
                                           : start_standin(node.endpoint_, "fake-service", {});
-    node.agent_port_ = free_port();
-    node.admin_port_ = free_port();
     node.settings_ = platform_settings();
+    give_ports(node);
     node.settings_["id"] = id;
     node.settings_["pool"] = pool;
     node.settings_["data_centre"] = options.data_centre_;
-    node.settings_["listen"] = address(node.agent_port_);
-    node.settings_["admin"] = address(node.admin_port_);
     node.settings_["endpoint"] = address(node.endpoint_port_);
     node.settings_["list_interval_ms"] = 200;
     node.settings_.merge_patch(options.agent_settings_);
@@ -128,10 +132,7 @@
 }
 
 process cluster::start_replacement(endpoint_node& node) {
-    node.agent_port_ = free_port();
-    node.admin_port_ = free_port();
-    node.settings_["listen"] = address(node.agent_port_);
-    node.settings_["admin"] = address(node.admin_port_);
+    give_ports(node);
     process earlier = std::move(node.agent_);
     start_agent(node);
     return earlier;
--- a/tools/load/tamarack_load.cpp
+++ b/tools/load/tamarack_load.cpp
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <iostream>
 #include <random>
-#include <sstream>
 
 DEFINE_string(ports, "", "ports of the entries on the loopback address, separated by commas");
 DEFINE_string(models, "", "models to ask for, separated by commas; the first is asked for most often");
@@ -35,15 +34,6 @@
     std::map<std::string, std::int64_t> outcomes_;
 };
 
-std::vector<std::string> split(const std::string& text) {
-    std::vector<std::string> parts;
-    std::istringstream stream(text);
-    for (std::string part; std::getline(stream, part, ',');) {
-        parts.push_back(part);
-    }
-    return parts;
-}
-
 std::int64_t percentile(std::vector<std::int64_t>& values, double fraction) {
     if (values.empty()) {
         return -1;
@@ -115,8 +105,8 @@
         "tamarack-load --ports=P,P --models=M,M [flags]\n"
         "Prints one JSON object. Exit codes: 0 no wrong or cut answer, 1 there was one, 2 usage.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const std::vector<std::string> ports = split(FLAGS_ports);
-    const std::vector<std::string> models = split(FLAGS_models);
+    const std::vector<std::string> ports = split_list(FLAGS_ports);
+    const std::vector<std::string> models = split_list(FLAGS_models);
     if (ports.empty() || models.empty()) {
         std::cerr << "give --ports and --models\n";
         return 2;
