--- /dev/null
+++ b/include/tamarack/provisioning.hpp
@@ -0,0 +1,48 @@
+// Provisioning: which model is loaded on which engine next, paced for the weight store. Pure.
+#pragma once
+
+#include "tamarack/fleet.hpp"
+
+#include <span>
+
+namespace tamarack::provisioning {
+
+// An engine as the planner sees it.
+struct engine_state {
+    std::string id_;
+    std::vector<std::string> models_;         // resident
+    std::string loading_;                     // model under way, or empty
+    std::set<std::string, std::less<>> nearby_; // weights on its disk or in its main memory
+    bool available_ = false;                  // reachable, not leaving, and ready for an order
+    bool serving_ = false;                    // reachable and not leaving
+    double running_ = 0;                      // requests in its batch and queue
+};
+
+// Demand for one model over all gateways.
+struct model_need {
+    double work_ = 0;  // requests in service at once, at the pace of an idle engine
+    int waiting_ = 0;  // requests that no engine could take
+};
+
+struct placement_step {
+    std::string engine_;
+    std::string load_;
+    std::vector<std::string> drop_;
+    bool from_store_ = true;
+};
+
+// Whether one more load from the weight store fits its rate, given the starts of earlier ones.
+bool store_load_allowed(std::span<const time_ms> starts, double per_s, double window_s, time_ms now);
+
+struct plan_facts {
+    const fleet::engine_spec* spec_ = nullptr;
+    std::span<const engine_state> engines_;
+    const std::map<std::string, model_need, std::less<>>* needs_ = nullptr;
+    bool store_load_allowed_ = true; // by the pacer
+};
+
+// The next order, if any is worth giving. Models without a copy go first, then those whose copies are the
+// busiest. The last copy of a model is never dropped, nor one that would then be busier than the new one.
+std::optional<placement_step> next_placement(const plan_facts& facts);
+
+} // namespace tamarack::provisioning
--- a/include/tamarack/settings.hpp
+++ b/include/tamarack/settings.hpp
@@ -46,12 +46,47 @@
     std::int64_t shutdown_ms_ = 60'000;
 };
 
+// Settings of the gateway: the entry of the direct path, which sends requests straight to the endpoints.
+struct gateway_settings {
+    std::string id_;
+    std::string data_centre_;
+    boost::asio::ip::tcp::endpoint listen_;  // clients
+    boost::asio::ip::tcp::endpoint admin_;   // readiness
+    boost::asio::ip::tcp::endpoint metrics_; // /metrics
+    boost::asio::ip::tcp::endpoint store_;   // the platform's store
+    std::string platform_ = "log-store";     // name of the platform plug-in
+    std::string ready_path_ = "/readyz";
+    std::int64_t agent_port_ = 0;            // on which every engine agent listens
+    double shutdown_grace_s_ = 8;            // from SIGTERM until the platform kills the process
+    double retry_ratio_ = 0.2;               // retries per request, over all gateways
+    double retry_slack_ = 50;                // retries beyond the ratio, over all gateways
+    double retry_window_s_ = 10;
+    double load_window_s_ = 5;               // window for the rate of the weight store
+
+    bool operator==(const gateway_settings&) const = default;
+};
+
+// Settings of the engine agent: the only process that gives orders to its engine.
+struct engine_agent_settings {
+    std::string id_;
+    boost::asio::ip::tcp::endpoint listen_;  // gateways
+    boost::asio::ip::tcp::endpoint metrics_; // /metrics
+    boost::asio::ip::tcp::endpoint engine_;
+    std::string platform_ = "log-store";     // name of the platform plug-in
+
+    bool operator==(const engine_agent_settings&) const = default;
+};
+
 // Reads and checks a settings file. Fails with `not_found` or `invalid`; the message lists every fault.
 result<entry_settings> load_entry_settings(const std::string& path);
 result<agent_settings> load_agent_settings(const std::string& path);
+result<gateway_settings> load_gateway_settings(const std::string& path);
+result<engine_agent_settings> load_engine_agent_settings(const std::string& path);
 
 // The same for text, for tests.
 result<entry_settings> parse_entry_settings(std::string_view text);
 result<agent_settings> parse_agent_settings(std::string_view text);
+result<gateway_settings> parse_gateway_settings(std::string_view text);
+result<engine_agent_settings> parse_engine_agent_settings(std::string_view text);
 
 } // namespace tamarack
--- /dev/null
+++ b/src/dispatch/choose.cpp
@@ -0,0 +1,69 @@
+#include "tamarack/dispatch.hpp"
+
+#include <algorithm>
+
+namespace tamarack::dispatch {
+
+namespace {
+
+constexpr double other_data_centre_ms = 3.0;   // a round trip between neighbouring data centres
+constexpr double running_ms = 0.35;            // growth of the wait with each request in the batch
+constexpr double adapter_load_ms = 25.0;       // an order and the load of one adapter
+constexpr double full_memory_ms = 400.0;       // preemption is likely in a full KV cache
+constexpr double memory_limit = 0.85;          // share of the KV cache above which it counts as full
+constexpr double failure_ms = 3'000.0;         // for an endpoint that fails every request
+constexpr double suspicion_ms = 60'000.0;      // an endpoint that does not answer comes last
+constexpr double near_tie_ms = 4.0;            // differences below this are noise
+
+constexpr double honoured_share = 1.0 / 3.0; // clients honour a return within this share of what is left
+constexpr time_ms earliest_return_ms = 50;
+constexpr double start_share = 0.6; // of what is left; a request that starts later rarely ends in time
+
+} // namespace
+
+double expected_first_event_ms(const option& choice, double prompt_tokens, const engine_pace& pace) {
+    const double unread = choice.unread_tokens_ + std::max(0.0, prompt_tokens - choice.kept_tokens_);
+    double expected = choice.same_data_centre_ ? 0.0 : other_data_centre_ms;
+    expected += unread * pace.ms_per_prompt_token_ * choice.slowness_;
+    expected += choice.queued_ * pace.ms_per_queued_request_ * choice.slowness_;
+    expected += std::min(choice.running_, double(choice.slots_)) * running_ms * choice.slowness_;
+    expected += std::max(0.0, choice.running_ - choice.slots_) * pace.ms_per_queued_request_ * choice.slowness_;
+    if (choice.memory_use_ > memory_limit) {
+        expected += full_memory_ms * (choice.memory_use_ - memory_limit) / (1 - memory_limit);
+    }
+    if (!choice.adapter_resident_) {
+        expected += adapter_load_ms;
+    }
+    return expected;
+}
+
+std::optional<std::size_t> choose_endpoint(std::span<const option> options, double prompt_tokens,
+                                           const engine_pace& pace, std::uint64_t random) {
+    std::optional<std::size_t> best;
+    double best_ms = 0;
+    for (std::size_t step = 0; step < options.size(); ++step) {
+        const std::size_t index = (step + random) % options.size();
+        const option& choice = options[index];
+        double expected = expected_first_event_ms(choice, prompt_tokens, pace);
+        expected += choice.failure_rate_ * failure_ms;
+        expected += choice.suspected_ ? suspicion_ms : 0.0;
+        if (!best || expected < best_ms - near_tie_ms) {
+            best = index;
+            best_ms = expected;
+        }
+    }
+    return best;
+}
+
+time_ms return_after_ms(time_ms wait_ms, time_ms left_ms, std::uint64_t random) {
+    const double spread = double(random % 1'000) / 1'000.0;
+    const double wanted = double(wait_ms) * (1.0 + 0.5 * spread) + 100.0 * spread;
+    const double most = double(left_ms) * honoured_share;
+    return std::max(earliest_return_ms, time_ms(std::min(wanted, most)));
+}
+
+bool worth_waiting(time_ms wait_ms, time_ms objective_ms, time_ms left_ms) {
+    return wait_ms <= objective_ms || double(wait_ms) <= start_share * double(left_ms);
+}
+
+} // namespace tamarack::dispatch
--- /dev/null
+++ b/src/dispatch/health.cpp
@@ -0,0 +1,50 @@
+#include "tamarack/dispatch.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarack::dispatch {
+
+namespace {
+
+constexpr double half_life_ms = 2'000;     // of what was learned about an endpoint
+constexpr time_ms first_suspicion_ms = 300; // after one connection that was not accepted
+constexpr time_ms longest_suspicion_ms = 2'000;
+constexpr double prior_sends = 2; // successes assumed of an endpoint that is not known
+
+} // namespace
+
+void endpoint_health::fade(time_ms now) {
+    const double kept = std::exp2(-double(std::max<time_ms>(0, now - faded_at_)) / half_life_ms);
+    sends_ *= kept;
+    failures_ *= kept;
+    faded_at_ = now;
+}
+
+void endpoint_health::note_success(time_ms now) {
+    fade(now);
+    sends_ += 1;
+    suspected_until_ = 0;
+    suspicion_ms_ = 0;
+}
+
+void endpoint_health::note_failure(time_ms now) {
+    fade(now);
+    sends_ += 1;
+    failures_ += 1;
+}
+
+void endpoint_health::note_unreachable(time_ms now) {
+    if (suspected(now)) {
+        return;
+    }
+    suspicion_ms_ = suspicion_ms_ == 0 ? first_suspicion_ms : std::min(longest_suspicion_ms, 2 * suspicion_ms_);
+    suspected_until_ = now + suspicion_ms_;
+}
+
+double endpoint_health::failure_rate(time_ms now) const {
+    const double kept = std::exp2(-double(std::max<time_ms>(0, now - faded_at_)) / half_life_ms);
+    return failures_ * kept / (prior_sends + sends_ * kept);
+}
+
+} // namespace tamarack::dispatch
--- /dev/null
+++ b/src/engine_agent/agent.cpp
@@ -0,0 +1,305 @@
+#include "engine_agent/agent.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace tamarack::engine_agent {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr time_ms idle_report_ms = 100;     // between reports of an engine that has no order
+constexpr time_ms busy_report_ms = 20;      // while an order or a wanted adapter is under way
+constexpr int failures_until_down = 2;      // reports in a row
+constexpr time_ms least_push_ms = 100;      // between statuses to the gateways
+constexpr time_ms push_ms_per_gateway = 10; // bounds the statuses that one agent sends a second
+constexpr int accept_backlog = 256;
+
+} // namespace
+
+agent::agent(const engine_agent_settings& settings, event_log& events)
+    : settings_(settings), events_(events), context_(1), acceptor_(context_),
+      signals_(context_, SIGTERM, SIGINT, SIGHUP), report_timer_(context_),
+      port_((*registry<engine::port_factory>::instance().find(settings.platform_))(context_, settings.engine_)),
+      book_(settings.id_),
+      metrics_server_(context_, http::server_limits(), [this](http::exchange& current) -> asio::awaitable<void> {
+          co_await handle_metrics(current);
+      }) {}
+
+int agent::run() {
+    const auto listening = listen();
+    if (!ok(listening)) {
+        events_.write({event_kind::process, "agent", "cannot_listen", {}, {{"error", to_string(failure(listening))}}});
+        return 1;
+    }
+    const auto metrics_listening = metrics_server_.listen(settings_.metrics_);
+    if (!ok(metrics_listening)) {
+        events_.write({event_kind::process, "agent", "metrics_not_served", {},
+                       {{"error", to_string(failure(metrics_listening))}}});
+    }
+    events_.write({event_kind::process, "agent", "started", {}, {{"port", int(settings_.listen_.port())}}});
+    signals_.async_wait([this](boost::system::error_code failed, int number) {
+        if (!failed && number != SIGHUP) {
+            context_.stop();
+        }
+    });
+    read_report();
+    context_.run();
+    events_.write({event_kind::process, "agent", "stopped", {}, {}});
+    return 0;
+}
+
+result<done> agent::listen() {
+    boost::system::error_code failed;
+    acceptor_.open(settings_.listen_.protocol(), failed);
+    acceptor_.set_option(asio::socket_base::reuse_address(true), failed);
+    acceptor_.bind(settings_.listen_, failed);
+    if (!failed) {
+        acceptor_.listen(accept_backlog, failed);
+    }
+    if (failed) {
+        return error{error_kind::unavailable, "cannot listen for gateways: " + failed.message(),
+                     "check the address \"listen\" in the settings"};
+    }
+    accept();
+    return done{};
+}
+
+void agent::accept() {
+    acceptor_.async_accept([this](boost::system::error_code failed, asio::ip::tcp::socket socket) {
+        if (failed == asio::error::operation_aborted) {
+            return;
+        }
+        if (!failed) {
+            const auto one = std::make_shared<gateway>();
+            links::link::events handlers;
+            handlers.frame_ = [this, one](const links::frame& received) { take_frame(one, received); };
+            handlers.closed_ = [this, one] {
+                std::erase(gateways_, one);
+                events_.write({event_kind::dependency, "agent", "gateway_lost", {}, {{"gateway", one->id_}}});
+            };
+            one->link_ = std::make_shared<links::link>(std::move(socket), std::move(handlers));
+            gateways_.push_back(one);
+            one->link_->start();
+        }
+        accept();
+    });
+}
+
+void agent::take_frame(const std::shared_ptr<gateway>& from, const links::frame& received) {
+    switch (received.body.type) {
+    case links::fbs::Body::Hello: {
+        const links::hello& greeting = *received.body.AsHello();
+        if (greeting.protocol != links::protocol_version) {
+            from->link_->close();
+            return;
+        }
+        from->id_ = greeting.id;
+        events_.write({event_kind::dependency, "agent", "gateway_linked", {}, {{"gateway", from->id_}}});
+        from->link_->send(links::make_frame(make_status(true)));
+        return;
+    }
+    case links::fbs::Body::AdapterWanted: {
+        const links::adapter_wanted& wanted = *received.body.AsAdapterWanted();
+        const std::uint64_t number = next_want_++;
+        wants_[number] = {from->link_, wanted.number};
+        book_.want_adapter(number, wanted.model, wanted.adapter, steady_now_ms());
+        if (book_.report()) {
+            answer_wants(book_.take_report(*book_.report(), steady_now_ms()));
+        }
+        give_next();
+        return;
+    }
+    case links::fbs::Body::PlacementOrder:
+        take_placement(*received.body.AsPlacementOrder());
+        return;
+    case links::fbs::Body::GatewayDigest:
+    case links::fbs::Body::ConfigurationRelay:
+        relay(*from, received);
+        return;
+    default:
+        return;
+    }
+}
+
+// The gateway whose placements are taken: the one with the least id that is linked.
+std::string agent::planner() const {
+    std::string least;
+    for (const auto& one : gateways_) {
+        if (!one->id_.empty() && (least.empty() || one->id_ < least)) {
+            least = one->id_;
+        }
+    }
+    return least;
+}
+
+void agent::take_placement(const links::placement_order& order) {
+    placement wanted;
+    wanted.load_ = order.load;
+    wanted.drop_ = order.drop;
+    wanted.capacity_mb_ = order.capacity_mb;
+    wanted.adapter_slots_ = order.adapter_slots;
+    for (std::size_t index = 0; index < order.model_names.size(); ++index) {
+        wanted.model_mb_[order.model_names[index]] = order.model_mb[index];
+        wanted.adapter_mb_[order.model_names[index]] = order.adapter_mb[index];
+    }
+    events_.write({event_kind::order, "agent", "placement_taken", {},
+                   {{"planner", order.planner}, {"load", order.load}, {"expected_planner", planner()}}});
+    book_.take_placement(std::move(wanted), steady_now_ms());
+    give_next();
+}
+
+void agent::relay(const gateway& from, const links::frame& received) {
+    const std::string bytes = links::encode(received);
+    for (const auto& one : gateways_) {
+        if (one.get() != &from) {
+            one->link_->send_encoded(bytes);
+        }
+    }
+}
+
+void agent::read_report() {
+    if (std::exchange(reading_, true)) {
+        return;
+    }
+    port_->read_report([this](result<engine::report> outcome) {
+        reading_ = false;
+        take_report(std::move(outcome));
+    });
+}
+
+void agent::take_report(result<engine::report> outcome) {
+    const time_ms now = steady_now_ms();
+    if (ok(outcome)) {
+        failures_ = 0;
+        reachable_ = true;
+        answer_wants(book_.take_report(value(outcome), now));
+        give_next();
+    } else if (++failures_ >= failures_until_down) {
+        if (reachable_) {
+            events_.write({event_kind::dependency, "agent", "engine_lost", {},
+                           {{"error", to_string(failure(outcome))}}});
+        }
+        reachable_ = false;
+        answer_wants(book_.engine_lost());
+    }
+    answer_wants(book_.expire_wants(now));
+    push_status();
+    schedule_report();
+}
+
+void agent::schedule_report() {
+    const time_ms pause = book_.waits() ? busy_report_ms : idle_report_ms;
+    report_timer_.expires_after(std::chrono::milliseconds(pause));
+    report_timer_.async_wait([this](boost::system::error_code cancelled) {
+        if (!cancelled) {
+            read_report();
+        }
+    });
+}
+
+void agent::give_next() {
+    const auto order = book_.next(steady_now_ms());
+    if (!order) {
+        return;
+    }
+    port_->give(*order, [this, order = *order](engine::order_answer answer) {
+        book_.answered(answer, steady_now_ms());
+        events_.write({event_kind::order, "agent", order.load_ ? "load" : "unload", {},
+                       {{"model", order.model_},
+                        {"adapter", order.adapter_},
+                        {"engine", order.engine_},
+                        {"expected", order.expected_accepted_},
+                        {"token", order.fencing_token_},
+                        {"outcome", to_string(answer)}}});
+        // The report shows the effect of the order, and decides about the next one.
+        report_timer_.cancel();
+        read_report();
+    });
+}
+
+void agent::answer_wants(const std::vector<adapter_answer>& answers) {
+    for (const adapter_answer& one : answers) {
+        const auto found = wants_.find(one.want_);
+        if (found == wants_.end()) {
+            continue;
+        }
+        if (const auto link = found->second.first.lock()) {
+            links::adapter_state state;
+            state.number = found->second.second;
+            state.ready = one.ready_;
+            link->send(links::make_frame(state));
+        }
+        wants_.erase(found);
+    }
+}
+
+links::engine_status agent::make_status(bool with_models) const {
+    links::engine_status status;
+    status.reachable = reachable_;
+    if (!book_.report()) {
+        return status;
+    }
+    const engine::report& report = *book_.report();
+    const time_ms now = steady_now_ms();
+    status.engine = report.engine_;
+    status.incarnation = std::uint64_t(report.incarnation_);
+    status.leaving = report.leaving_;
+    status.remaining_ms = report.remaining_ms_.value_or(-1);
+    status.running = report.running_;
+    status.queued = report.queued_;
+    status.kv_used = std::int64_t(report.kv_used_);
+    status.kv_total = std::int64_t(report.kv_total_);
+    status.busy = report.busy_;
+    status.loading = book_.loading();
+    status.has_models = with_models;
+    if (with_models) {
+        for (const fleet::held_model& model : report.models_) {
+            auto held = std::make_unique<links::held_model>();
+            held->name = model.name_;
+            held->adapters.assign(model.adapters_.begin(), model.adapters_.end());
+            status.models.push_back(std::move(held));
+        }
+        status.nearby.assign(report.nearby_.begin(), report.nearby_.end());
+    }
+    for (const time_ms start : book_.store_loads()) {
+        status.store_load_ages_ms.push_back(int(now - start));
+    }
+    return status;
+}
+
+time_ms agent::push_interval_ms() const {
+    return std::max(least_push_ms, push_ms_per_gateway * time_ms(gateways_.size()));
+}
+
+void agent::push_status() {
+    if (!book_.report() || gateways_.empty()) {
+        return;
+    }
+    const engine::report& report = *book_.report();
+    const time_ms now = steady_now_ms();
+    const bool models_changed = report.models_ != pushed_models_ || report.incarnation_ != pushed_incarnation_;
+    const bool urgent = models_changed || reachable_ != pushed_reachable_ || report.leaving_ != pushed_leaving_;
+    if (!urgent && now - pushed_at_ < push_interval_ms()) {
+        return;
+    }
+    pushed_at_ = now;
+    pushed_reachable_ = reachable_;
+    pushed_leaving_ = report.leaving_;
+    pushed_models_ = report.models_;
+    pushed_incarnation_ = report.incarnation_;
+    const std::string bytes = links::encode(links::make_frame(make_status(models_changed)));
+    const auto linked = gateways_; // a link that fails leaves the list
+    for (const auto& one : linked) {
+        one->link_->send_encoded(bytes);
+    }
+}
+
+asio::awaitable<void> agent::handle_metrics(http::exchange& current) {
+    http::response answer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, measures_.text()};
+    co_await current.reply(std::move(answer));
+}
+
+} // namespace tamarack::engine_agent
--- /dev/null
+++ b/src/engine_agent/order_book.cpp
@@ -0,0 +1,239 @@
+#include "engine_agent/order_book.hpp"
+
+#include <algorithm>
+
+namespace tamarack::engine_agent {
+
+namespace {
+
+constexpr time_ms want_limit_ms = 1'200;      // for an adapter to become resident
+constexpr time_ms placement_limit_ms = 8'000; // for the drops and the load of one placement to begin
+constexpr time_ms adapter_hold_ms = 700;      // a wanted adapter stays, so that its request can arrive
+constexpr time_ms conflict_pause_ms = 30;     // before an order is given again that met another one
+constexpr time_ms store_load_memory_ms = 20'000;
+constexpr int default_adapter_slots = 8;      // until a placement has told the number
+
+std::string key_of(std::string_view model, std::string_view adapter) {
+    return std::string(model) + "/" + std::string(adapter);
+}
+
+} // namespace
+
+const fleet::held_model* order_book::find_model(std::string_view name) const {
+    if (!report_) {
+        return nullptr;
+    }
+    const auto found = std::find_if(report_->models_.begin(), report_->models_.end(),
+                                    [&](const fleet::held_model& one) { return one.name_ == name; });
+    return found == report_->models_.end() ? nullptr : &*found;
+}
+
+bool order_book::has_adapter(std::string_view model, std::string_view adapter) const {
+    const fleet::held_model* held = find_model(model);
+    return held != nullptr && held->adapters_.contains(adapter);
+}
+
+int order_book::adapters_resident() const {
+    std::size_t count = report_->coming_.size();
+    for (const fleet::held_model& model : report_->models_) {
+        count += model.adapters_.size();
+    }
+    return int(count);
+}
+
+double order_book::used_mb() const {
+    double used = 0;
+    double largest_adapter = 0;
+    for (const auto& [model, adapter_mb] : sizes_->adapter_mb_) {
+        largest_adapter = std::max(largest_adapter, adapter_mb);
+    }
+    for (const fleet::held_model& model : report_->models_) {
+        const auto size = sizes_->model_mb_.find(model.name_);
+        // A model of unknown size fills the engine: nothing is loaded beside it.
+        used += size == sizes_->model_mb_.end() ? sizes_->capacity_mb_ : size->second;
+    }
+    return used + largest_adapter * sizes_->adapter_slots_;
+}
+
+std::vector<adapter_answer> order_book::take_report(const engine::report& given, time_ms now) {
+    const bool restarted = report_ && (report_->incarnation_ != given.incarnation_ ||
+                                       report_->engine_ != given.engine_);
+    if (restarted) {
+        placement_.reset();
+        doubtful_.reset();
+    }
+    if (doubtful_ && given.accepted_ > doubtful_->expected_accepted_) {
+        doubtful_.reset(); // it was carried out, or can no longer be
+    }
+    report_ = given;
+    std::erase_if(store_loads_, [&](time_ms start) { return now - start > store_load_memory_ms; });
+    if (placement_ && (find_model(placement_->load_) != nullptr || now > placement_until_)) {
+        placement_.reset();
+    }
+    std::vector<adapter_answer> answers;
+    std::erase_if(wants_, [&](const want& one) {
+        const bool ready = has_adapter(one.model_, one.adapter_);
+        const bool hopeless = find_model(one.model_) == nullptr;
+        if (ready || hopeless) {
+            answers.push_back({one.number_, ready});
+        }
+        return ready || hopeless;
+    });
+    return answers;
+}
+
+std::vector<adapter_answer> order_book::engine_lost() {
+    std::vector<adapter_answer> answers;
+    for (const want& one : wants_) {
+        answers.push_back({one.number_, false});
+    }
+    wants_.clear();
+    placement_.reset();
+    return answers;
+}
+
+void order_book::take_placement(placement wanted, time_ms now) {
+    sizes_ = wanted;
+    placement_ = std::move(wanted);
+    placement_until_ = now + placement_limit_ms;
+}
+
+void order_book::want_adapter(std::uint64_t number, std::string_view model, std::string_view adapter,
+                              time_ms now) {
+    last_wanted_[key_of(model, adapter)] = now;
+    wants_.push_back({number, std::string(model), std::string(adapter), now + want_limit_ms});
+}
+
+std::vector<adapter_answer> order_book::expire_wants(time_ms now) {
+    std::vector<adapter_answer> answers;
+    std::erase_if(wants_, [&](const want& one) {
+        if (one.until_ > now) {
+            return false;
+        }
+        answers.push_back({one.number_, false});
+        return true;
+    });
+    return answers;
+}
+
+engine::order order_book::make(bool load, std::string_view model, std::string_view adapter) const {
+    engine::order one;
+    one.load_ = load;
+    one.model_ = model;
+    one.adapter_ = adapter;
+    one.engine_ = report_->engine_;
+    one.expected_accepted_ = report_->accepted_;
+    one.holder_ = holder_;
+    // This agent is the only holder for the whole life of the engine, so the engine's start will do.
+    one.fencing_token_ = report_->incarnation_;
+    return one;
+}
+
+std::optional<engine::order> order_book::next(time_ms now) {
+    if (!report_ || given_ || now < quiet_until_) {
+        return std::nullopt;
+    }
+    std::optional<engine::order> order;
+    if (doubtful_) {
+        // The engine accepts one of two orders with the same count, so giving it again settles it.
+        order = doubtful_;
+    } else {
+        order = next_adapter_order(now);
+        if (!order) {
+            order = next_placement_order();
+        }
+    }
+    given_ = order;
+    return order;
+}
+
+std::optional<engine::order> order_book::next_adapter_order(time_ms now) {
+    const int slots = sizes_ ? sizes_->adapter_slots_ : default_adapter_slots;
+    for (const want& one : wants_) {
+        if (has_adapter(one.model_, one.adapter_) || report_->coming_.contains(key_of(one.model_, one.adapter_))) {
+            continue;
+        }
+        if (adapters_resident() < slots) {
+            return make(true, one.model_, one.adapter_);
+        }
+        return evict_adapter(now);
+    }
+    return std::nullopt;
+}
+
+// The adapter that was wanted longest ago makes way.
+std::optional<engine::order> order_book::evict_adapter(time_ms now) {
+    std::optional<engine::order> oldest;
+    time_ms oldest_at = now - adapter_hold_ms;
+    for (const fleet::held_model& model : report_->models_) {
+        for (const std::string& adapter : model.adapters_) {
+            const auto wanted = last_wanted_.find(key_of(model.name_, adapter));
+            const time_ms at = wanted == last_wanted_.end() ? 0 : wanted->second;
+            if (at < oldest_at) {
+                oldest_at = at;
+                oldest = make(false, model.name_, adapter);
+            }
+        }
+    }
+    return oldest;
+}
+
+std::optional<engine::order> order_book::next_placement_order() {
+    if (!placement_ || report_->busy_ || report_->leaving_) {
+        return std::nullopt;
+    }
+    for (const std::string& model : placement_->drop_) {
+        if (find_model(model) != nullptr) {
+            return make(false, model, "");
+        }
+    }
+    const auto size = placement_->model_mb_.find(placement_->load_);
+    if (size == placement_->model_mb_.end() || used_mb() + size->second > placement_->capacity_mb_) {
+        placement_.reset();
+        return std::nullopt;
+    }
+    return make(true, placement_->load_, "");
+}
+
+void order_book::answered(engine::order_answer answer, time_ms now) {
+    const std::optional<engine::order> order = std::exchange(given_, std::nullopt);
+    if (!order) {
+        return;
+    }
+    switch (answer) {
+    case engine::order_answer::accepted:
+    case engine::order_answer::done: {
+        const bool from_store = order->load_ && order->adapter_.empty() && report_ &&
+                                !report_->nearby_.contains(order->model_);
+        if (from_store && answer == engine::order_answer::accepted) {
+            store_loads_.push_back(now);
+        }
+        doubtful_.reset();
+        if (report_ && order->adapter_.empty()) {
+            report_->busy_ = true; // until the next report
+        }
+        quiet_until_ = now + (order->adapter_.empty() ? conflict_pause_ms : 0);
+        return;
+    }
+    case engine::order_answer::unknown:
+        doubtful_ = order;
+        quiet_until_ = now + conflict_pause_ms;
+        return;
+    case engine::order_answer::conflict:
+        quiet_until_ = now + conflict_pause_ms;
+        return;
+    case engine::order_answer::fenced:
+    case engine::order_answer::wrong_engine:
+    case engine::order_answer::invalid:
+        doubtful_.reset();
+        placement_.reset();
+        quiet_until_ = now + conflict_pause_ms;
+        return;
+    }
+}
+
+std::string order_book::loading() const {
+    return placement_ ? placement_->load_ : std::string();
+}
+
+} // namespace tamarack::engine_agent
--- /dev/null
+++ b/src/gateway/agent_links.cpp
@@ -0,0 +1,242 @@
+#include "gateway/agent_links.hpp"
+
+namespace tamarack::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds connect_limit{500};
+constexpr time_ms reconnect_ms = 500;      // between attempts to reach an agent
+constexpr time_ms silence_ms = 1'500;      // several reports; the link is then opened anew
+constexpr time_ms adapter_limit_ms = 1'500; // for an adapter to become resident
+
+} // namespace
+
+struct agent_links::agent {
+    std::string endpoint_;
+    asio::ip::tcp::endpoint address_;
+    std::shared_ptr<links::link> link_;
+    bool connecting_ = false;
+    bool was_linked_ = false;
+    time_ms next_attempt_ = 0;
+    time_ms heard_at_ = 0;
+};
+
+agent_links::agent_links(fleet_state& fleet, std::string id, std::uint64_t incarnation,
+                         std::uint16_t agent_port, event_log& events, agent_link_events handlers)
+    : fleet_(fleet), id_(std::move(id)), incarnation_(incarnation), agent_port_(agent_port), events_(events),
+      handlers_(std::move(handlers)) {}
+
+void agent_links::tick(time_ms now) {
+    for (auto entry = agents_.begin(); entry != agents_.end();) {
+        if (fleet_.endpoints().contains(entry->first)) {
+            ++entry;
+            continue;
+        }
+        const auto gone = entry->second;
+        entry = agents_.erase(entry);
+        if (gone->link_) {
+            gone->link_->close();
+        }
+    }
+    for (const auto& [id, known] : fleet_.endpoints()) {
+        const fleet::service_spec* service =
+            fleet_.current() == nullptr ? nullptr
+                                        : fleet_.current()->configuration_->find_service(known->record().service_);
+        if (service == nullptr || !service->engine_) {
+            continue;
+        }
+        auto& one = agents_[id];
+        if (one == nullptr) {
+            one = std::make_shared<agent>();
+            one->endpoint_ = id;
+            one->address_ = {known->record().address_.address(), agent_port_};
+        }
+        if (one->link_ && now - one->heard_at_ > silence_ms) {
+            one->link_->close();
+        }
+        if (!one->link_ && !one->connecting_ && now >= one->next_attempt_) {
+            connect(one);
+        }
+    }
+    expire_wants(now);
+}
+
+void agent_links::connect(const std::shared_ptr<agent>& one) {
+    one->connecting_ = true;
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(fleet_.executor_);
+    const auto timer = std::make_shared<asio::steady_timer>(fleet_.executor_, connect_limit);
+    timer->async_wait([socket](boost::system::error_code cancelled) {
+        if (!cancelled) {
+            boost::system::error_code ignored;
+            socket->close(ignored);
+        }
+    });
+    socket->async_connect(one->address_, [this, one, socket, timer](boost::system::error_code failed) {
+        timer->cancel();
+        one->connecting_ = false;
+        one->next_attempt_ = steady_now_ms() + reconnect_ms;
+        if (!failed && socket->is_open()) {
+            opened(one, std::move(*socket));
+        }
+    });
+}
+
+void agent_links::opened(const std::shared_ptr<agent>& one, asio::ip::tcp::socket socket) {
+    one->heard_at_ = steady_now_ms();
+    links::link::events handlers;
+    handlers.frame_ = [this, one](const links::frame& received) { take_frame(*one, received); };
+    handlers.closed_ = [this, one] { lost(*one); };
+    one->link_ = std::make_shared<links::link>(std::move(socket), std::move(handlers));
+    one->link_->start();
+    links::hello greeting;
+    greeting.protocol = links::protocol_version;
+    greeting.id = id_;
+    greeting.incarnation = incarnation_;
+    one->link_->send(links::make_frame(greeting));
+    one->was_linked_ = true;
+    events_.write({event_kind::dependency, "gateway", "agent_linked", {}, {{"endpoint", one->endpoint_}}});
+}
+
+void agent_links::lost(agent& one) {
+    one.link_ = nullptr;
+    one.next_attempt_ = steady_now_ms() + reconnect_ms;
+    const auto found = fleet_.endpoints().find(one.endpoint_);
+    if (found != fleet_.endpoints().end()) {
+        // The registry tells from now on which models the engine holds.
+        found->second->engine_.known_ = false;
+    }
+    events_.write({event_kind::dependency, "gateway", "agent_lost", {}, {{"endpoint", one.endpoint_}}});
+    std::vector<std::function<void(bool)>> failed;
+    std::erase_if(wants_, [&](auto& entry) {
+        if (entry.second.endpoint_ != one.endpoint_) {
+            return false;
+        }
+        failed.push_back(std::move(entry.second.done_));
+        return true;
+    });
+    for (const auto& done : failed) {
+        done(false);
+    }
+}
+
+void agent_links::take_frame(agent& one, const links::frame& received) {
+    one.heard_at_ = steady_now_ms();
+    switch (received.body.type) {
+    case links::fbs::Body::EngineStatus:
+        take_status(one, *received.body.AsEngineStatus());
+        return;
+    case links::fbs::Body::AdapterState:
+        take_adapter_state(*received.body.AsAdapterState());
+        return;
+    case links::fbs::Body::GatewayDigest:
+        handlers_.digest_(*received.body.AsGatewayDigest());
+        return;
+    case links::fbs::Body::ConfigurationRelay:
+        handlers_.configuration_(*received.body.AsConfigurationRelay());
+        return;
+    default:
+        return;
+    }
+}
+
+void agent_links::take_status(agent& one, const links::engine_status& status) {
+    const auto found = fleet_.endpoints().find(one.endpoint_);
+    if (found == fleet_.endpoints().end() || (!status.engine.empty() && status.engine != one.endpoint_)) {
+        return; // another engine runs there now; the registry will name it
+    }
+    endpoint& at = *found->second;
+    engine_view& view = at.engine_;
+    const time_ms now = steady_now_ms();
+    const bool was_reachable = view.reachable_ || !view.known_;
+    const bool has_models = status.has_models;
+    view.known_ = view.known_ || has_models;
+    view.reachable_ = status.reachable;
+    view.leaving_ = status.leaving;
+    view.incarnation_ = status.incarnation;
+    view.gone_at_ = status.remaining_ms >= 0 ? std::optional<time_ms>(now + status.remaining_ms) : std::nullopt;
+    view.running_ = status.running;
+    view.queued_ = status.queued;
+    view.kv_used_ = double(status.kv_used);
+    view.kv_total_ = double(status.kv_total);
+    view.busy_ = status.busy;
+    view.loading_ = status.loading;
+    view.at_ = now;
+    at.begun_since_report_ = 0;
+    if (has_models) {
+        view.models_.clear();
+        for (const auto& model : status.models) {
+            view.models_.push_back({model->name, {model->adapters.begin(), model->adapters.end()}});
+        }
+        view.nearby_ = {status.nearby.begin(), status.nearby.end()};
+    }
+    view.store_loads_.clear();
+    for (const int age : status.store_load_ages_ms) {
+        view.store_loads_.push_back(now - age);
+    }
+    if (was_reachable != status.reachable) {
+        events_.write({event_kind::belief, "gateway", status.reachable ? "engine_back" : "engine_down", {},
+                       {{"endpoint", one.endpoint_}}});
+    }
+}
+
+void agent_links::want_adapter(endpoint& at, const std::string& model, const std::string& adapter,
+                               std::function<void(bool ready)> done) {
+    const auto found = agents_.find(at.record().id_);
+    if (found == agents_.end() || !found->second->link_) {
+        asio::post(fleet_.executor_, [done = std::move(done)] { done(false); });
+        return;
+    }
+    const std::uint64_t number = next_want_++;
+    wants_[number] = {at.record().id_, steady_now_ms() + adapter_limit_ms, std::move(done)};
+    links::adapter_wanted wanted;
+    wanted.number = number;
+    wanted.model = model;
+    wanted.adapter = adapter;
+    found->second->link_->send(links::make_frame(wanted));
+}
+
+void agent_links::take_adapter_state(const links::adapter_state& state) {
+    const auto found = wants_.find(state.number);
+    if (found == wants_.end()) {
+        return;
+    }
+    const auto done = std::move(found->second.done_);
+    wants_.erase(found);
+    done(state.ready);
+}
+
+void agent_links::expire_wants(time_ms now) {
+    std::vector<std::function<void(bool)>> expired;
+    std::erase_if(wants_, [&](auto& entry) {
+        if (entry.second.until_ > now) {
+            return false;
+        }
+        expired.push_back(std::move(entry.second.done_));
+        return true;
+    });
+    for (const auto& done : expired) {
+        done(false);
+    }
+}
+
+bool agent_links::order(std::string_view engine, const links::placement_order& one) {
+    const auto found = agents_.find(engine);
+    if (found == agents_.end() || !found->second->link_) {
+        return false;
+    }
+    found->second->link_->send(links::make_frame(one));
+    return true;
+}
+
+void agent_links::relay(const links::frame& one) {
+    for (const auto& [id, known] : agents_) {
+        if (known->link_) {
+            known->link_->send(one);
+            return;
+        }
+    }
+}
+
+} // namespace tamarack::gateway
--- /dev/null
+++ b/src/gateway/client_session.cpp
@@ -0,0 +1,276 @@
+#include "gateway/client_session.hpp"
+
+#include "net/socket_options.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace tamarack::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t read_bytes = 8 * 1024;
+constexpr std::size_t most_pipelined_bytes = 64 * 1024; // read ahead while a request is in service
+constexpr int silence_limit_ms = 8'000;                 // of a client that acknowledges nothing
+constexpr time_ms body_limit_ms = 10'000;               // for a body to arrive after its header
+constexpr time_ms linger_ms = 300; // for a client to read a last answer before the connection ends
+
+constexpr int status_continue = 100;
+constexpr int status_timeout = 408;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
+} // namespace
+
+client_session::client_session(asio::ip::tcp::socket socket, const session_host& host)
+    : socket_(std::move(socket)), host_(host), timer_(socket_.get_executor()) {}
+
+void client_session::start() {
+    net::watch_for_silence(socket_, silence_limit_ms);
+    next_request();
+}
+
+void client_session::next_request() {
+    const fleet::client_limits limits = host_.limits_();
+    parser_ = std::make_unique<http::request_parser>(limits.header_bytes_, limits.body_bytes_);
+    began_at_ = 0;
+    arm_timer(limits.idle_ms_);
+    if (received_.size() > 0) {
+        take_received();
+        return;
+    }
+    read();
+}
+
+void client_session::arm_timer(time_ms limit_ms) {
+    timer_.expires_after(std::chrono::milliseconds(limit_ms));
+    timer_.async_wait([self = shared_from_this()](boost::system::error_code cancelled) {
+        if (!cancelled && !self->closed_) {
+            self->timed_out();
+        }
+    });
+}
+
+void client_session::timed_out() {
+    if (request_ != nullptr) {
+        return;
+    }
+    if (deaf_ || !parser_->begun()) {
+        close();
+        return;
+    }
+    refuse(status_timeout);
+}
+
+void client_session::read() {
+    if (reading_ || closed_) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(received_.prepare(read_bytes), [self = shared_from_this()](
+                                                               boost::system::error_code failed,
+                                                               std::size_t count) {
+        self->reading_ = false;
+        if (self->closed_) {
+            return;
+        }
+        if (failed) {
+            self->close();
+            return;
+        }
+        self->received_.commit(count);
+        if (self->deaf_) {
+            self->received_.consume(self->received_.size());
+            self->read();
+        } else if (self->request_ != nullptr) {
+            // The next request waits; reading goes on only to notice that the client leaves.
+            if (self->received_.size() < most_pipelined_bytes) {
+                self->read();
+            }
+        } else {
+            self->take_received();
+        }
+    });
+}
+
+void client_session::take_received() {
+    const bool had_begun = parser_->begun();
+    const bool had_header = parser_->is_header_done();
+    if (parser_->take(received_)) {
+        begin_request();
+        return;
+    }
+    if (parser_->fault() != http::parse_fault::none) {
+        refuse(int(parser_->fault()));
+        return;
+    }
+    if (!had_begun && parser_->begun()) {
+        began_at_ = steady_now_ms();
+        arm_timer(host_.limits_().header_ms_);
+    }
+    if (!had_header && parser_->is_header_done()) {
+        arm_timer(body_limit_ms);
+        if (parser_->expects_continue()) {
+            queued_ += "HTTP/1.1 " + std::to_string(status_continue) + " Continue\r\n\r\n";
+            write();
+        }
+    }
+    read();
+}
+
+void client_session::begin_request() {
+    timer_.cancel();
+    keep_alive_ = parser_->keep_alive();
+    chunked_ = parser_->is_http_1_1();
+    keep_alive_ = keep_alive_ && chunked_;
+    http::request incoming = std::move(parser_->request_);
+    const auto self = shared_from_this();
+    request_ = host_.begin_(self, std::move(incoming));
+    if (closed_) {
+        std::exchange(request_, nullptr)->client_gone();
+        return;
+    }
+    read();
+}
+
+// Answers a request that cannot be read, and ends the connection, since its bytes cannot be trusted.
+void client_session::refuse(int status) {
+    timer_.cancel();
+    keep_alive_ = false;
+    deaf_ = true;
+    send_whole(status, {}, "");
+    read();
+}
+
+void client_session::head(int status, const std::vector<http::header>& headers, std::string_view framing) {
+    keep_alive_ = keep_alive_ && !host_.leaving_();
+    queued_ += "HTTP/1.1 " + std::to_string(status) + " ";
+    queued_ += boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(unsigned(status)));
+    queued_ += "\r\n";
+    for (const http::header& one : headers) {
+        queued_ += one.name_ + ": " + one.value_ + "\r\n";
+    }
+    if (!keep_alive_) {
+        queued_ += "Connection: close\r\n";
+    }
+    queued_ += framing;
+    queued_ += "\r\n";
+}
+
+void client_session::send_whole(int status, const std::vector<http::header>& headers, std::string_view body) {
+    if (closed_) {
+        return;
+    }
+    const bool bodiless = status == status_no_content || status == status_not_modified;
+    head(status, headers, bodiless ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    queued_ += body;
+    finish_answer();
+}
+
+void client_session::begin_stream(int status, const std::vector<http::header>& headers) {
+    if (closed_) {
+        return;
+    }
+    head(status, headers, chunked_ ? "Transfer-Encoding: chunked\r\n" : "");
+}
+
+void client_session::send_part(std::string_view bytes) {
+    if (closed_ || bytes.empty()) {
+        return;
+    }
+    if (chunked_) {
+        char length[24];
+        std::snprintf(length, sizeof(length), "%zx\r\n", bytes.size());
+        queued_ += length;
+        queued_ += bytes;
+        queued_ += "\r\n";
+    } else {
+        queued_ += bytes;
+    }
+    write();
+}
+
+void client_session::end_stream() {
+    if (closed_) {
+        return;
+    }
+    if (chunked_) {
+        queued_ += "0\r\n\r\n";
+    }
+    finish_answer();
+}
+
+void client_session::finish_answer() {
+    close_when_written_ = !keep_alive_;
+    write();
+    // Posted, since the flow that answers is still on the stack.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->request_ = nullptr;
+        if (!self->closed_ && !self->close_when_written_) {
+            self->next_request();
+        }
+    });
+}
+
+void client_session::abort() {
+    close();
+}
+
+void client_session::write() {
+    if (!writing_.empty() || queued_.empty() || closed_) {
+        return;
+    }
+    std::swap(writing_, queued_);
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](boost::system::error_code failed, std::size_t) {
+                          self->writing_.clear();
+                          if (failed) {
+                              self->close();
+                              return;
+                          }
+                          self->after_write();
+                      });
+}
+
+void client_session::after_write() {
+    if (closed_) {
+        return;
+    }
+    if (!queued_.empty()) {
+        write();
+    } else if (close_when_written_) {
+        // The client closes first; closing at once with unread bytes would reset the answer away.
+        boost::system::error_code ignored;
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        deaf_ = true;
+        arm_timer(linger_ms);
+        read();
+    }
+    if (request_ != nullptr) {
+        request_->drained();
+    }
+}
+
+void client_session::close_if_idle() {
+    if (request_ == nullptr && !parser_->begun() && received_.size() == 0 && unwritten() == 0) {
+        close();
+    }
+}
+
+void client_session::close() {
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    timer_.cancel();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    if (const auto request = std::exchange(request_, nullptr)) {
+        request->client_gone();
+    }
+    host_.closed_(shared_from_this());
+}
+
+} // namespace tamarack::gateway
--- /dev/null
+++ b/src/gateway/client_session.hpp
@@ -0,0 +1,69 @@
+// One connection of a client: reads requests, hands each to a flow, and writes the answers.
+#pragma once
+
+#include "gateway/answer_sink.hpp"
+#include "http/message_parser.hpp"
+#include "tamarack/fleet.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace tamarack::gateway {
+
+// What the session needs of the traffic thread.
+struct session_host {
+    std::function<fleet::client_limits()> limits_;
+    std::function<std::shared_ptr<running_request>(std::shared_ptr<answer_sink>, http::request)> begin_;
+    std::function<bool()> leaving_; // answers then end the connection
+    std::function<void(const std::shared_ptr<answer_sink>&)> closed_;
+};
+
+class client_session : public answer_sink, public std::enable_shared_from_this<client_session> {
+public:
+    client_session(boost::asio::ip::tcp::socket socket, const session_host& host);
+
+    void start();
+
+    // Closes the connection if no request is being read or answered.
+    void close_if_idle();
+    bool in_service() const { return request_ != nullptr; }
+    void close();
+
+    void send_whole(int status, const std::vector<http::header>& headers, std::string_view body) override;
+    void begin_stream(int status, const std::vector<http::header>& headers) override;
+    void send_part(std::string_view bytes) override;
+    void end_stream() override;
+    void abort() override;
+    std::size_t unwritten() const override { return queued_.size() + writing_.size(); }
+
+private:
+    void next_request();
+    void read();
+    void take_received();
+    void begin_request();
+    void refuse(int status);
+    void arm_timer(time_ms limit_ms);
+    void timed_out();
+    void head(int status, const std::vector<http::header>& headers, std::string_view framing);
+    void finish_answer();
+    void write();
+    void after_write();
+
+    boost::asio::ip::tcp::socket socket_;
+    const session_host& host_;
+    boost::asio::steady_timer timer_;
+    boost::beast::flat_buffer received_;
+    std::unique_ptr<http::request_parser> parser_;
+    std::shared_ptr<running_request> request_;
+    std::string queued_;
+    std::string writing_;
+    bool reading_ = false;
+    bool keep_alive_ = true;
+    bool chunked_ = true;
+    bool close_when_written_ = false;
+    bool closed_ = false;
+    bool deaf_ = false; // answered with a fault; what still arrives is ignored
+    time_ms began_at_ = 0;
+};
+
+} // namespace tamarack::gateway
--- /dev/null
+++ b/src/gateway/endpoint.cpp
@@ -0,0 +1,110 @@
+#include "gateway/endpoint.hpp"
+
+#include <algorithm>
+
+namespace tamarack::gateway {
+
+namespace {
+
+constexpr int least_connections = 4;             // that a gateway may open, however many gateways there are
+constexpr double connection_share = 0.9;         // of an endpoint's limit that all gateways use together
+constexpr std::size_t most_idle_connections = 24; // kept by one gateway for one endpoint
+
+} // namespace
+
+endpoint::endpoint(fleet::endpoint_record record, boost::asio::any_io_executor executor)
+    : record_(std::move(record)), executor_(std::move(executor)) {}
+
+endpoint::~endpoint() {
+    boost::system::error_code ignored;
+    for (const auto& connection : idle_) {
+        connection->socket_.close(ignored);
+    }
+}
+
+void endpoint::update(const fleet::endpoint_record& record) {
+    if (record.incarnation_ != record_.incarnation_ || record.address_ != record_.address_) {
+        engine_ = engine_view();
+        gone_ = false;
+    }
+    record_ = record;
+}
+
+bool endpoint::takes_work(time_ms) const {
+    return !gone_ && !record_.leaving_ && !(engine_.known_ && engine_.leaving_);
+}
+
+const std::vector<fleet::held_model>& endpoint::models() const {
+    return engine_.known_ ? engine_.models_ : record_.models_;
+}
+
+const fleet::held_model* endpoint::find_model(std::string_view name) const {
+    const auto& held = models();
+    const auto found = std::find_if(held.begin(), held.end(),
+                                    [&](const fleet::held_model& one) { return one.name_ == name; });
+    return found == held.end() ? nullptr : &*found;
+}
+
+std::shared_ptr<endpoint_connection> endpoint::take_idle(time_ms now, time_ms longest_idle_ms) {
+    while (!idle_.empty()) {
+        std::shared_ptr<endpoint_connection> newest = idle_.back();
+        if (newest->usable_until_ <= now) {
+            drop(newest);
+            continue;
+        }
+        if (now - newest->idle_since_ > longest_idle_ms) {
+            return nullptr;
+        }
+        idle_.pop_back();
+        newest->idle_ = false;
+        return newest;
+    }
+    return nullptr;
+}
+
+void endpoint::keep(std::shared_ptr<endpoint_connection> connection, time_ms now, time_ms usable_ms) {
+    connection->idle_ = true;
+    connection->idle_since_ = now;
+    connection->usable_until_ = now + usable_ms;
+    idle_.push_back(connection);
+    watch(connection);
+    if (idle_.size() > most_idle_connections) {
+        drop(idle_.front());
+    }
+}
+
+// Bytes on an idle connection belong to no request; they or its end make it useless.
+void endpoint::watch(const std::shared_ptr<endpoint_connection>& connection) {
+    if (connection->watched_) {
+        return;
+    }
+    connection->watched_ = true;
+    connection->socket_.async_wait(
+        boost::asio::ip::tcp::socket::wait_read,
+        [weak = weak_from_this(), connection](boost::system::error_code) {
+            connection->watched_ = false;
+            if (const auto self = weak.lock(); self && connection->idle_) {
+                self->drop(connection);
+            }
+        });
+}
+
+void endpoint::drop(const std::shared_ptr<endpoint_connection>& connection) {
+    if (std::erase(idle_, connection) == 0) {
+        return;
+    }
+    connection->idle_ = false;
+    --connections_;
+    boost::system::error_code ignored;
+    connection->socket_.close(ignored);
+}
+
+bool endpoint::may_connect(int max_connections, int gateways) const {
+    if (max_connections <= 0) {
+        return true;
+    }
+    const int share = int(connection_share * max_connections / std::max(1, gateways));
+    return connections_ < std::max(least_connections, share);
+}
+
+} // namespace tamarack::gateway
--- /dev/null
+++ b/src/gateway/fleet_state.hpp
@@ -0,0 +1,66 @@
+// What the traffic thread knows of the fleet: the configuration in force, the endpoints, demand and retries.
+#pragma once
+
+#include "gateway/demand.hpp"
+#include "gateway/endpoint.hpp"
+#include "tamarack/gateway.hpp"
+
+#include <random>
+
+namespace tamarack::gateway {
+
+// A configuration with its index; shared by the requests that it routes.
+struct configured {
+    explicit configured(std::shared_ptr<const fleet::configuration> given)
+        : configuration_(std::move(given)), index_(*configuration_) {}
+
+    std::shared_ptr<const fleet::configuration> configuration_;
+    fleet::route_index index_;
+};
+
+class fleet_state {
+public:
+    fleet_state(boost::asio::any_io_executor executor, header_names names, dispatch::retry_limits retries);
+
+    // Takes a newer configuration; an older one is ignored. Returns whether it was taken.
+    bool take_configuration(std::shared_ptr<const configured> given);
+    const std::shared_ptr<const configured>& current() const { return current_; }
+
+    void take_endpoints(const std::map<std::string, fleet::endpoint_record, std::less<>>& records);
+    const std::map<std::string, std::shared_ptr<endpoint>, std::less<>>& endpoints() const { return endpoints_; }
+    const std::vector<std::shared_ptr<endpoint>>& endpoints_of(std::string_view service) const;
+
+    // Retries of a service; shared by all requests for it.
+    dispatch::retry_window& retries(const std::string& service);
+
+    // Speeds of a service's engines.
+    dispatch::engine_pace& pace(const std::string& service) { return paces_[service]; }
+
+    // Mean time to the first event of a service, for judging its endpoints.
+    void note_first_event(endpoint& at, time_ms took_ms, time_ms now);
+
+    // Time until an engine is expected to hold the model, in ms.
+    time_ms model_wait_ms(std::string_view service, std::string_view model) const;
+
+    int gateways() const { return gateways_; }
+    void set_gateways(int count) { gateways_ = count; }
+
+    std::uint64_t random() { return random_(); }
+
+    const boost::asio::any_io_executor executor_;
+    const header_names names_;
+    demand_meter demand_;
+
+private:
+    dispatch::retry_limits retry_limits_;
+    std::shared_ptr<const configured> current_;
+    std::map<std::string, std::shared_ptr<endpoint>, std::less<>> endpoints_;
+    std::map<std::string, std::vector<std::shared_ptr<endpoint>>, std::less<>> by_service_;
+    std::map<std::string, dispatch::retry_window> retries_;
+    std::map<std::string, dispatch::engine_pace> paces_;
+    std::map<std::string, double> mean_first_event_ms_;
+    std::mt19937_64 random_;
+    int gateways_;
+};
+
+} // namespace tamarack::gateway
--- /dev/null
+++ b/src/gateway/peers.cpp
@@ -0,0 +1,70 @@
+#include "gateway/peers.hpp"
+
+#include <algorithm>
+
+namespace tamarack::gateway {
+
+namespace {
+
+constexpr time_ms silence_ms = 1'800;   // several digests; the gateway counts as gone then
+constexpr time_ms listening_ms = 1'200; // after a start, until the digests of the others have come in
+
+} // namespace
+
+bool peers::alive(const peer& one, time_ms now) const {
+    return now - one.heard_at_ < silence_ms;
+}
+
+void peers::take(const links::gateway_digest& digest, time_ms now) {
+    if (digest.from == own_id_) {
+        return;
+    }
+    peer& one = peers_[digest.from];
+    one.heard_at_ = now;
+    one.version_ = digest.configuration_version;
+    one.demand_.clear();
+    for (const auto& demand : digest.demand) {
+        one.demand_[demand->model] = {demand->work, demand->waiting};
+    }
+}
+
+int peers::count(time_ms now) const {
+    return 1 + int(std::count_if(peers_.begin(), peers_.end(),
+                                 [&](const auto& entry) { return alive(entry.second, now); }));
+}
+
+bool peers::plans_here(time_ms now, time_ms started_at) const {
+    if (now - started_at < listening_ms) {
+        return false;
+    }
+    return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        return alive(entry.second, now) && entry.first < own_id_;
+    });
+}
+
+std::map<std::string, provisioning::model_need, std::less<>>
+peers::needs(const std::map<std::string, demand_meter::level>& own, time_ms now) const {
+    std::map<std::string, provisioning::model_need, std::less<>> total;
+    const auto add = [&total](const std::map<std::string, demand_meter::level>& levels) {
+        for (const auto& [model, level] : levels) {
+            provisioning::model_need& need = total[model];
+            need.work_ += level.work_;
+            need.waiting_ += level.waiting_;
+        }
+    };
+    add(own);
+    for (const auto& [id, one] : peers_) {
+        if (alive(one, now)) {
+            add(one.demand_);
+        }
+    }
+    return total;
+}
+
+bool peers::any_behind(std::int64_t version, time_ms now) const {
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        return alive(entry.second, now) && entry.second.version_ < version;
+    });
+}
+
+} // namespace tamarack::gateway
--- /dev/null
+++ b/src/gateway/request_flow.cpp
@@ -0,0 +1,230 @@
+// Choice of an endpoint and sending. What comes back is handled in relay.cpp.
+#include "gateway/request_flow.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarack::gateway {
+
+namespace {
+
+constexpr time_ms default_timeout_ms = 30'000;     // for requests that name no deadline
+constexpr time_ms hold_interval_ms = 80;           // between looks for an engine that holds the model
+constexpr time_ms not_ready_return_ms = 400;       // until a gateway without configuration has one
+constexpr time_ms no_endpoint_return_ms = 1'000;   // until an endpoint registers
+constexpr time_ms fresh_connection_ms = 400;       // idle time after which an endpoint may have dropped it
+constexpr int status_not_found = 404;
+constexpr int status_bad_request = 400;
+constexpr int least_urgent = 9;
+
+} // namespace
+
+open_sending::open_sending(std::shared_ptr<endpoint> at, double prompt_tokens)
+    : began_at_(steady_now_ms()), at_(std::move(at)), unread_tokens_(prompt_tokens) {
+    ++at_->open_;
+    ++at_->begun_since_report_;
+    at_->unread_tokens_ += unread_tokens_;
+}
+
+open_sending::~open_sending() {
+    --at_->open_;
+    --at_->begun_since_report_;
+    first_event();
+}
+
+void open_sending::first_event() {
+    first_event_seen_ = true;
+    at_->unread_tokens_ = std::max(0.0, at_->unread_tokens_ - std::exchange(unread_tokens_, 0));
+}
+
+request_flow::request_flow(flow_context& context, std::shared_ptr<answer_sink> sink, http::request incoming)
+    : context_(context), sink_(std::move(sink)), incoming_(std::move(incoming)),
+      limit_(context.fleet_.executor_), pause_(context.fleet_.executor_) {}
+
+void request_flow::start() {
+    arrived_at_ = steady_now_ms();
+    facts_ = read_facts(incoming_, context_.fleet_.names_);
+    if (!find_route()) {
+        return;
+    }
+    const time_ms deadline = facts_.deadline_ms_.value_or(default_timeout_ms);
+    until_ = arrived_at_ + std::min(deadline, route_->timeout_ms_);
+    if (facts_.last_event_id_) {
+        splitter_.set_last_id(*facts_.last_event_id_);
+    }
+    context_.fleet_.retries(service_->name_).note_request(arrived_at_);
+    if (!facts_.model_.empty()) {
+        context_.fleet_.demand_.note_arrival(facts_.model_, arrived_at_);
+    }
+    limit_.expires_after(std::chrono::milliseconds(std::max<time_ms>(0, left_ms(arrived_at_))));
+    limit_.async_wait([self = shared_from_this()](boost::system::error_code cancelled) {
+        if (!cancelled && !self->finished_) {
+            self->time_out();
+        }
+    });
+    try_next();
+}
+
+bool request_flow::find_route() {
+    configured_ = context_.fleet_.current();
+    if (configured_ == nullptr) {
+        refuse("no_configuration", not_ready_return_ms);
+        return false;
+    }
+    if (facts_.id_.empty()) {
+        answer_own(status_bad_request, "no_request_id");
+        return false;
+    }
+    route_ = configured_->index_.match(facts_.host_, incoming_.path());
+    if (route_ == nullptr) {
+        answer_own(status_not_found, "no_route");
+        return false;
+    }
+    constexpr double hash_space = 18446744073709551616.0;
+    const std::string* target = fleet::choose_target(*route_, double(hash64(facts_.id_)) / hash_space);
+    service_ = target == nullptr ? nullptr : configured_->configuration_->find_service(*target);
+    if (service_ == nullptr) {
+        refuse("no_service", no_endpoint_return_ms);
+        return false;
+    }
+    return true;
+}
+
+std::vector<std::shared_ptr<endpoint>> request_flow::usable_endpoints() const {
+    const time_ms now = steady_now_ms();
+    std::vector<std::shared_ptr<endpoint>> usable;
+    for (const auto& one : context_.fleet_.endpoints_of(service_->name_)) {
+        const bool holds = !service_->engine_ || facts_.model_.empty() || one->find_model(facts_.model_) != nullptr;
+        if (one->takes_work(now) && holds && !tried_.contains(one->record().id_)) {
+            usable.push_back(one);
+        }
+    }
+    return usable;
+}
+
+dispatch::option request_flow::make_option(const endpoint& one, time_ms now) const {
+    dispatch::option option;
+    option.id_ = one.record().id_;
+    option.same_data_centre_ = true;
+    option.slots_ = one.record().slots_;
+    option.running_ = std::max(one.open_, one.engine_.running_ + one.begun_since_report_);
+    option.queued_ = one.engine_.queued_;
+    option.unread_tokens_ = one.unread_tokens_;
+    option.memory_use_ = one.engine_.kv_total_ > 0 ? one.engine_.kv_used_ / one.engine_.kv_total_ : 0;
+    option.slowness_ = std::max(1.0, one.slowness_);
+    option.failure_rate_ = one.health_.failure_rate(now);
+    option.suspected_ = one.health_.suspected(now) || (one.engine_.known_ && !one.engine_.reachable_);
+    if (!facts_.adapter_.empty()) {
+        const fleet::held_model* model = one.find_model(facts_.model_);
+        option.adapter_resident_ = model != nullptr && model->adapters_.contains(facts_.adapter_);
+    }
+    return option;
+}
+
+void request_flow::try_next() {
+    const time_ms now = steady_now_ms();
+    const auto usable = usable_endpoints();
+    if (usable.empty()) {
+        const bool may_appear = service_->engine_ && !facts_.model_.empty() && tried_.empty();
+        if (may_appear) {
+            hold_for_model();
+        } else {
+            refuse("no_endpoint", no_endpoint_return_ms);
+        }
+        return;
+    }
+    stop_holding();
+    std::vector<dispatch::option> options;
+    for (const auto& one : usable) {
+        options.push_back(make_option(*one, now));
+    }
+    const dispatch::engine_pace& pace = context_.fleet_.pace(service_->name_);
+    const auto chosen =
+        dispatch::choose_endpoint(options, facts_.prompt_tokens_, pace, context_.fleet_.random());
+    const auto expected = time_ms(dispatch::expected_first_event_ms(options[*chosen], facts_.prompt_tokens_, pace));
+    if (!dispatch::worth_waiting(expected, route_->objective_ms_, left_ms(now))) {
+        refuse("too_busy", expected);
+        return;
+    }
+    prepare(usable[*chosen]);
+}
+
+// No engine holds the model: waits for one if that can still be in time, and refuses otherwise.
+void request_flow::hold_for_model() {
+    const time_ms now = steady_now_ms();
+    const time_ms wait = context_.fleet_.model_wait_ms(service_->name_, facts_.model_);
+    if (!holding_) {
+        holding_ = true;
+        context_.fleet_.demand_.note_waiting(facts_.model_, 1);
+        context_.events_.write({event_kind::admission, "gateway", "held_for_model", facts_.id_,
+                                {{"model", facts_.model_}, {"wait_ms", wait}, {"left_ms", left_ms(now)}}});
+    }
+    if (!dispatch::worth_waiting(wait, route_->objective_ms_, left_ms(now))) {
+        refuse("model_not_held", wait);
+        return;
+    }
+    pause_.expires_after(std::chrono::milliseconds(hold_interval_ms));
+    pause_.async_wait([self = shared_from_this()](boost::system::error_code cancelled) {
+        if (!cancelled && !self->finished_) {
+            self->try_next();
+        }
+    });
+}
+
+void request_flow::stop_holding() {
+    if (std::exchange(holding_, false)) {
+        context_.fleet_.demand_.note_waiting(facts_.model_, -1);
+    }
+}
+
+// Makes sure that the adapter is resident before the request is sent.
+void request_flow::prepare(std::shared_ptr<endpoint> target) {
+    const fleet::held_model* model = target->find_model(facts_.model_);
+    if (facts_.adapter_.empty() || model == nullptr || model->adapters_.contains(facts_.adapter_)) {
+        send(target);
+        return;
+    }
+    const auto self = shared_from_this();
+    context_.want_adapter_(*target, facts_.model_, facts_.adapter_, [self, target](bool ready) {
+        if (self->finished_) {
+            return;
+        }
+        if (ready) {
+            self->send(target);
+            return;
+        }
+        self->tried_.insert(target->record().id_);
+        self->try_next();
+    });
+}
+
+void request_flow::send(const std::shared_ptr<endpoint>& target) {
+    const time_ms now = steady_now_ms();
+    tried_.insert(target->record().id_);
+    forward_facts forward;
+    forward.left_ms_ = left_ms(now);
+    forward.endpoint_ = target->record().id_;
+    forward.priority_ = service_->engine_ ? std::clamp(route_->rank_, 0, least_urgent) : -1;
+    if (stream_begun_) {
+        forward.last_event_id_ = splitter_.last_id();
+    }
+    exchange_request request;
+    request.bytes_ = forwarded_request(incoming_, context_.fleet_.names_, forward);
+    request.id_header_ = context_.fleet_.names_.request_id_;
+    request.id_ = facts_.id_;
+    // A request that must not run twice cannot be sent again when a kept connection turns out to be dead.
+    request.longest_idle_ms_ = route_->repeatable() ? default_timeout_ms : fresh_connection_ms;
+    request.max_connections_ = service_->max_connections_;
+    request.gateways_ = context_.fleet_.gateways();
+    streaming_ = false;
+    splitter_.restart();
+    sending_ = std::make_unique<open_sending>(target, facts_.prompt_tokens_);
+    const auto self = shared_from_this();
+    exchange_ = std::make_shared<exchange>(
+        context_.fleet_.executor_, target, std::move(request),
+        exchange::events{[self](http::response_parser& answer) { self->take_progress(answer); },
+                         [self](exchange_end end) { self->take_end(end); }});
+    exchange_->start();
+}
+
+} // namespace tamarack::gateway
--- /dev/null
+++ b/src/gateway/request_flow.hpp
@@ -0,0 +1,113 @@
+// The way of one request: route, endpoint, sendings, answer.
+#pragma once
+
+#include "gateway/answer_sink.hpp"
+#include "gateway/event_splitter.hpp"
+#include "gateway/exchange.hpp"
+#include "gateway/fleet_state.hpp"
+#include "gateway/head_rewrite.hpp"
+#include "tamarack/events.hpp"
+#include "tamarack/observe.hpp"
+
+namespace tamarack::gateway {
+
+// What flows share beside the fleet's state.
+struct flow_context {
+    fleet_state& fleet_;
+    metrics& measures_;
+    event_log& events_;
+
+    // Asks the agent of an engine to make an adapter resident.
+    std::function<void(endpoint&, const std::string& model, const std::string& adapter,
+                       std::function<void(bool ready)>)>
+        want_adapter_;
+};
+
+// Counts a sending at its endpoint for as long as it lives.
+class open_sending {
+public:
+    open_sending(std::shared_ptr<endpoint> at, double prompt_tokens);
+    ~open_sending();
+
+    // The prompt has been read.
+    void first_event();
+    bool first_event_seen() const { return first_event_seen_; }
+
+    endpoint& at() { return *at_; }
+    const time_ms began_at_;
+
+private:
+    std::shared_ptr<endpoint> at_;
+    double unread_tokens_;
+    bool first_event_seen_ = false;
+};
+
+class request_flow : public running_request, public std::enable_shared_from_this<request_flow> {
+public:
+    request_flow(flow_context& context, std::shared_ptr<answer_sink> sink, http::request incoming);
+
+    void start();
+
+    // Calls `done` once, when the request has ended.
+    void on_finished(std::function<void()> done) { on_finished_ = std::move(done); }
+
+    void client_gone() override;
+    void drained() override;
+
+private:
+    bool find_route();
+    void try_next();
+    std::vector<std::shared_ptr<endpoint>> usable_endpoints() const;
+    dispatch::option make_option(const endpoint& one, time_ms now) const;
+    void hold_for_model();
+    void stop_holding();
+    void prepare(std::shared_ptr<endpoint> target);
+    void send(const std::shared_ptr<endpoint>& target);
+
+    void take_progress(http::response_parser& answer);
+    void take_events(http::response_parser& answer);
+    void first_event();
+    void take_end(exchange_end end);
+    bool stream_complete();
+    dispatch::send_end judge_end(exchange_end end, const http::response_parser& answer) const;
+    void note_health(dispatch::send_end end, int status);
+    void go_on(dispatch::send_end end, http::response_parser& answer);
+    void deliver(http::response_parser& answer);
+
+    void refuse(std::string_view reason, time_ms wait_ms);
+    void fail(std::string_view reason);
+    void answer_own(int status, std::string_view reason, std::vector<http::header> headers = {});
+    void time_out();
+    void finish(int status, std::string_view outcome);
+    void arm_pause_watch();
+
+    bool is_stream() const { return route_->repeat_ == fleet::repeat_rule::stream; }
+    time_ms left_ms(time_ms now) const { return until_ - now; }
+    bool may_run_again() const;
+
+    flow_context& context_;
+    std::shared_ptr<answer_sink> sink_;
+    http::request incoming_;
+    request_facts facts_;
+    std::shared_ptr<const configured> configured_; // keeps the route alive
+    const fleet::route_rule* route_ = nullptr;
+    const fleet::service_spec* service_ = nullptr;
+    time_ms arrived_at_ = 0;
+    time_ms until_ = 0;
+    boost::asio::steady_timer limit_;
+    boost::asio::steady_timer pause_;
+    std::set<std::string, std::less<>> tried_;
+    std::shared_ptr<exchange> exchange_;
+    std::unique_ptr<open_sending> sending_;
+    event_splitter splitter_;
+    std::function<void()> on_finished_;
+    int arrivals_ = 0;      // sendings that reached an endpoint
+    int maybe_runs_ = 0;    // of these, not confirmed as not run
+    bool stream_begun_ = false;
+    bool streaming_ = false; // the present answer is a stream of events
+    bool holding_ = false;
+    bool finished_ = false;
+    time_ms last_event_at_ = 0;
+};
+
+} // namespace tamarack::gateway
--- /dev/null
+++ b/src/gateway/traffic.cpp
@@ -0,0 +1,235 @@
+#include "gateway/traffic.hpp"
+
+#include <boost/asio/post.hpp>
+
+namespace tamarack::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::int64_t ticks_per_digest = 2; // digests twice a second
+constexpr std::int64_t ticks_per_relay = 4;  // of a configuration that another gateway lacks
+constexpr int accept_backlog = 1'024;
+constexpr double ms_per_s = 1'000;
+
+dispatch::retry_limits retry_limits(const gateway_settings& settings) {
+    return {settings.retry_ratio_, settings.retry_slack_, time_ms(settings.retry_window_s_ * ms_per_s)};
+}
+
+} // namespace
+
+traffic::traffic(const gateway_settings& settings, header_names names, metrics& measures, event_log& events,
+                 traffic_events handlers)
+    : settings_(settings), incarnation_(new_incarnation()), measures_(measures), events_(events),
+      handlers_(std::move(handlers)), context_(1), work_(context_.get_executor()), acceptor_(context_),
+      tick_timer_(context_), fleet_(context_.get_executor(), std::move(names), retry_limits(settings)),
+      peers_(settings.id_),
+      agents_(fleet_, settings.id_, incarnation_, std::uint16_t(settings.agent_port_), events,
+              {[this](const links::gateway_digest& digest) { peers_.take(digest, steady_now_ms()); },
+               [this](const links::configuration_relay& relay) {
+                   const auto& current = fleet_.current();
+                   if (current == nullptr || relay.version > current->configuration_->version_) {
+                       handlers_.relayed_configuration_(relay.encoded);
+                   }
+               }}),
+      flows_{fleet_, measures, events,
+             [this](endpoint& at, const std::string& model, const std::string& adapter,
+                    std::function<void(bool)> done) {
+                 agents_.want_adapter(at, model, adapter, std::move(done));
+             }},
+      started_at_(steady_now_ms()) {
+    host_.limits_ = [this] {
+        return fleet_.current() ? fleet_.current()->configuration_->limits_ : fleet::client_limits();
+    };
+    host_.begin_ = [this](std::shared_ptr<answer_sink> sink, http::request incoming) {
+        return begin(std::move(sink), std::move(incoming));
+    };
+    host_.leaving_ = [this] { return leaving_.load(); };
+    host_.closed_ = [this](const std::shared_ptr<answer_sink>& sink) { sessions_.erase(sink); };
+}
+
+result<done> traffic::listen() {
+    boost::system::error_code failed;
+    acceptor_.open(settings_.listen_.protocol(), failed);
+    acceptor_.set_option(asio::socket_base::reuse_address(true), failed);
+    acceptor_.bind(settings_.listen_, failed);
+    if (!failed) {
+        acceptor_.listen(accept_backlog, failed);
+    }
+    if (failed) {
+        return error{error_kind::unavailable, "cannot listen for clients: " + failed.message(),
+                     "check the address \"listen\" in the settings"};
+    }
+    accept();
+    return done{};
+}
+
+void traffic::run() {
+    tick();
+    context_.run();
+}
+
+void traffic::accept() {
+    acceptor_.async_accept([this](boost::system::error_code failed, asio::ip::tcp::socket socket) {
+        if (failed == asio::error::operation_aborted || !acceptor_.is_open()) {
+            return;
+        }
+        if (!failed) {
+            const auto session = std::make_shared<client_session>(std::move(socket), host_);
+            sessions_.insert(session);
+            session->start();
+        }
+        accept();
+    });
+}
+
+std::shared_ptr<running_request> traffic::begin(std::shared_ptr<answer_sink> sink, http::request incoming) {
+    const auto flow = std::make_shared<request_flow>(flows_, std::move(sink), std::move(incoming));
+    ++in_service_;
+    flow->on_finished([this] { --in_service_; });
+    flow->start();
+    return flow;
+}
+
+void traffic::set_configuration(std::shared_ptr<const configured> given, std::string encoded) {
+    asio::post(context_, [this, given = std::move(given), encoded = std::move(encoded)]() mutable {
+        if (!fleet_.take_configuration(given)) {
+            return;
+        }
+        encoded_configuration_ = std::move(encoded);
+        events_.write({event_kind::belief, "gateway", "configuration_in_force", {},
+                       {{"version", given->configuration_->version_},
+                        {"routes", std::int64_t(given->configuration_->routes_.size())}}});
+        measures_.set("tamarack_config_version", "Version of the configuration in force", {},
+                      double(given->configuration_->version_));
+    });
+}
+
+void traffic::set_endpoints(std::map<std::string, fleet::endpoint_record, std::less<>> records) {
+    asio::post(context_, [this, records = std::move(records)] { fleet_.take_endpoints(records); });
+}
+
+void traffic::give_orders(std::vector<planned_order> orders) {
+    asio::post(context_, [this, orders = std::move(orders)] {
+        for (const planned_order& one : orders) {
+            const bool sent = agents_.order(one.engine_, one.order_);
+            events_.write({event_kind::order, "planner", "placement", {},
+                           {{"endpoint", one.engine_},
+                            {"load", one.order_.load},
+                            {"drop", one.order_.drop.empty() ? std::string() : one.order_.drop.front()},
+                            {"from_store", one.order_.from_store},
+                            {"sent", sent}}});
+        }
+    });
+}
+
+void traffic::tick() {
+    const time_ms now = steady_now_ms();
+    agents_.tick(now);
+    fleet_.set_gateways(peers_.count(now));
+    if (++ticks_ % ticks_per_digest == 0) {
+        send_digest(now);
+    }
+    if (ticks_ % ticks_per_relay == 0) {
+        relay_configuration();
+    }
+    const bool plans = peers_.plans_here(now, started_at_) && !leaving_;
+    if (plans != planned_) {
+        planned_ = plans;
+        events_.write({event_kind::belief, "planner", plans ? "plans_here" : "plans_elsewhere", {},
+                       {{"gateways", peers_.count(now)}}});
+    }
+    if (plans && fleet_.current()) {
+        handlers_.plan_(snapshot(now));
+    }
+    tick_timer_.expires_after(std::chrono::milliseconds(agent_links::tick_ms));
+    tick_timer_.async_wait([this](boost::system::error_code cancelled) {
+        if (!cancelled) {
+            tick();
+        }
+    });
+}
+
+void traffic::send_digest(time_ms now) {
+    if (leaving_) {
+        return; // the others then choose another planner
+    }
+    links::gateway_digest digest;
+    digest.from = settings_.id_;
+    digest.incarnation = incarnation_;
+    digest.configuration_version = fleet_.current() ? fleet_.current()->configuration_->version_ : -1;
+    for (const auto& [model, level] : fleet_.demand_.levels(now)) {
+        auto demand = std::make_unique<links::model_demand>();
+        demand->model = model;
+        demand->work = level.work_;
+        demand->waiting = level.waiting_;
+        digest.demand.push_back(std::move(demand));
+    }
+    agents_.relay(links::make_frame(std::move(digest)));
+}
+
+// Sends the configuration on while another gateway has an older one, for gateways that cannot read the store.
+void traffic::relay_configuration() {
+    if (fleet_.current() == nullptr || !peers_.any_behind(fleet_.current()->configuration_->version_, steady_now_ms())) {
+        return;
+    }
+    links::configuration_relay relay;
+    relay.version = fleet_.current()->configuration_->version_;
+    relay.encoded = encoded_configuration_;
+    agents_.relay(links::make_frame(std::move(relay)));
+}
+
+std::shared_ptr<const fleet_snapshot> traffic::snapshot(time_ms now) const {
+    auto all = std::make_shared<fleet_snapshot>();
+    all->needs_ = peers_.needs(fleet_.demand_.levels(now), now);
+    const auto& configuration = fleet_.current()->configuration_;
+    for (const fleet::service_spec& service : configuration->services_) {
+        if (!service.engine_) {
+            continue;
+        }
+        service_snapshot part{configuration, &*service.engine_, {}};
+        for (const auto& one : fleet_.endpoints_of(service.name_)) {
+            engine_snapshot engine;
+            provisioning::engine_state& state = engine.state_;
+            state.id_ = one->record().id_;
+            state.serving_ = one->takes_work(now) && (!one->engine_.known_ || one->engine_.reachable_);
+            state.available_ = state.serving_ && one->engine_.known_ && !one->engine_.busy_ &&
+                               one->engine_.loading_.empty();
+            state.loading_ = one->engine_.loading_;
+            state.nearby_ = one->engine_.nearby_;
+            state.running_ = one->engine_.running_ + one->engine_.queued_;
+            for (const fleet::held_model& model : one->models()) {
+                state.models_.push_back(model.name_);
+            }
+            engine.store_loads_ = one->engine_.store_loads_;
+            part.engines_.push_back(std::move(engine));
+        }
+        all->services_.push_back(std::move(part));
+    }
+    return all;
+}
+
+void traffic::drain() {
+    leaving_ = true;
+}
+
+void traffic::close_idle() {
+    asio::post(context_, [this] {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        const std::vector<std::shared_ptr<answer_sink>> open(sessions_.begin(), sessions_.end());
+        for (const auto& one : open) {
+            std::static_pointer_cast<client_session>(one)->close_if_idle();
+        }
+    });
+}
+
+void traffic::stop() {
+    asio::post(context_, [this] {
+        work_.reset();
+        context_.stop();
+    });
+}
+
+} // namespace tamarack::gateway
--- /dev/null
+++ b/src/http/message_parser.hpp
@@ -0,0 +1,96 @@
+// Parses HTTP/1.1 messages from the bytes of a connection as they arrive. Beast does the protocol.
+#pragma once
+
+#include "tamarack/http.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace tamarack::http {
+
+// Whether two header names are the same, ignoring case.
+bool same_name(std::string_view left, std::string_view right);
+
+// The first header of that name, or null.
+const header* find_header(const std::vector<header>& headers, std::string_view name);
+
+// Why a client's request was not accepted; the value is the status that says so.
+enum class parse_fault {
+    none = 0,
+    malformed = 400,
+    body_too_large = 413,
+    header_too_large = 431,
+};
+
+// Takes the bytes of one request. Ambiguous framing is a fault, so that nobody smuggles a second request.
+class request_parser : public boost::beast::http::basic_parser<true> {
+public:
+    request_parser(std::size_t header_limit, std::size_t body_limit);
+
+    // Consumes what it can. Returns true once the request is whole.
+    bool take(boost::beast::flat_buffer& received);
+
+    parse_fault fault() const { return fault_; }
+    bool begun() const { return begun_; }
+    bool expects_continue() const;
+
+    // Whether the client understands chunked answers.
+    bool is_http_1_1() const { return version_ == 11; }
+
+    request request_;
+
+private:
+    using string_view = boost::beast::string_view;
+    using error_code = boost::beast::error_code;
+
+    void on_request_impl(boost::beast::http::verb, string_view method, string_view target, int version,
+                         error_code& failed) override;
+    void on_response_impl(int, string_view, int, error_code&) override {}
+    void on_field_impl(boost::beast::http::field, string_view name, string_view value,
+                       error_code& failed) override;
+    void on_header_impl(error_code& failed) override;
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
+    std::size_t on_body_impl(string_view body, error_code&) override;
+    void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+    std::size_t on_chunk_body_impl(std::uint64_t, string_view body, error_code&) override;
+    void on_finish_impl(error_code&) override {}
+
+    parse_fault fault_ = parse_fault::none;
+    bool begun_ = false;
+    int version_ = 0;
+    bool in_trailer_ = false;
+};
+
+// Takes the bytes of one response. The body gathers in `body_`, from which the owner may take it.
+class response_parser : public boost::beast::http::basic_parser<false> {
+public:
+    explicit response_parser(std::size_t body_limit);
+
+    enum class progress { more, done, broken };
+
+    progress take(boost::beast::flat_buffer& received);
+
+    // The connection ended without an error; a response without a length is complete then.
+    progress take_end();
+
+    int status_ = 0;
+    bool head_done_ = false;
+    std::vector<header> headers_;
+    std::string body_;
+
+private:
+    using string_view = boost::beast::string_view;
+    using error_code = boost::beast::error_code;
+
+    void on_request_impl(boost::beast::http::verb, string_view, string_view, int, error_code&) override {}
+    void on_response_impl(int status, string_view, int, error_code&) override;
+    void on_field_impl(boost::beast::http::field, string_view name, string_view value, error_code&) override;
+    void on_header_impl(error_code&) override;
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
+    std::size_t on_body_impl(string_view body, error_code&) override;
+    void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+    std::size_t on_chunk_body_impl(std::uint64_t, string_view body, error_code&) override;
+    void on_finish_impl(error_code&) override {}
+};
+
+} // namespace tamarack::http
--- /dev/null
+++ b/src/links/link.cpp
@@ -0,0 +1,151 @@
+#include "tamarack/links.hpp"
+
+#include "net/socket_options.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace tamarack::links {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t length_bytes = 4;
+constexpr std::size_t read_bytes = 16 * 1024;
+
+std::size_t read_length(std::string_view bytes) {
+    std::size_t length = 0;
+    for (std::size_t index = 0; index < length_bytes; ++index) {
+        length |= std::size_t(std::uint8_t(bytes[index])) << (8 * index);
+    }
+    return length;
+}
+
+} // namespace
+
+std::string encode(const frame& one) {
+    flatbuffers::FlatBufferBuilder builder(512);
+    builder.Finish(fbs::Frame::Pack(builder, &one));
+    const std::size_t length = builder.GetSize();
+    std::string bytes;
+    bytes.reserve(length_bytes + length);
+    for (std::size_t index = 0; index < length_bytes; ++index) {
+        bytes.push_back(char(length >> (8 * index)));
+    }
+    bytes.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), length);
+    return bytes;
+}
+
+result<frame> decode(std::span<const std::uint8_t> bytes) {
+    flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+    if (!verifier.VerifyBuffer<fbs::Frame>(nullptr)) {
+        return error{error_kind::invalid, "the bytes are no frame", "run the same version everywhere"};
+    }
+    frame one;
+    flatbuffers::GetRoot<fbs::Frame>(bytes.data())->UnPackTo(&one);
+    return one;
+}
+
+link::link(asio::ip::tcp::socket socket, events handlers)
+    : socket_(std::move(socket)), handlers_(std::move(handlers)) {}
+
+void link::start() {
+    constexpr int silence_limit_ms = 2'000;
+    net::watch_for_silence(socket_, silence_limit_ms);
+    read();
+}
+
+void link::read() {
+    const std::size_t held = received_.size();
+    received_.resize(held + read_bytes);
+    socket_.async_read_some(
+        asio::buffer(received_.data() + held, read_bytes),
+        [self = shared_from_this(), held](boost::system::error_code failed, std::size_t count) {
+            if (failed || self->closed_) {
+                self->close();
+                return;
+            }
+            self->received_.resize(held + count);
+            self->take_received();
+            if (!self->closed_) {
+                self->read();
+            }
+        });
+}
+
+void link::take_received() {
+    std::size_t used = 0;
+    while (received_.size() - used >= length_bytes) {
+        const std::string_view rest = std::string_view(received_).substr(used);
+        const std::size_t length = read_length(rest);
+        if (length > max_frame_bytes) {
+            close();
+            return;
+        }
+        if (rest.size() < length_bytes + length) {
+            break;
+        }
+        // FlatBuffers tables are read in place, so they are aligned first.
+        const std::vector<std::uint8_t> aligned(rest.begin() + length_bytes,
+                                                rest.begin() + length_bytes + std::ptrdiff_t(length));
+        const result<frame> decoded = decode(aligned);
+        if (!ok(decoded)) {
+            close();
+            return;
+        }
+        used += length_bytes + length;
+        handlers_.frame_(value(decoded));
+        if (closed_) {
+            return;
+        }
+    }
+    received_.erase(0, used);
+}
+
+void link::send(const frame& one) {
+    send_encoded(encode(one));
+}
+
+void link::send_encoded(std::string_view bytes) {
+    if (closed_) {
+        return;
+    }
+    if (queued_.size() + bytes.size() > max_queued_bytes) {
+        close();
+        return;
+    }
+    queued_.append(bytes);
+    if (writing_.empty()) {
+        write();
+    }
+}
+
+void link::write() {
+    std::swap(writing_, queued_);
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](boost::system::error_code failed, std::size_t) {
+                          self->writing_.clear();
+                          if (failed || self->closed_) {
+                              self->close();
+                              return;
+                          }
+                          if (!self->queued_.empty()) {
+                              self->write();
+                          }
+                      });
+}
+
+void link::close() {
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    if (handlers_.closed_) {
+        handlers_.closed_();
+    }
+}
+
+} // namespace tamarack::links
--- /dev/null
+++ b/src/net/socket_options.cpp
@@ -0,0 +1,24 @@
+#include "net/socket_options.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace tamarack::net {
+
+void watch_for_silence(boost::asio::ip::tcp::socket& socket, int limit_ms) {
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    const int handle = socket.native_handle();
+    const int on = 1;
+    const int probe_s = 1;
+    const int probes = std::max(1, limit_ms / 1'000 - 1);
+    ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s, sizeof(probe_s));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &probe_s, sizeof(probe_s));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof(limit_ms));
+}
+
+} // namespace tamarack::net
--- /dev/null
+++ b/src/net/socket_options.hpp
@@ -0,0 +1,12 @@
+// Options of TCP sockets that the programs share.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace tamarack::net {
+
+// Probes that find a dead peer, a bound on unacknowledged data, and no delay for small writes, so that a
+// silent path is noticed. `limit_ms` is the time after which the connection is given up.
+void watch_for_silence(boost::asio::ip::tcp::socket& socket, int limit_ms);
+
+} // namespace tamarack::net
--- /dev/null
+++ b/src/observe/events.cpp
@@ -0,0 +1,177 @@
+#include "tamarack/events.hpp"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+#include <nlohmann/json.hpp>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::size_t max_text_bytes = 200;           // of one field
+constexpr std::size_t max_queued_bytes = 512 * 1024;  // of lines that nobody has read yet
+constexpr std::chrono::milliseconds write_interval{250}; // batches lines into few writes
+
+nlohmann::ordered_json to_json(const event_field& field) {
+    if (const auto* text = std::get_if<std::string>(&field.value_)) {
+        return text->substr(0, max_text_bytes);
+    }
+    if (const auto* number = std::get_if<std::int64_t>(&field.value_)) {
+        return *number;
+    }
+    if (const auto* state = std::get_if<bool>(&field.value_)) {
+        return *state;
+    }
+    return std::get<double>(field.value_);
+}
+
+} // namespace
+
+std::string_view to_string(event_kind kind) {
+    switch (kind) {
+    case event_kind::process:
+        return "process";
+    case event_kind::dependency:
+        return "dependency";
+    case event_kind::belief:
+        return "belief";
+    case event_kind::admission:
+        return "admission";
+    case event_kind::sending:
+        return "sending";
+    case event_kind::ending:
+        return "ending";
+    case event_kind::order:
+        return "order";
+    }
+    return "unknown";
+}
+
+std::string to_json_line(const event& one, std::string_view process, time_ms now) {
+    nlohmann::ordered_json line;
+    line["at_ms"] = now;
+    line["process"] = process;
+    line["kind"] = to_string(one.kind_);
+    line["part"] = one.part_;
+    line["decision"] = one.decision_;
+    if (!one.request_.empty()) {
+        line["request"] = one.request_.substr(0, max_text_bytes);
+    }
+    for (const event_field& field : one.fields_) {
+        line[std::string(field.name_)] = to_json(field);
+    }
+    return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+event_limiter::event_limiter(event_rate rate) : rate_(rate) {
+    for (bucket& one : buckets_) {
+        one.tokens_ = rate.burst_;
+    }
+}
+
+bool event_limiter::allow(event_kind kind, time_ms now) {
+    bucket& one = buckets_[std::size_t(kind)];
+    const double earned = rate_.lines_per_s_ * double(std::max<time_ms>(0, now - one.filled_at_)) / 1'000;
+    one.tokens_ = std::min(rate_.burst_, one.tokens_ + earned);
+    one.filled_at_ = now;
+    if (one.tokens_ < 1) {
+        ++left_out_[std::size_t(kind)];
+        return false;
+    }
+    one.tokens_ -= 1;
+    return true;
+}
+
+std::array<std::int64_t, event_kind_count> event_limiter::take_left_out() {
+    return std::exchange(left_out_, {});
+}
+
+event_log::event_log(std::string process, event_rate rate, sink write)
+    : process_(std::move(process)), sink_(std::move(write)), limiter_(rate), thread_([this] { run(); }) {}
+
+event_log::~event_log() {
+    constexpr std::chrono::milliseconds last_write{200};
+    stop(last_write);
+}
+
+void event_log::write(const event& one) {
+    const time_ms now = steady_now_ms();
+    const std::lock_guard lock(mutex_);
+    if (stopping_ || !limiter_.allow(one.kind_, now)) {
+        return;
+    }
+    if (queued_.size() > max_queued_bytes) {
+        ++overflowed_;
+        return;
+    }
+    queued_ += to_json_line(one, process_, now);
+    queued_ += '\n';
+}
+
+std::string event_log::left_out_line() {
+    event report{event_kind::process, "log", "lines_left_out", {}, {}};
+    const auto left_out = limiter_.take_left_out();
+    for (std::size_t kind = 0; kind < event_kind_count; ++kind) {
+        if (left_out[kind] > 0) {
+            report.fields_.emplace_back(to_string(event_kind(kind)), left_out[kind]);
+        }
+    }
+    if (overflowed_ > 0) {
+        report.fields_.emplace_back("output_not_read", std::exchange(overflowed_, 0));
+    }
+    return report.fields_.empty() ? std::string() : to_json_line(report, process_, steady_now_ms()) + "\n";
+}
+
+void event_log::run() {
+    std::unique_lock lock(mutex_);
+    while (true) {
+        wakeup_.wait_for(lock, write_interval, [this] { return stopping_; });
+        std::string lines = std::exchange(queued_, {});
+        lines += left_out_line();
+        if (!lines.empty()) {
+            lines.pop_back();
+            writing_ = true;
+            lock.unlock();
+            sink_(lines);
+            lock.lock();
+            writing_ = false;
+        }
+        if (stopping_ && queued_.empty()) {
+            idle_.notify_all();
+            return;
+        }
+    }
+}
+
+void event_log::stop(std::chrono::milliseconds limit) {
+    {
+        std::unique_lock lock(mutex_);
+        if (!thread_.joinable()) {
+            return;
+        }
+        stopping_ = true;
+        wakeup_.notify_all();
+        idle_.wait_for(lock, limit, [this] { return queued_.empty() && !writing_; });
+        if (writing_) {
+            // The reader of the output is stuck; the process must end all the same.
+            lock.unlock();
+            thread_.detach();
+            return;
+        }
+    }
+    thread_.join();
+}
+
+event_log::sink standard_output_sink() {
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
+    const auto appender =
+        std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
+    const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("events");
+    logger->setAdditivity(false);
+    logger->addAppender(appender);
+    logger->setLevel(log4cxx::Level::getInfo());
+    return [logger](const std::string& lines) { LOG4CXX_INFO(logger, lines); };
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/provisioning/plan.cpp
@@ -0,0 +1,182 @@
+#include "tamarack/provisioning.hpp"
+
+#include <algorithm>
+
+namespace tamarack::provisioning {
+
+namespace {
+
+// Part of an engine's batch that one model may fill before another copy is worth a load.
+constexpr double busy_share = 0.25;
+
+// A victim's copies may become at most this busy, relative to those of the model that is loaded.
+constexpr double victim_ratio = 0.5;
+
+// Memory that is kept for adapters, in adapters of the largest size.
+double adapter_reserve_mb(const fleet::engine_spec& spec) {
+    double largest = 0;
+    for (const fleet::model_spec& model : spec.models_) {
+        largest = std::max(largest, model.adapters_ > 0 ? model.adapter_mb_ : 0.0);
+    }
+    return largest * spec.adapter_slots_;
+}
+
+struct model_standing {
+    const fleet::model_spec* spec_ = nullptr;
+    int copies_ = 0; // resident or loading
+    double work_ = 0;
+    int waiting_ = 0;
+
+    double work_per_copy(int copies) const { return work_ / std::max(1, copies); }
+};
+
+using standings = std::map<std::string, model_standing, std::less<>>;
+
+standings make_standings(const plan_facts& facts) {
+    standings all;
+    for (const fleet::model_spec& model : facts.spec_->models_) {
+        model_standing& standing = all[model.name_];
+        standing.spec_ = &model;
+        const auto need = facts.needs_->find(model.name_);
+        if (need != facts.needs_->end()) {
+            standing.work_ = need->second.work_;
+            standing.waiting_ = need->second.waiting_;
+        }
+    }
+    for (const engine_state& engine : facts.engines_) {
+        if (!engine.serving_) {
+            continue;
+        }
+        for (const std::string& model : engine.models_) {
+            const auto found = all.find(model);
+            if (found != all.end()) {
+                ++found->second.copies_;
+            }
+        }
+        const auto loading = all.find(engine.loading_);
+        if (loading != all.end() &&
+            std::find(engine.models_.begin(), engine.models_.end(), engine.loading_) == engine.models_.end()) {
+            ++loading->second.copies_;
+        }
+    }
+    return all;
+}
+
+double used_mb(const engine_state& engine, const fleet::engine_spec& spec) {
+    double used = 0;
+    for (const std::string& model : engine.models_) {
+        const fleet::model_spec* known = spec.find_model(model);
+        used += known == nullptr ? 0 : known->weights_mb_;
+    }
+    return used;
+}
+
+// Models that make room on an engine, least busy first; nothing if there is no room to be had.
+std::optional<std::vector<std::string>> make_room(const engine_state& engine, const model_standing& wanted,
+                                                  const standings& all, const plan_facts& facts) {
+    const double budget = facts.spec_->weights_mb_ - adapter_reserve_mb(*facts.spec_);
+    double used = used_mb(engine, *facts.spec_);
+    std::vector<std::string> drop;
+    std::vector<const model_standing*> victims;
+    for (const std::string& model : engine.models_) {
+        const auto found = all.find(model);
+        if (found == all.end()) {
+            continue;
+        }
+        if (found->second.copies_ > 1) {
+            victims.push_back(&found->second);
+        }
+    }
+    std::sort(victims.begin(), victims.end(), [](const model_standing* left, const model_standing* right) {
+        return left->work_per_copy(left->copies_ - 1) < right->work_per_copy(right->copies_ - 1);
+    });
+    const double wanted_after = wanted.work_per_copy(wanted.copies_ + 1);
+    for (const model_standing* victim : victims) {
+        if (used + wanted.spec_->weights_mb_ <= budget) {
+            break;
+        }
+        const bool idle = victim->work_per_copy(victim->copies_ - 1) <= victim_ratio * wanted_after;
+        if (!idle && wanted.copies_ > 0) {
+            return std::nullopt;
+        }
+        drop.push_back(victim->spec_->name_);
+        used -= victim->spec_->weights_mb_;
+    }
+    if (used + wanted.spec_->weights_mb_ > budget) {
+        return std::nullopt;
+    }
+    return drop;
+}
+
+struct placement_choice {
+    placement_step step_;
+    double cost_ = 0;
+};
+
+double load_cost(const engine_state& engine, const placement_step& step) {
+    constexpr double store_load = 10; // against one request in the engine's batch
+    constexpr double unload = 4;
+    return (step.from_store_ ? store_load : 0) + unload * double(step.drop_.size()) + engine.running_;
+}
+
+std::optional<placement_step> place(const model_standing& wanted, const standings& all,
+                                    const plan_facts& facts) {
+    std::optional<placement_choice> best;
+    for (const engine_state& engine : facts.engines_) {
+        const auto& models = engine.models_;
+        if (!engine.available_ ||
+            std::find(models.begin(), models.end(), wanted.spec_->name_) != models.end()) {
+            continue;
+        }
+        const bool nearby = engine.nearby_.contains(wanted.spec_->name_);
+        if (!nearby && !facts.store_load_allowed_) {
+            continue;
+        }
+        auto drop = make_room(engine, wanted, all, facts);
+        if (!drop) {
+            continue;
+        }
+        placement_step step{engine.id_, wanted.spec_->name_, std::move(*drop), !nearby};
+        const double cost = load_cost(engine, step);
+        if (!best || cost < best->cost_) {
+            best = placement_choice{std::move(step), cost};
+        }
+    }
+    if (!best) {
+        return std::nullopt;
+    }
+    return best->step_;
+}
+
+} // namespace
+
+std::optional<placement_step> next_placement(const plan_facts& facts) {
+    const standings all = make_standings(facts);
+    std::vector<const model_standing*> wanted;
+    const double busy_work = busy_share * facts.spec_->slots_;
+    for (const auto& [name, standing] : all) {
+        if (standing.copies_ == 0 || standing.work_per_copy(standing.copies_) > busy_work) {
+            wanted.push_back(&standing);
+        }
+    }
+    std::sort(wanted.begin(), wanted.end(), [](const model_standing* left, const model_standing* right) {
+        const bool left_missing = left->copies_ == 0;
+        const bool right_missing = right->copies_ == 0;
+        if (left_missing != right_missing) {
+            return left_missing;
+        }
+        if (left->waiting_ != right->waiting_) {
+            return left->waiting_ > right->waiting_;
+        }
+        return left->work_per_copy(left->copies_) > right->work_per_copy(right->copies_);
+    });
+    for (const model_standing* standing : wanted) {
+        auto step = place(*standing, all, facts);
+        if (step) {
+            return step;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace tamarack::provisioning
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -14,6 +14,11 @@
 constexpr std::int64_t max_bytes = 1024LL * 1024 * 1024;
 constexpr std::int64_t max_threads = 64;
 constexpr std::int64_t max_connections = 1'000'000;
+constexpr std::int64_t max_port = 65'535;
+constexpr double max_grace_s = 3'600;
+constexpr double max_ratio = 100;
+constexpr double max_slack = 1'000'000;
+constexpr double max_window_s = 3'600;
 
 boost::asio::ip::tcp::endpoint read_endpoint(row_reader& reader, const std::string& field) {
     const std::string text = reader.text(field);
@@ -108,6 +113,35 @@
     return settings;
 }
 
+gateway_settings read_gateway(row_reader& reader) {
+    gateway_settings settings;
+    settings.id_ = reader.text("id");
+    settings.data_centre_ = reader.text("data_centre");
+    settings.listen_ = read_endpoint(reader, "listen");
+    settings.admin_ = read_endpoint(reader, "admin");
+    settings.metrics_ = read_endpoint(reader, "metrics");
+    settings.store_ = read_endpoint(reader, "store");
+    settings.platform_ = reader.text("platform", settings.platform_);
+    settings.ready_path_ = reader.text("ready_path", settings.ready_path_);
+    settings.agent_port_ = reader.number("agent_port", 1, max_port);
+    settings.shutdown_grace_s_ = reader.real("shutdown_grace_s", 0, max_grace_s, settings.shutdown_grace_s_);
+    settings.retry_ratio_ = reader.real("retry_ratio", 0, max_ratio, settings.retry_ratio_);
+    settings.retry_slack_ = reader.real("retry_slack", 0, max_slack, settings.retry_slack_);
+    settings.retry_window_s_ = reader.real("retry_window_s", 1, max_window_s, settings.retry_window_s_);
+    settings.load_window_s_ = reader.real("load_window_s", 1, max_window_s, settings.load_window_s_);
+    return settings;
+}
+
+engine_agent_settings read_engine_agent(row_reader& reader) {
+    engine_agent_settings settings;
+    settings.id_ = reader.text("id");
+    settings.listen_ = read_endpoint(reader, "listen");
+    settings.metrics_ = read_endpoint(reader, "metrics");
+    settings.engine_ = read_endpoint(reader, "engine");
+    settings.platform_ = reader.text("platform", settings.platform_);
+    return settings;
+}
+
 } // namespace
 
 result<entry_settings> parse_entry_settings(std::string_view text) {
@@ -118,20 +152,41 @@
     return parse_settings<agent_settings>(text, read_agent);
 }
 
-result<entry_settings> load_entry_settings(const std::string& path) {
+result<gateway_settings> parse_gateway_settings(std::string_view text) {
+    return parse_settings<gateway_settings>(text, read_gateway);
+}
+
+result<engine_agent_settings> parse_engine_agent_settings(std::string_view text) {
+    return parse_settings<engine_agent_settings>(text, read_engine_agent);
+}
+
+namespace {
+
+template <typename Parse>
+auto load_settings(const std::string& path, Parse parse) -> decltype(parse(std::string_view())) {
     const result<std::string> text = read_file(path);
     if (!ok(text)) {
         return failure(text);
     }
-    return parse_entry_settings(value(text));
+    return parse(value(text));
+}
+
+} // namespace
+
+result<entry_settings> load_entry_settings(const std::string& path) {
+    return load_settings(path, parse_entry_settings);
 }
 
 result<agent_settings> load_agent_settings(const std::string& path) {
-    const result<std::string> text = read_file(path);
-    if (!ok(text)) {
-        return failure(text);
-    }
-    return parse_agent_settings(value(text));
+    return load_settings(path, parse_agent_settings);
+}
+
+result<gateway_settings> load_gateway_settings(const std::string& path) {
+    return load_settings(path, parse_gateway_settings);
+}
+
+result<engine_agent_settings> load_engine_agent_settings(const std::string& path) {
+    return load_settings(path, parse_engine_agent_settings);
 }
 
 } // namespace tamarack
--- a/src/tables/row_reader.cpp
+++ b/src/tables/row_reader.cpp
@@ -1,5 +1,7 @@
 #include "tables/row_reader.hpp"
 
+#include <sstream>
+
 namespace tamarack {
 
 row_reader::row_reader(const nlohmann::json& row, std::string table, std::string row_name, std::string prefix,
@@ -52,18 +54,24 @@
     return given->get<std::int64_t>();
 }
 
-double row_reader::fraction(const std::string& field, double fallback) {
+double row_reader::real(const std::string& field, double minimum, double maximum, double fallback) {
     const nlohmann::json* given = take(field);
     if (given == nullptr) {
         return fallback;
     }
-    if (!given->is_number() || given->get<double>() < 0.0 || given->get<double>() > 1.0) {
-        fault(field, "is not a number from 0 to 1", "write a number from 0 to 1");
+    if (!given->is_number() || given->get<double>() < minimum || given->get<double>() > maximum) {
+        std::ostringstream range;
+        range << "a number from " << minimum << " to " << maximum;
+        fault(field, "is not " + range.str(), "write " + range.str());
         return fallback;
     }
     return given->get<double>();
 }
 
+double row_reader::fraction(const std::string& field, double fallback) {
+    return real(field, 0.0, 1.0, fallback);
+}
+
 bool row_reader::flag(const std::string& field, bool fallback) {
     const nlohmann::json* given = take(field);
     if (given == nullptr) {
--- a/src/tables/row_reader.hpp
+++ b/src/tables/row_reader.hpp
@@ -18,6 +18,7 @@
     std::string text(const std::string& field, std::optional<std::string> fallback = std::nullopt);
     std::int64_t number(const std::string& field, std::int64_t minimum, std::int64_t maximum,
                         std::optional<std::int64_t> fallback = std::nullopt);
+    double real(const std::string& field, double minimum, double maximum, double fallback);
     double fraction(const std::string& field, double fallback);
     bool flag(const std::string& field, bool fallback);
     const nlohmann::json* list(const std::string& field);
