--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -22,15 +22,14 @@
 
 } // namespace
 
+// Whether the answer is a stream of events that an endpoint made.
+bool request_flow::streams(const http::response_parser& answer) const {
+    const bool stamped = http::find_header(answer.headers_, context_.fleet_.names_.answer_stamp_) != nullptr;
+    return is_stream() && answer.status_ == status_ok && stamped;
+}
+
 void request_flow::take_progress(http::response_parser& answer) {
-    if (finished_) {
-        return;
-    }
-    if (!streaming_) {
-        const bool stamped = http::find_header(answer.headers_, context_.fleet_.names_.answer_stamp_) != nullptr;
-        streaming_ = is_stream() && answer.status_ == status_ok && stamped;
-    }
-    if (streaming_) {
+    if (!finished_ && streams(answer)) {
         take_events(answer);
     }
 }
@@ -116,7 +115,7 @@
     }
     const auto ended = std::exchange(exchange_, nullptr);
     http::response_parser& answer = ended->answer();
-    if (streaming_ && end == exchange_end::complete) {
+    if (streams(answer) && end == exchange_end::complete) {
         take_events(answer);
         if (!finished_ && stream_complete()) {
             return;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -216,7 +216,6 @@
     request.longest_idle_ms_ = route_->repeatable() ? default_timeout_ms : fresh_connection_ms;
     request.max_connections_ = service_->max_connections_;
     request.gateways_ = context_.fleet_.gateways();
-    streaming_ = false;
     splitter_.restart();
     sending_ = std::make_unique<open_sending>(target, facts_.prompt_tokens_);
     const auto self = shared_from_this();
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -64,6 +64,7 @@
     void prepare(std::shared_ptr<endpoint> target);
     void send(const std::shared_ptr<endpoint>& target);
 
+    bool streams(const http::response_parser& answer) const;
     void take_progress(http::response_parser& answer);
     void take_events(http::response_parser& answer);
     void first_event();
@@ -104,7 +105,6 @@
     int arrivals_ = 0;      // sendings that reached an endpoint
     int maybe_runs_ = 0;    // of these, not confirmed as not run
     bool stream_begun_ = false;
-    bool streaming_ = false; // the present answer is a stream of events
     bool holding_ = false;
     bool finished_ = false;
     time_ms last_event_at_ = 0;
