Leave a silent stream only when its engine is not heard of either

Change: look for a way on first; reset abandoned connections; count an engine whose agent fell silent as suspected; orders name the engine that the registry lists.

--- a/include/tamarack/engine.hpp
+++ b/include/tamarack/engine.hpp
@@ -9,8 +9,8 @@
 
 // What an engine says of itself.
 struct report {
-    std::string engine_;            // id of the engine; empty if the report does not name it
-    std::int64_t incarnation_ = 0;  // rises with each start
+    std::string engine_;           // id of the engine; reports do not name it, the registry does
+    std::int64_t incarnation_ = 0; // rises with each start
     bool leaving_ = false;
     std::optional<time_ms> remaining_ms_; // until it is gone, if it leaves at short notice
     int running_ = 0;
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -97,6 +97,7 @@
             return;
         }
         from->id_ = greeting.id;
+        engine_ids_[greeting.engine_incarnation] = greeting.engine;
         events_.write({event_kind::dependency, "agent", "gateway_linked", {}, {{"gateway", from->id_}}});
         from->link_->send(links::make_frame(make_status(true)));
         return;
@@ -175,7 +176,12 @@
     if (ok(outcome)) {
         failures_ = 0;
         reachable_ = true;
-        answer_wants(book_.take_report(value(outcome), now));
+        engine::report& report = value(outcome);
+        const auto named = engine_ids_.find(report.incarnation_);
+        if (named != engine_ids_.end()) {
+            report.engine_ = named->second;
+        }
+        answer_wants(book_.take_report(report, now));
         give_next();
     } else if (++failures_ >= failures_until_down) {
         if (reachable_) {
@@ -245,7 +251,7 @@
     const engine::report& report = *book_.report();
     const time_ms now = steady_now_ms();
     status.engine = report.engine_;
-    status.incarnation = std::uint64_t(report.incarnation_);
+    status.incarnation = report.incarnation_;
     status.leaving = report.leaving_;
     status.remaining_ms = report.remaining_ms_.value_or(-1);
     status.running = report.running_;
--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -56,8 +56,7 @@
 }
 
 std::vector<adapter_answer> order_book::take_report(const engine::report& given, time_ms now) {
-    const bool restarted = report_ && (report_->incarnation_ != given.incarnation_ ||
-                                       report_->engine_ != given.engine_);
+    const bool restarted = report_ && report_->incarnation_ != given.incarnation_;
     if (restarted) {
         placement_.reset();
         doubtful_.reset();
@@ -130,7 +129,8 @@
 }
 
 std::optional<engine::order> order_book::next(time_ms now) {
-    if (!report_ || given_ || now < quiet_until_) {
+    // Without the engine's name an order could reach whoever has its address later.
+    if (!report_ || report_->engine_.empty() || given_ || now < quiet_until_) {
         return std::nullopt;
     }
     std::optional<engine::order> order;
--- a/src/gateway/agent_links.cpp
+++ b/src/gateway/agent_links.cpp
@@ -18,9 +18,9 @@
     asio::ip::tcp::endpoint address_;
     std::shared_ptr<links::link> link_;
     bool connecting_ = false;
-    bool was_linked_ = false;
     time_ms next_attempt_ = 0;
     time_ms heard_at_ = 0;
+    std::int64_t greeted_incarnation_ = 0; // of the engine
 };
 
 agent_links::agent_links(fleet_state& fleet, std::string id, std::uint64_t incarnation,
@@ -56,6 +56,9 @@
         if (one->link_ && now - one->heard_at_ > silence_ms) {
             one->link_->close();
         }
+        if (one->link_ && one->greeted_incarnation_ != known->record().incarnation_) {
+            greet(*one);
+        }
         if (!one->link_ && !one->connecting_ && now >= one->next_attempt_) {
             connect(one);
         }
@@ -90,13 +93,24 @@
     handlers.closed_ = [this, one] { lost(*one); };
     one->link_ = std::make_shared<links::link>(std::move(socket), std::move(handlers));
     one->link_->start();
+    greet(*one);
+    events_.write({event_kind::dependency, "gateway", "agent_linked", {}, {{"endpoint", one->endpoint_}}});
+}
+
+// Tells the agent who links, and which engine the registry names there.
+void agent_links::greet(agent& one) {
+    const auto found = fleet_.endpoints().find(one.endpoint_);
+    if (found == fleet_.endpoints().end()) {
+        return;
+    }
+    one.greeted_incarnation_ = found->second->record().incarnation_;
     links::hello greeting;
     greeting.protocol = links::protocol_version;
     greeting.id = id_;
     greeting.incarnation = incarnation_;
-    one->link_->send(links::make_frame(greeting));
-    one->was_linked_ = true;
-    events_.write({event_kind::dependency, "gateway", "agent_linked", {}, {{"endpoint", one->endpoint_}}});
+    greeting.engine = one.endpoint_;
+    greeting.engine_incarnation = one.greeted_incarnation_;
+    one.link_->send(links::make_frame(greeting));
 }
 
 void agent_links::lost(agent& one) {
@@ -143,12 +157,20 @@
 
 void agent_links::take_status(agent& one, const links::engine_status& status) {
     const auto found = fleet_.endpoints().find(one.endpoint_);
-    if (found == fleet_.endpoints().end() || (!status.engine.empty() && status.engine != one.endpoint_)) {
-        return; // another engine runs there now; the registry will name it
+    if (found == fleet_.endpoints().end()) {
+        return;
     }
     endpoint& at = *found->second;
     engine_view& view = at.engine_;
     const time_ms now = steady_now_ms();
+    const std::int64_t listed = at.record().incarnation_;
+    if (status.incarnation != 0 && listed != 0 && status.incarnation != listed) {
+        // Another start of the engine; the registry will name it.
+        view.known_ = true;
+        view.reachable_ = false;
+        view.at_ = now;
+        return;
+    }
     const bool was_reachable = view.reachable_ || !view.known_;
     const bool has_models = status.has_models;
     view.known_ = view.known_ || has_models;
--- a/src/gateway/agent_links.hpp
+++ b/src/gateway/agent_links.hpp
@@ -37,6 +37,7 @@
 
     void connect(const std::shared_ptr<agent>& one);
     void opened(const std::shared_ptr<agent>& one, boost::asio::ip::tcp::socket socket);
+    void greet(agent& one);
     void lost(agent& one);
     void take_frame(agent& one, const links::frame& received);
     void take_status(agent& one, const links::engine_status& status);
--- a/src/gateway/endpoint.hpp
+++ b/src/gateway/endpoint.hpp
@@ -29,7 +29,7 @@
     bool reachable_ = false;
     bool leaving_ = false;
     std::optional<time_ms> gone_at_;
-    std::uint64_t incarnation_ = 0;
+    std::int64_t incarnation_ = 0;
     int running_ = 0;
     int queued_ = 0;
     double kv_used_ = 0;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -194,6 +194,8 @@
     }
     --target_->connections_;
     boost::system::error_code ignored;
+    // A reset also takes back what an endpoint that stands still has not read yet.
+    connection->socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     connection->socket_.close(ignored);
 }
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -12,6 +12,7 @@
 constexpr time_ms least_useful_ms = 30;                  // left, for another sending to make sense
 constexpr time_ms silence_ms = 1'100; // in a stream; clients give up after two seconds or more
 constexpr time_ms busy_return_ms = 300; // until a full endpoint has room
+constexpr time_ms stale_report_ms = 900; // several reports of an agent
 constexpr int status_ok = 200;
 constexpr int first_failure_status = 300;
 constexpr int first_server_error = 500;
@@ -28,6 +29,15 @@
     return is_stream() && answer.status_ == status_ok && stamped;
 }
 
+namespace {
+
+// Whether nothing tells that the engine still runs.
+bool endpoint_lost(const endpoint& one, time_ms now) {
+    return !one.engine_.known_ || !one.engine_.reachable_ || now - one.engine_.at_ > stale_report_ms;
+}
+
+} // namespace
+
 void request_flow::take_progress(http::response_parser& answer) {
     if (!finished_ && streams(answer)) {
         take_events(answer);
@@ -75,11 +85,16 @@
     }
 }
 
-// A stream that falls silent goes on elsewhere while its client still waits.
+// A stream that falls silent goes on elsewhere if its engine is not heard of either. Where it cannot, or where
+// the engine is only slow, silence is no reason to end it.
 void request_flow::arm_pause_watch() {
     pause_.expires_after(std::chrono::milliseconds(silence_ms));
     pause_.async_wait([self = shared_from_this()](boost::system::error_code cancelled) {
-        if (cancelled || self->finished_ || !self->exchange_ || self->sink_->unwritten() > 0) {
+        if (cancelled || self->finished_ || !self->exchange_) {
+            return;
+        }
+        if (self->sink_->unwritten() > 0 || !self->can_go_on_elsewhere()) {
+            self->arm_pause_watch();
             return;
         }
         const auto silent = std::exchange(self->exchange_, nullptr);
@@ -88,6 +103,14 @@
     });
 }
 
+bool request_flow::can_go_on_elsewhere() const {
+    const time_ms now = steady_now_ms();
+    return endpoint_lost(sending_->at(), now) && maybe_runs_ + 1 < route_->max_attempts_ &&
+           left_ms(now) > least_useful_ms &&
+           context_.fleet_.retries(service_->name_).available(now, context_.fleet_.gateways()) &&
+           !usable_endpoints().empty();
+}
+
 void request_flow::drained() {
     if (exchange_) {
         exchange_->resume();
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -13,6 +13,7 @@
 constexpr time_ms not_ready_return_ms = 400;       // until a gateway without configuration has one
 constexpr time_ms no_endpoint_return_ms = 1'000;   // until an endpoint registers
 constexpr time_ms fresh_connection_ms = 400;       // idle time after which an endpoint may have dropped it
+constexpr time_ms stale_report_ms = 900;           // several reports; the engine's machine may stand still
 constexpr int status_not_found = 404;
 constexpr int status_bad_request = 400;
 constexpr int least_urgent = 9;
@@ -113,7 +114,8 @@
     option.memory_use_ = one.engine_.kv_total_ > 0 ? one.engine_.kv_used_ / one.engine_.kv_total_ : 0;
     option.slowness_ = std::max(1.0, one.slowness_);
     option.failure_rate_ = one.health_.failure_rate(now);
-    option.suspected_ = one.health_.suspected(now) || (one.engine_.known_ && !one.engine_.reachable_);
+    const bool silent = one.engine_.known_ && now - one.engine_.at_ > stale_report_ms;
+    option.suspected_ = one.health_.suspected(now) || silent || (one.engine_.known_ && !one.engine_.reachable_);
     if (!facts_.adapter_.empty()) {
         const fleet::held_model* model = one.find_model(facts_.model_);
         option.adapter_resident_ = model != nullptr && model->adapters_.contains(facts_.adapter_);
@@ -142,7 +144,8 @@
     const auto chosen =
         dispatch::choose_endpoint(options, facts_.prompt_tokens_, pace, context_.fleet_.random());
     const auto expected = time_ms(dispatch::expected_first_event_ms(options[*chosen], facts_.prompt_tokens_, pace));
-    if (!dispatch::worth_waiting(expected, route_->objective_ms_, left_ms(now))) {
+    const bool in_service = maybe_runs_ > 0; // has been admitted before
+    if (!in_service && !dispatch::worth_waiting(expected, route_->objective_ms_, left_ms(now))) {
         refuse("too_busy", expected);
         return;
     }
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -81,6 +81,7 @@
     void time_out();
     void finish(int status, std::string_view outcome);
     void arm_pause_watch();
+    bool can_go_on_elsewhere() const;
 
     bool is_stream() const { return route_->repeat_ == fleet::repeat_rule::stream; }
     time_ms left_ms(time_ms now) const { return until_ - now; }
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -2,6 +2,10 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <array>
+#include <cmath>
+
 namespace tamarack::gateway {
 
 namespace asio = boost::asio;
@@ -10,6 +14,7 @@
 
 constexpr std::int64_t ticks_per_digest = 2; // digests twice a second
 constexpr std::int64_t ticks_per_relay = 4;  // of a configuration that another gateway lacks
+constexpr std::int64_t ticks_per_report = 4; // one line a second about what the planner sees
 constexpr int accept_backlog = 1'024;
 constexpr double ms_per_s = 1'000;
 
@@ -141,7 +146,11 @@
                        {{"gateways", peers_.count(now)}}});
     }
     if (plans && fleet_.current()) {
-        handlers_.plan_(snapshot(now));
+        const auto seen = snapshot(now);
+        if (ticks_ % ticks_per_report == 0) {
+            report_plan(*seen);
+        }
+        handlers_.plan_(seen);
     }
     tick_timer_.expires_after(std::chrono::milliseconds(agent_links::tick_ms));
     tick_timer_.async_wait([this](boost::system::error_code cancelled) {
@@ -210,6 +219,34 @@
     return all;
 }
 
+// What the planner sees: demand and copies of the models that are in demand, busiest first.
+void traffic::report_plan(const fleet_snapshot& seen) {
+    for (const service_snapshot& service : seen.services_) {
+        std::vector<std::pair<double, std::string>> lines;
+        for (const auto& [model, need] : seen.needs_) {
+            int copies = 0;
+            int loading = 0;
+            for (const engine_snapshot& engine : service.engines_) {
+                const auto& models = engine.state_.models_;
+                copies += engine.state_.serving_ && std::find(models.begin(), models.end(), model) != models.end();
+                loading += engine.state_.loading_ == model;
+            }
+            lines.emplace_back(-need.work_, model + " work " + std::to_string(std::lround(need.work_)) + " copies " +
+                                                std::to_string(copies) + "+" + std::to_string(loading) +
+                                                " waiting " + std::to_string(need.waiting_));
+        }
+        std::sort(lines.begin(), lines.end());
+        event report{event_kind::belief, "planner", "demand", {}, {}};
+        report.fields_.emplace_back("engines", std::int64_t(service.engines_.size()));
+        static constexpr std::array<std::string_view, 6> places = {"first", "second", "third",
+                                                                   "fourth", "fifth", "sixth"};
+        for (std::size_t index = 0; index < std::min(lines.size(), places.size()); ++index) {
+            report.fields_.emplace_back(places[index], lines[index].second);
+        }
+        events_.write(report);
+    }
+}
+
 void traffic::drain() {
     leaving_ = true;
 }
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -47,6 +47,7 @@
     void tick();
     void send_digest(time_ms now);
     void relay_configuration();
+    void report_plan(const fleet_snapshot& seen);
     std::shared_ptr<const fleet_snapshot> snapshot(time_ms now) const;
 
     gateway_settings settings_;
--- a/src/links/link_generated.h
+++ b/src/links/link_generated.h
@@ -265,6 +265,8 @@
   uint32_t protocol = 0;
   std::string id{};
   uint64_t incarnation = 0;
+  std::string engine{};
+  int64_t engine_incarnation = 0;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -274,7 +276,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_PROTOCOL = 4,
     VT_ID = 6,
-    VT_INCARNATION = 8
+    VT_INCARNATION = 8,
+    VT_ENGINE = 10,
+    VT_ENGINE_INCARNATION = 12
   };
   uint32_t protocol() const {
     return GetField<uint32_t>(VT_PROTOCOL, 0);
@@ -285,12 +289,21 @@
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  }
+  int64_t engine_incarnation() const {
+    return GetField<int64_t>(VT_ENGINE_INCARNATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL, 4) &&
            VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
+           VerifyField<int64_t>(verifier, VT_ENGINE_INCARNATION, 8) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -311,6 +324,12 @@
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(Hello::VT_INCARNATION, incarnation, 0);
   }
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(Hello::VT_ENGINE, engine);
+  }
+  void add_engine_incarnation(int64_t engine_incarnation) {
+    fbb_.AddElement<int64_t>(Hello::VT_ENGINE_INCARNATION, engine_incarnation, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -326,9 +345,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t protocol = 0,
     flatbuffers::Offset<flatbuffers::String> id = 0,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    int64_t engine_incarnation = 0) {
   HelloBuilder builder_(_fbb);
+  builder_.add_engine_incarnation(engine_incarnation);
   builder_.add_incarnation(incarnation);
+  builder_.add_engine(engine);
   builder_.add_id(id);
   builder_.add_protocol(protocol);
   return builder_.Finish();
@@ -343,13 +366,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t protocol = 0,
     const char *id = nullptr,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    const char *engine = nullptr,
+    int64_t engine_incarnation = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
   return tamarack::links::fbs::CreateHello(
       _fbb,
       protocol,
       id__,
-      incarnation);
+      incarnation,
+      engine__,
+      engine_incarnation);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -441,7 +469,7 @@
 struct EngineStatusT : public flatbuffers::NativeTable {
   typedef EngineStatus TableType;
   std::string engine{};
-  uint64_t incarnation = 0;
+  int64_t incarnation = 0;
   bool reachable = false;
   bool leaving = false;
   int64_t remaining_ms = -1LL;
@@ -485,8 +513,8 @@
   const flatbuffers::String *engine() const {
     return GetPointer<const flatbuffers::String *>(VT_ENGINE);
   }
-  uint64_t incarnation() const {
-    return GetField<uint64_t>(VT_INCARNATION, 0);
+  int64_t incarnation() const {
+    return GetField<int64_t>(VT_INCARNATION, 0);
   }
   bool reachable() const {
     return GetField<uint8_t>(VT_REACHABLE, 0) != 0;
@@ -531,7 +559,7 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENGINE) &&
            verifier.VerifyString(engine()) &&
-           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<int64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_REACHABLE, 1) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyField<int64_t>(verifier, VT_REMAINING_MS, 8) &&
@@ -565,8 +593,8 @@
   void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
     fbb_.AddOffset(EngineStatus::VT_ENGINE, engine);
   }
-  void add_incarnation(uint64_t incarnation) {
-    fbb_.AddElement<uint64_t>(EngineStatus::VT_INCARNATION, incarnation, 0);
+  void add_incarnation(int64_t incarnation) {
+    fbb_.AddElement<int64_t>(EngineStatus::VT_INCARNATION, incarnation, 0);
   }
   void add_reachable(bool reachable) {
     fbb_.AddElement<uint8_t>(EngineStatus::VT_REACHABLE, static_cast<uint8_t>(reachable), 0);
@@ -621,7 +649,7 @@
 inline flatbuffers::Offset<EngineStatus> CreateEngineStatus(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> engine = 0,
-    uint64_t incarnation = 0,
+    int64_t incarnation = 0,
     bool reachable = false,
     bool leaving = false,
     int64_t remaining_ms = -1LL,
@@ -662,7 +690,7 @@
 inline flatbuffers::Offset<EngineStatus> CreateEngineStatusDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *engine = nullptr,
-    uint64_t incarnation = 0,
+    int64_t incarnation = 0,
     bool reachable = false,
     bool leaving = false,
     int64_t remaining_ms = -1LL,
@@ -1510,6 +1538,8 @@
   { auto _e = protocol(); _o->protocol = _e; }
   { auto _e = id(); if (_e) _o->id = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = engine(); if (_e) _o->engine = _e->str(); }
+  { auto _e = engine_incarnation(); _o->engine_incarnation = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1523,11 +1553,15 @@
   auto _protocol = _o->protocol;
   auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
   auto _incarnation = _o->incarnation;
+  auto _engine = _o->engine.empty() ? 0 : _fbb.CreateString(_o->engine);
+  auto _engine_incarnation = _o->engine_incarnation;
   return tamarack::links::fbs::CreateHello(
       _fbb,
       _protocol,
       _id,
-      _incarnation);
+      _incarnation,
+      _engine,
+      _engine_incarnation);
 }
 
 inline HeldModelT *HeldModel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
