Make room for busy models by parking those that nobody asks for

Change: a last copy without demand may go where the engine has its weights at hand; an adapter that was told to go is not told again; adapters gather on few engines.

--- a/src/dispatch/choose.cpp
+++ b/src/dispatch/choose.cpp
@@ -8,7 +8,7 @@
 
 constexpr double other_data_centre_ms = 3.0;   // a round trip between neighbouring data centres
 constexpr double running_ms = 0.35;            // growth of the wait with each request in the batch
-constexpr double adapter_load_ms = 25.0;       // an order and the load of one adapter
+constexpr double adapter_load_ms = 60.0;       // an order, the load, and the adapter that makes way
 constexpr double full_memory_ms = 400.0;       // preemption is likely in a full KV cache
 constexpr double memory_limit = 0.85;          // share of the KV cache above which it counts as full
 constexpr double failure_ms = 3'000.0;         // for an endpoint that fails every request
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -262,7 +262,7 @@
     status.loading = book_.loading();
     status.has_models = with_models;
     if (with_models) {
-        for (const fleet::held_model& model : report.models_) {
+        for (const fleet::held_model& model : book_.usable_models()) {
             auto held = std::make_unique<links::held_model>();
             held->name = model.name_;
             held->adapters.assign(model.adapters_.begin(), model.adapters_.end());
@@ -286,7 +286,8 @@
     }
     const engine::report& report = *book_.report();
     const time_ms now = steady_now_ms();
-    const bool models_changed = report.models_ != pushed_models_ || report.incarnation_ != pushed_incarnation_;
+    const std::vector<fleet::held_model> models = book_.usable_models();
+    const bool models_changed = models != pushed_models_ || report.incarnation_ != pushed_incarnation_;
     const bool urgent = models_changed || reachable_ != pushed_reachable_ || report.leaving_ != pushed_leaving_;
     if (!urgent && now - pushed_at_ < push_interval_ms()) {
         return;
@@ -294,7 +295,7 @@
     pushed_at_ = now;
     pushed_reachable_ = reachable_;
     pushed_leaving_ = report.leaving_;
-    pushed_models_ = report.models_;
+    pushed_models_ = models;
     pushed_incarnation_ = report.incarnation_;
     const std::string bytes = links::encode(links::make_frame(make_status(models_changed)));
     const auto linked = gateways_; // a link that fails leaves the list
--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -9,6 +9,7 @@
 constexpr time_ms want_limit_ms = 1'200;      // for an adapter to become resident
 constexpr time_ms placement_limit_ms = 8'000; // for the drops and the load of one placement to begin
 constexpr time_ms adapter_hold_ms = 700;      // a wanted adapter stays, so that its request can arrive
+constexpr time_ms going_limit_ms = 10'000;    // for the requests that use an unloaded adapter to end
 constexpr time_ms conflict_pause_ms = 30;     // before an order is given again that met another one
 constexpr time_ms store_load_memory_ms = 20'000;
 constexpr int default_adapter_slots = 8;      // until a placement has told the number
@@ -30,7 +31,17 @@
 
 bool order_book::has_adapter(std::string_view model, std::string_view adapter) const {
     const fleet::held_model* held = find_model(model);
-    return held != nullptr && held->adapters_.contains(adapter);
+    return held != nullptr && held->adapters_.contains(adapter) && !going_.contains(key_of(model, adapter));
+}
+
+std::vector<fleet::held_model> order_book::usable_models() const {
+    std::vector<fleet::held_model> usable = report_->models_;
+    for (fleet::held_model& model : usable) {
+        std::erase_if(model.adapters_, [&](const std::string& adapter) {
+            return going_.contains(key_of(model.name_, adapter));
+        });
+    }
+    return usable;
 }
 
 int order_book::adapters_resident() const {
@@ -65,6 +76,12 @@
         doubtful_.reset(); // it was carried out, or can no longer be
     }
     report_ = given;
+    std::erase_if(going_, [&](const auto& entry) {
+        const fleet::model_reference going = fleet::parse_model_reference(entry.first);
+        const fleet::held_model* held = find_model(going.model_);
+        const bool gone = held == nullptr || !held->adapters_.contains(going.adapter_);
+        return restarted || gone || now - entry.second > going_limit_ms;
+    });
     std::erase_if(store_loads_, [&](time_ms start) { return now - start > store_load_memory_ms; });
     if (placement_ && (find_model(placement_->load_) != nullptr || now > placement_until_)) {
         placement_.reset();
@@ -167,6 +184,9 @@
     time_ms oldest_at = now - adapter_hold_ms;
     for (const fleet::held_model& model : report_->models_) {
         for (const std::string& adapter : model.adapters_) {
+            if (going_.contains(key_of(model.name_, adapter))) {
+                return std::nullopt; // one is about to make way
+            }
             const auto wanted = last_wanted_.find(key_of(model.name_, adapter));
             const time_ms at = wanted == last_wanted_.end() ? 0 : wanted->second;
             if (at < oldest_at) {
@@ -209,6 +229,9 @@
             store_loads_.push_back(now);
         }
         doubtful_.reset();
+        if (!order->load_ && !order->adapter_.empty() && answer == engine::order_answer::accepted) {
+            going_[key_of(order->model_, order->adapter_)] = now;
+        }
         if (report_ && order->adapter_.empty()) {
             report_->busy_ = true; // until the next report
         }
--- a/src/engine_agent/order_book.hpp
+++ b/src/engine_agent/order_book.hpp
@@ -46,6 +46,9 @@
 
     const std::optional<engine::report>& report() const { return report_; }
 
+    // What the engine holds, less the adapters that are about to go.
+    std::vector<fleet::held_model> usable_models() const;
+
     // The model that is being loaded, or that is about to be.
     std::string loading() const;
     bool waits() const { return given_ || !wants_.empty() || placement_; }
@@ -76,6 +79,7 @@
     std::optional<placement> sizes_; // of the last placement; sizes outlive it
     std::vector<want> wants_;
     std::map<std::string, time_ms, std::less<>> last_wanted_; // by "model/adapter"
+    std::map<std::string, time_ms, std::less<>> going_;       // adapters whose unload was accepted
     std::optional<engine::order> given_; // not answered yet
     std::optional<engine::order> doubtful_; // not answered; may still be carried out
     std::deque<time_ms> store_loads_;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -141,8 +141,10 @@
         options.push_back(make_option(*one, now));
     }
     const dispatch::engine_pace& pace = context_.fleet_.pace(service_->name_);
-    const auto chosen =
-        dispatch::choose_endpoint(options, facts_.prompt_tokens_, pace, context_.fleet_.random());
+    // Gateways that choose by the adapter's name bring it to few engines.
+    const std::uint64_t tie_break =
+        facts_.adapter_.empty() ? context_.fleet_.random() : hash64(facts_.model_ + "/" + facts_.adapter_);
+    const auto chosen = dispatch::choose_endpoint(options, facts_.prompt_tokens_, pace, tie_break);
     const auto expected = time_ms(dispatch::expected_first_event_ms(options[*chosen], facts_.prompt_tokens_, pace));
     const bool in_service = maybe_runs_ > 0; // has been admitted before
     if (!in_service && !dispatch::worth_waiting(expected, route_->objective_ms_, left_ms(now))) {
--- a/src/provisioning/plan.cpp
+++ b/src/provisioning/plan.cpp
@@ -28,6 +28,7 @@
     int waiting_ = 0;
 
     double work_per_copy(int copies) const { return work_ / std::max(1, copies); }
+    bool in_demand() const { return work_ > 0 || waiting_ > 0; }
 };
 
 using standings = std::map<std::string, model_standing, std::less<>>;
@@ -83,11 +84,16 @@
         if (found == all.end()) {
             continue;
         }
-        if (found->second.copies_ > 1) {
+        // The last copy of a model that nobody asks for may go if the engine can have it back within a second.
+        const bool parked = wanted.in_demand() && !found->second.in_demand() && engine.nearby_.contains(model);
+        if (found->second.copies_ > 1 || parked) {
             victims.push_back(&found->second);
         }
     }
     std::sort(victims.begin(), victims.end(), [](const model_standing* left, const model_standing* right) {
+        if ((left->copies_ > 1) != (right->copies_ > 1)) {
+            return left->copies_ > 1 && left->work_per_copy(left->copies_ - 1) <= right->work_;
+        }
         return left->work_per_copy(left->copies_ - 1) < right->work_per_copy(right->copies_ - 1);
     });
     const double wanted_after = wanted.work_per_copy(wanted.copies_ + 1);
@@ -96,7 +102,8 @@
             break;
         }
         const bool idle = victim->work_per_copy(victim->copies_ - 1) <= victim_ratio * wanted_after;
-        if (!idle && wanted.copies_ > 0) {
+        const bool missing = wanted.copies_ == 0 && wanted.in_demand();
+        if (!idle && !missing) {
             return std::nullopt;
         }
         drop.push_back(victim->spec_->name_);
@@ -160,8 +167,8 @@
         }
     }
     std::sort(wanted.begin(), wanted.end(), [](const model_standing* left, const model_standing* right) {
-        const bool left_missing = left->copies_ == 0;
-        const bool right_missing = right->copies_ == 0;
+        const bool left_missing = left->copies_ == 0 && left->in_demand();
+        const bool right_missing = right->copies_ == 0 && right->in_demand();
         if (left_missing != right_missing) {
             return left_missing;
         }
