--- a/include/tamarack/dispatch.hpp
+++ b/include/tamarack/dispatch.hpp
@@ -92,7 +92,7 @@
     double memory_use_ = 0;       // share of its KV cache that cannot yield
     double slowness_ = 1;         // its time to the first event against its peers, 1 or more
     double failure_rate_ = 0;     // recent share of failed sends
-    bool adapter_resident_ = true;
+    double adapter_wait_ms_ = 0;  // until the wanted adapter is resident
     bool suspected_ = false;      // did not connect or went silent a moment ago
 };
 
--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -171,6 +171,7 @@
     std::function<void(std::shared_ptr<const configuration>, const std::string& encoded)> configuration_;
     std::function<void(std::vector<endpoint_change>)> endpoints_;
     std::function<void(bool reachable)> registry_; // on each loss and return
+    std::function<void(std::string bytes)> relay_; // what gateways that do not read should get
 };
 
 // Follows the operator's configuration and the registry of endpoints.
@@ -179,6 +180,10 @@
     virtual ~fleet_source() = default;
     virtual void start() = 0;
 
+    // Whether this process reads for itself and relays, or takes what others relay. It reads at first.
+    virtual void set_reads(bool reads) = 0;
+    virtual void take_relayed(const std::string& bytes) = 0;
+
     // Decodes a configuration that a peer relayed. Fails with `invalid`.
     virtual result<std::shared_ptr<const configuration>> decode(const std::string& encoded) const = 0;
 };
--- a/include/tamarack/links.hpp
+++ b/include/tamarack/links.hpp
@@ -20,10 +20,12 @@
 using engine_status = fbs::EngineStatusT;
 using adapter_wanted = fbs::AdapterWantedT;
 using adapter_state = fbs::AdapterStateT;
+using adapter_released = fbs::AdapterReleasedT;
 using placement_order = fbs::PlacementOrderT;
 using model_demand = fbs::ModelDemandT;
 using gateway_digest = fbs::GatewayDigestT;
 using configuration_relay = fbs::ConfigurationRelayT;
+using store_relay = fbs::StoreRelayT;
 using frame = fbs::FrameT;
 
 // Version of the frames; processes of different versions do not talk.
--- a/src/dispatch/choose.cpp
+++ b/src/dispatch/choose.cpp
@@ -8,7 +8,6 @@
 
 constexpr double other_data_centre_ms = 3.0;   // a round trip between neighbouring data centres
 constexpr double running_ms = 0.35;            // growth of the wait with each request in the batch
-constexpr double adapter_load_ms = 60.0;       // an order, the load, and the adapter that makes way
 constexpr double full_memory_ms = 400.0;       // preemption is likely in a full KV cache
 constexpr double memory_limit = 0.85;          // share of the KV cache above which it counts as full
 constexpr double failure_ms = 3'000.0;         // for an endpoint that fails every request
@@ -31,10 +30,7 @@
     if (choice.memory_use_ > memory_limit) {
         expected += full_memory_ms * (choice.memory_use_ - memory_limit) / (1 - memory_limit);
     }
-    if (!choice.adapter_resident_) {
-        expected += adapter_load_ms;
-    }
-    return expected;
+    return expected + choice.adapter_wait_ms_;
 }
 
 std::optional<std::size_t> choose_endpoint(std::span<const option> options, double prompt_tokens,
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -77,6 +77,9 @@
             links::link::events handlers;
             handlers.frame_ = [this, one](const links::frame& received) { take_frame(one, received); };
             handlers.closed_ = [this, one] {
+                for (const auto& [theirs, number] : one->wants_) {
+                    book_.release_adapter(number);
+                }
                 std::erase(gateways_, one);
                 events_.write({event_kind::dependency, "agent", "gateway_lost", {}, {{"gateway", one->id_}}});
             };
@@ -105,19 +108,22 @@
     case links::fbs::Body::AdapterWanted: {
         const links::adapter_wanted& wanted = *received.body.AsAdapterWanted();
         const std::uint64_t number = next_want_++;
+        from->wants_[wanted.number] = number;
         wants_[number] = {from->link_, wanted.number};
         book_.want_adapter(number, wanted.model, wanted.adapter, steady_now_ms());
-        if (book_.report()) {
-            answer_wants(book_.take_report(*book_.report(), steady_now_ms()));
-        }
+        answer_wants(book_.answer_wants(steady_now_ms()));
         give_next();
         return;
     }
+    case links::fbs::Body::AdapterReleased:
+        release(*from, received.body.AsAdapterReleased()->number);
+        return;
     case links::fbs::Body::PlacementOrder:
         take_placement(*received.body.AsPlacementOrder());
         return;
     case links::fbs::Body::GatewayDigest:
     case links::fbs::Body::ConfigurationRelay:
+    case links::fbs::Body::StoreRelay:
         relay(*from, received);
         return;
     default:
@@ -125,6 +131,17 @@
     }
 }
 
+// The gateway's request has ended; the adapter may make way.
+void agent::release(gateway& from, std::uint64_t theirs) {
+    const auto found = from.wants_.find(theirs);
+    if (found == from.wants_.end()) {
+        return;
+    }
+    book_.release_adapter(found->second);
+    wants_.erase(found->second);
+    from.wants_.erase(found);
+}
+
 // The gateway whose placements are taken: the one with the least id that is linked.
 std::string agent::planner() const {
     std::string least;
@@ -181,7 +198,8 @@
         if (named != engine_ids_.end()) {
             report.engine_ = named->second;
         }
-        answer_wants(book_.take_report(report, now));
+        book_.take_report(report, now);
+        answer_wants(book_.answer_wants(now));
         give_next();
     } else if (++failures_ >= failures_until_down) {
         if (reachable_) {
@@ -191,7 +209,7 @@
         reachable_ = false;
         answer_wants(book_.engine_lost());
     }
-    answer_wants(book_.expire_wants(now));
+    answer_wants(book_.answer_wants(now));
     push_status();
     schedule_report();
 }
--- a/src/engine_agent/agent.hpp
+++ b/src/engine_agent/agent.hpp
@@ -24,11 +24,13 @@
     struct gateway {
         std::string id_;
         std::shared_ptr<links::link> link_;
+        std::map<std::uint64_t, std::uint64_t> wants_; // its numbers of wants, and those of this agent
     };
 
     result<done> listen();
     void accept();
     void take_frame(const std::shared_ptr<gateway>& from, const links::frame& received);
+    void release(gateway& from, std::uint64_t theirs);
     void take_placement(const links::placement_order& order);
     void relay(const gateway& from, const links::frame& received);
     std::string planner() const;
--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -8,7 +8,7 @@
 
 constexpr time_ms want_limit_ms = 1'200;      // for an adapter to become resident
 constexpr time_ms placement_limit_ms = 8'000; // for the drops and the load of one placement to begin
-constexpr time_ms adapter_hold_ms = 700;      // a wanted adapter stays, so that its request can arrive
+constexpr time_ms coming_limit_ms = 1'000;    // for an accepted adapter to show in the reports
 constexpr time_ms going_limit_ms = 10'000;    // for the requests that use an unloaded adapter to end
 constexpr time_ms conflict_pause_ms = 30;     // before an order is given again that met another one
 constexpr time_ms store_load_memory_ms = 20'000;
@@ -44,12 +44,34 @@
     return usable;
 }
 
-int order_book::adapters_resident() const {
-    std::size_t count = report_->coming_.size();
+int order_book::adapters_held() const {
+    std::set<std::string> held(report_->coming_);
     for (const fleet::held_model& model : report_->models_) {
-        count += model.adapters_.size();
+        for (const std::string& adapter : model.adapters_) {
+            held.insert(key_of(model.name_, adapter));
+        }
     }
-    return int(count);
+    for (const auto& [key, since] : coming_) {
+        held.insert(key);
+    }
+    return int(held.size());
+}
+
+int order_book::adapter_slots() const {
+    return sizes_ ? sizes_->adapter_slots_ : default_adapter_slots;
+}
+
+bool order_book::adapter_coming(const std::string& key) const {
+    return report_->coming_.contains(key) || coming_.contains(key);
+}
+
+// Whether no request uses or wants the adapter.
+bool order_book::evictable(const std::string& key) const {
+    const bool pinned = std::any_of(pins_.begin(), pins_.end(), [&](const auto& pin) { return pin.second == key; });
+    const bool wanted = std::any_of(wants_.begin(), wants_.end(), [&](const want& one) {
+        return key_of(one.model_, one.adapter_) == key;
+    });
+    return !pinned && !wanted && !going_.contains(key);
 }
 
 double order_book::used_mb() const {
@@ -66,30 +88,47 @@
     return used + largest_adapter * sizes_->adapter_slots_;
 }
 
-std::vector<adapter_answer> order_book::take_report(const engine::report& given, time_ms now) {
+void order_book::take_report(const engine::report& given, time_ms now) {
     const bool restarted = report_ && report_->incarnation_ != given.incarnation_;
     if (restarted) {
         placement_.reset();
         doubtful_.reset();
+        going_.clear();
+        coming_.clear();
+        pins_.clear();
     }
     if (doubtful_ && given.accepted_ > doubtful_->expected_accepted_) {
         doubtful_.reset(); // it was carried out, or can no longer be
     }
     report_ = given;
+    const auto resident = [this](const std::string& key) {
+        const fleet::model_reference reference = fleet::parse_model_reference(key);
+        const fleet::held_model* held = find_model(reference.model_);
+        return held != nullptr && held->adapters_.contains(reference.adapter_);
+    };
     std::erase_if(going_, [&](const auto& entry) {
-        const fleet::model_reference going = fleet::parse_model_reference(entry.first);
-        const fleet::held_model* held = find_model(going.model_);
-        const bool gone = held == nullptr || !held->adapters_.contains(going.adapter_);
-        return restarted || gone || now - entry.second > going_limit_ms;
+        return !resident(entry.first) || now - entry.second > going_limit_ms;
+    });
+    std::erase_if(coming_, [&](const auto& entry) {
+        return resident(entry.first) || now - entry.second > coming_limit_ms;
     });
     std::erase_if(store_loads_, [&](time_ms start) { return now - start > store_load_memory_ms; });
     if (placement_ && (find_model(placement_->load_) != nullptr || now > placement_until_)) {
         placement_.reset();
     }
+}
+
+std::vector<adapter_answer> order_book::answer_wants(time_ms now) {
     std::vector<adapter_answer> answers;
+    if (!report_) {
+        return answers;
+    }
     std::erase_if(wants_, [&](const want& one) {
         const bool ready = has_adapter(one.model_, one.adapter_);
-        const bool hopeless = find_model(one.model_) == nullptr;
+        const bool hopeless = find_model(one.model_) == nullptr || one.until_ <= now;
+        if (ready) {
+            pins_[one.number_] = key_of(one.model_, one.adapter_);
+        }
         if (ready || hopeless) {
             answers.push_back({one.number_, ready});
         }
@@ -104,6 +143,7 @@
         answers.push_back({one.number_, false});
     }
     wants_.clear();
+    pins_.clear();
     placement_.reset();
     return answers;
 }
@@ -120,16 +160,9 @@
     wants_.push_back({number, std::string(model), std::string(adapter), now + want_limit_ms});
 }
 
-std::vector<adapter_answer> order_book::expire_wants(time_ms now) {
-    std::vector<adapter_answer> answers;
-    std::erase_if(wants_, [&](const want& one) {
-        if (one.until_ > now) {
-            return false;
-        }
-        answers.push_back({one.number_, false});
-        return true;
-    });
-    return answers;
+void order_book::release_adapter(std::uint64_t number) {
+    pins_.erase(number);
+    std::erase_if(wants_, [&](const want& one) { return one.number_ == number; });
 }
 
 engine::order order_book::make(bool load, std::string_view model, std::string_view adapter) const {
@@ -164,32 +197,37 @@
     return order;
 }
 
-std::optional<engine::order> order_book::next_adapter_order(time_ms now) {
-    const int slots = sizes_ ? sizes_->adapter_slots_ : default_adapter_slots;
+// An engine that carries out another order refuses those about adapters as well.
+std::optional<engine::order> order_book::next_adapter_order(time_ms) {
+    if (report_->busy_) {
+        return std::nullopt;
+    }
     for (const want& one : wants_) {
-        if (has_adapter(one.model_, one.adapter_) || report_->coming_.contains(key_of(one.model_, one.adapter_))) {
+        const std::string key = key_of(one.model_, one.adapter_);
+        if (has_adapter(one.model_, one.adapter_) || adapter_coming(key) || going_.contains(key)) {
             continue;
         }
-        if (adapters_resident() < slots) {
+        if (adapters_held() < adapter_slots()) {
             return make(true, one.model_, one.adapter_);
         }
-        return evict_adapter(now);
+        return evict_adapter();
     }
     return std::nullopt;
 }
 
-// The adapter that was wanted longest ago makes way.
-std::optional<engine::order> order_book::evict_adapter(time_ms now) {
+// The adapter that was wanted longest ago, and that no request uses, makes way.
+std::optional<engine::order> order_book::evict_adapter() {
     std::optional<engine::order> oldest;
-    time_ms oldest_at = now - adapter_hold_ms;
+    time_ms oldest_at = 0;
     for (const fleet::held_model& model : report_->models_) {
         for (const std::string& adapter : model.adapters_) {
-            if (going_.contains(key_of(model.name_, adapter))) {
-                return std::nullopt; // one is about to make way
+            const std::string key = key_of(model.name_, adapter);
+            if (!evictable(key)) {
+                continue;
             }
-            const auto wanted = last_wanted_.find(key_of(model.name_, adapter));
+            const auto wanted = last_wanted_.find(key);
             const time_ms at = wanted == last_wanted_.end() ? 0 : wanted->second;
-            if (at < oldest_at) {
+            if (!oldest || at < oldest_at) {
                 oldest_at = at;
                 oldest = make(false, model.name_, adapter);
             }
@@ -229,8 +267,11 @@
             store_loads_.push_back(now);
         }
         doubtful_.reset();
-        if (!order->load_ && !order->adapter_.empty() && answer == engine::order_answer::accepted) {
-            going_[key_of(order->model_, order->adapter_)] = now;
+        if (!order->adapter_.empty()) {
+            (order->load_ ? coming_ : going_)[key_of(order->model_, order->adapter_)] = now;
+        }
+        if (report_) {
+            ++report_->accepted_;
         }
         if (report_ && order->adapter_.empty()) {
             report_->busy_ = true; // until the next report
--- a/src/engine_agent/order_book.hpp
+++ b/src/engine_agent/order_book.hpp
@@ -27,8 +27,8 @@
 public:
     explicit order_book(std::string holder) : holder_(std::move(holder)) {}
 
-    // The newest report of the engine. Returns the wants that it answers.
-    std::vector<adapter_answer> take_report(const engine::report& given, time_ms now);
+    // The newest report of the engine.
+    void take_report(const engine::report& given, time_ms now);
 
     // The engine cannot be reached; every want fails.
     std::vector<adapter_answer> engine_lost();
@@ -36,9 +36,12 @@
     // A new placement replaces one that has not begun.
     void take_placement(placement wanted, time_ms now);
 
-    // Numbers of wants are the caller's.
+    // Numbers of wants are the caller's. An adapter that was answered as ready stays until its release.
     void want_adapter(std::uint64_t want, std::string_view model, std::string_view adapter, time_ms now);
-    std::vector<adapter_answer> expire_wants(time_ms now);
+    void release_adapter(std::uint64_t want);
+
+    // Wants that can be answered now: met, expired, or hopeless.
+    std::vector<adapter_answer> answer_wants(time_ms now);
 
     // The next order to give, if any. It counts as given until `answered`.
     std::optional<engine::order> next(time_ms now);
@@ -66,10 +69,13 @@
 
     engine::order make(bool load, std::string_view model, std::string_view adapter) const;
     std::optional<engine::order> next_adapter_order(time_ms now);
-    std::optional<engine::order> evict_adapter(time_ms now);
+    std::optional<engine::order> evict_adapter();
     std::optional<engine::order> next_placement_order();
     double used_mb() const;
-    int adapters_resident() const;
+    int adapters_held() const;
+    int adapter_slots() const;
+    bool adapter_coming(const std::string& key) const;
+    bool evictable(const std::string& key) const;
     const fleet::held_model* find_model(std::string_view name) const;
     bool has_adapter(std::string_view model, std::string_view adapter) const;
 
@@ -80,6 +86,8 @@
     std::vector<want> wants_;
     std::map<std::string, time_ms, std::less<>> last_wanted_; // by "model/adapter"
     std::map<std::string, time_ms, std::less<>> going_;       // adapters whose unload was accepted
+    std::map<std::string, time_ms, std::less<>> coming_;      // adapters whose load was accepted
+    std::map<std::uint64_t, std::string> pins_;               // wants that were met, until their release
     std::optional<engine::order> given_; // not answered yet
     std::optional<engine::order> doubtful_; // not answered; may still be carried out
     std::deque<time_ms> store_loads_;
--- a/src/gateway/agent_links.cpp
+++ b/src/gateway/agent_links.cpp
@@ -147,6 +147,9 @@
     case links::fbs::Body::GatewayDigest:
         handlers_.digest_(*received.body.AsGatewayDigest());
         return;
+    case links::fbs::Body::StoreRelay:
+        handlers_.store_(*received.body.AsStoreRelay());
+        return;
     case links::fbs::Body::ConfigurationRelay:
         handlers_.configuration_(*received.body.AsConfigurationRelay());
         return;
@@ -203,20 +206,35 @@
     }
 }
 
-void agent_links::want_adapter(endpoint& at, const std::string& model, const std::string& adapter,
-                               std::function<void(bool ready)> done) {
+std::uint64_t agent_links::want_adapter(endpoint& at, const std::string& model, const std::string& adapter,
+                                        std::function<void(bool ready)> done) {
+    const std::uint64_t number = next_want_++;
     const auto found = agents_.find(at.record().id_);
     if (found == agents_.end() || !found->second->link_) {
-        asio::post(fleet_.executor_, [done = std::move(done)] { done(false); });
-        return;
+        if (done) {
+            asio::post(fleet_.executor_, [done = std::move(done)] { done(false); });
+        }
+        return number;
+    }
+    if (done) {
+        wants_[number] = {at.record().id_, steady_now_ms() + adapter_limit_ms, std::move(done)};
     }
-    const std::uint64_t number = next_want_++;
-    wants_[number] = {at.record().id_, steady_now_ms() + adapter_limit_ms, std::move(done)};
     links::adapter_wanted wanted;
     wanted.number = number;
     wanted.model = model;
     wanted.adapter = adapter;
     found->second->link_->send(links::make_frame(wanted));
+    return number;
+}
+
+void agent_links::release_adapter(std::string_view endpoint, std::uint64_t number) {
+    wants_.erase(number);
+    const auto found = agents_.find(endpoint);
+    if (found != agents_.end() && found->second->link_) {
+        links::adapter_released released;
+        released.number = number;
+        found->second->link_->send(links::make_frame(released));
+    }
 }
 
 void agent_links::take_adapter_state(const links::adapter_state& state) {
--- a/src/gateway/agent_links.hpp
+++ b/src/gateway/agent_links.hpp
@@ -12,6 +12,7 @@
 struct agent_link_events {
     std::function<void(const links::gateway_digest&)> digest_;
     std::function<void(const links::configuration_relay&)> configuration_;
+    std::function<void(const links::store_relay&)> store_;
 };
 
 class agent_links {
@@ -23,8 +24,10 @@
     void tick(time_ms now);
     static constexpr time_ms tick_ms = 250;
 
-    void want_adapter(endpoint& at, const std::string& model, const std::string& adapter,
-                      std::function<void(bool ready)> done);
+    // Asks for an adapter and keeps it resident until its release. `done` may be empty. Returns the number.
+    std::uint64_t want_adapter(endpoint& at, const std::string& model, const std::string& adapter,
+                               std::function<void(bool ready)> done);
+    void release_adapter(std::string_view endpoint, std::uint64_t number);
 
     // Sends an order of the planner. Returns whether the agent is linked.
     bool order(std::string_view engine, const links::placement_order& one);
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -42,7 +42,11 @@
                             take_configuration(value(decoded), encoded);
                         }
                     });
-                }}),
+                },
+                [this](std::string bytes) {
+                    asio::post(context_, [this, bytes = std::move(bytes)] { source_->take_relayed(bytes); });
+                },
+                [this](bool reads) { asio::post(context_, [this, reads] { source_->set_reads(reads); }); }}),
       admin_(context_, http::server_limits(),
              [this](http::exchange& current) -> asio::awaitable<void> { co_await handle_admin(current); }),
       metrics_server_(context_, http::server_limits(),
@@ -56,6 +60,7 @@
     };
     handlers.endpoints_ = [this](const std::vector<fleet::endpoint_change>& changes) { take_endpoints(changes); };
     handlers.registry_ = [this](bool reachable) { note_registry(reachable); };
+    handlers.relay_ = [this](std::string bytes) { traffic_.relay_store(std::move(bytes)); };
     source_ = (*registry<fleet::fleet_source_factory>::instance().find(settings.platform_))(
         context_, settings.store_, std::move(handlers));
 }
@@ -95,7 +100,9 @@
 
 void control::take_endpoints(const std::vector<fleet::endpoint_change>& changes) {
     const time_ms now = steady_now_ms();
-    endpoints_known_ = true;
+    if (!std::exchange(endpoints_known_, true)) {
+        traffic_.set_store_reachable(true);
+    }
     for (const fleet::endpoint_change& change : changes) {
         directory_.apply(change, now);
     }
@@ -105,6 +112,7 @@
 
 void control::note_registry(bool reachable) {
     const time_ms now = steady_now_ms();
+    traffic_.set_store_reachable(reachable);
     if (reachable) {
         directory_.registry_returned(now);
     } else {
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -19,6 +19,9 @@
     // The gateway with the least id plans. One that has just started listens to the others first.
     bool plans_here(time_ms now, time_ms started_at) const;
 
+    // Whether this gateway is one of the few that read the store for all.
+    bool reads_store(bool reachable_here, time_ms now) const;
+
     // Demand over all gateways.
     std::map<std::string, provisioning::model_need, std::less<>>
     needs(const std::map<std::string, demand_meter::level>& own, time_ms now) const;
@@ -30,6 +33,7 @@
     struct peer {
         time_ms heard_at_ = 0;
         std::int64_t version_ = -1;
+        bool store_reachable_ = false;
         std::map<std::string, demand_meter::level> demand_;
     };
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -335,6 +335,7 @@
     context_.measures_.observe_ms("tamarack_request_ms", "From arrival to the end of the answer",
                                   {{"rank", rank}}, double(now - arrived_at_));
     sending_ = nullptr;
+    release_adapter();
     if (exchange_) {
         std::exchange(exchange_, nullptr)->abandon();
     }
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -14,6 +14,9 @@
 constexpr time_ms no_endpoint_return_ms = 1'000;   // until an endpoint registers
 constexpr time_ms fresh_connection_ms = 400;       // idle time after which an endpoint may have dropped it
 constexpr time_ms stale_report_ms = 900;           // several reports; the engine's machine may stand still
+constexpr double free_adapter_ms = 40;             // an order and the load of one adapter
+constexpr double full_adapter_ms = 90;             // the same, and an adapter that makes way
+constexpr double busy_adapter_ms = 1'500;          // an engine that carries out another order comes first
 constexpr int status_not_found = 404;
 constexpr int status_bad_request = 400;
 constexpr int least_urgent = 9;
@@ -118,11 +121,25 @@
     option.suspected_ = one.health_.suspected(now) || silent || (one.engine_.known_ && !one.engine_.reachable_);
     if (!facts_.adapter_.empty()) {
         const fleet::held_model* model = one.find_model(facts_.model_);
-        option.adapter_resident_ = model != nullptr && model->adapters_.contains(facts_.adapter_);
+        if (model == nullptr || !model->adapters_.contains(facts_.adapter_)) {
+            option.adapter_wait_ms_ = adapter_wait_ms(one);
+        }
     }
     return option;
 }
 
+// Time until an engine that lacks the adapter has it.
+double request_flow::adapter_wait_ms(const endpoint& one) const {
+    if (one.engine_.busy_) {
+        return busy_adapter_ms;
+    }
+    std::size_t resident = 0;
+    for (const fleet::held_model& model : one.models()) {
+        resident += model.adapters_.size();
+    }
+    return int(resident) < service_->engine_->adapter_slots_ ? free_adapter_ms : full_adapter_ms;
+}
+
 void request_flow::try_next() {
     const time_ms now = steady_now_ms();
     const auto usable = usable_endpoints();
@@ -182,15 +199,22 @@
     }
 }
 
-// Makes sure that the adapter is resident before the request is sent.
+// Makes sure that the adapter is resident, and stays, before the request is sent.
 void request_flow::prepare(std::shared_ptr<endpoint> target) {
     const fleet::held_model* model = target->find_model(facts_.model_);
-    if (facts_.adapter_.empty() || model == nullptr || model->adapters_.contains(facts_.adapter_)) {
+    if (facts_.adapter_.empty() || model == nullptr) {
+        send(target);
+        return;
+    }
+    release_adapter();
+    adapter_endpoint_ = target->record().id_;
+    if (model->adapters_.contains(facts_.adapter_)) {
+        adapter_want_ = context_.want_adapter_(*target, facts_.model_, facts_.adapter_, nullptr);
         send(target);
         return;
     }
     const auto self = shared_from_this();
-    context_.want_adapter_(*target, facts_.model_, facts_.adapter_, [self, target](bool ready) {
+    adapter_want_ = context_.want_adapter_(*target, facts_.model_, facts_.adapter_, [self, target](bool ready) {
         if (self->finished_) {
             return;
         }
@@ -203,6 +227,12 @@
     });
 }
 
+void request_flow::release_adapter() {
+    if (!adapter_endpoint_.empty()) {
+        context_.release_adapter_(std::exchange(adapter_endpoint_, {}), adapter_want_);
+    }
+}
+
 void request_flow::send(const std::shared_ptr<endpoint>& target) {
     const time_ms now = steady_now_ms();
     tried_.insert(target->record().id_);
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -17,10 +17,11 @@
     metrics& measures_;
     event_log& events_;
 
-    // Asks the agent of an engine to make an adapter resident.
-    std::function<void(endpoint&, const std::string& model, const std::string& adapter,
-                       std::function<void(bool ready)>)>
+    // Asks the agent of an engine to make an adapter resident and to keep it; returns the number of the want.
+    std::function<std::uint64_t(endpoint&, const std::string& model, const std::string& adapter,
+                                std::function<void(bool ready)>)>
         want_adapter_;
+    std::function<void(std::string_view endpoint, std::uint64_t number)> release_adapter_;
 };
 
 // Counts a sending at its endpoint for as long as it lives.
@@ -59,9 +60,11 @@
     void try_next();
     std::vector<std::shared_ptr<endpoint>> usable_endpoints() const;
     dispatch::option make_option(const endpoint& one, time_ms now) const;
+    double adapter_wait_ms(const endpoint& one) const;
     void hold_for_model();
     void stop_holding();
     void prepare(std::shared_ptr<endpoint> target);
+    void release_adapter();
     void send(const std::shared_ptr<endpoint>& target);
 
     bool streams(const http::response_parser& answer) const;
@@ -102,6 +105,8 @@
     std::shared_ptr<exchange> exchange_;
     std::unique_ptr<open_sending> sending_;
     event_splitter splitter_;
+    std::string adapter_endpoint_; // that keeps the adapter for this request
+    std::uint64_t adapter_want_ = 0;
     std::function<void()> on_finished_;
     int arrivals_ = 0;      // sendings that reached an endpoint
     int maybe_runs_ = 0;    // of these, not confirmed as not run
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -37,11 +37,17 @@
                    if (current == nullptr || relay.version > current->configuration_->version_) {
                        handlers_.relayed_configuration_(relay.encoded);
                    }
+               },
+               [this](const links::store_relay& relay) {
+                   handlers_.store_relay_({relay.bytes.begin(), relay.bytes.end()});
                }}),
       flows_{fleet_, measures, events,
              [this](endpoint& at, const std::string& model, const std::string& adapter,
                     std::function<void(bool)> done) {
-                 agents_.want_adapter(at, model, adapter, std::move(done));
+                 return agents_.want_adapter(at, model, adapter, std::move(done));
+             },
+             [this](std::string_view endpoint, std::uint64_t number) {
+                 agents_.release_adapter(endpoint, number);
              }},
       started_at_(steady_now_ms()) {
     host_.limits_ = [this] {
@@ -115,6 +121,15 @@
     asio::post(context_, [this, records = std::move(records)] { fleet_.take_endpoints(records); });
 }
 
+void traffic::relay_store(std::string bytes) {
+    asio::post(context_, [this, bytes = std::move(bytes)] {
+        links::store_relay relay;
+        relay.from = settings_.id_;
+        relay.bytes.assign(bytes.begin(), bytes.end());
+        agents_.relay(links::make_frame(std::move(relay)));
+    });
+}
+
 void traffic::give_orders(std::vector<planned_order> orders) {
     asio::post(context_, [this, orders = std::move(orders)] {
         for (const planned_order& one : orders) {
@@ -139,6 +154,13 @@
     if (ticks_ % ticks_per_relay == 0) {
         relay_configuration();
     }
+    const bool reads = peers_.reads_store(store_reachable_, now);
+    if (reads != reads_store_) {
+        reads_store_ = reads;
+        events_.write({event_kind::belief, "gateway", reads ? "reads_store" : "leaves_reading_to_others", {},
+                       {{"gateways", peers_.count(now)}}});
+        handlers_.reads_store_(reads);
+    }
     const bool plans = peers_.plans_here(now, started_at_) && !leaving_;
     if (plans != planned_) {
         planned_ = plans;
@@ -168,6 +190,7 @@
     digest.from = settings_.id_;
     digest.incarnation = incarnation_;
     digest.configuration_version = fleet_.current() ? fleet_.current()->configuration_->version_ : -1;
+    digest.store_reachable = store_reachable_;
     for (const auto& [model, level] : fleet_.demand_.levels(now)) {
         auto demand = std::make_unique<links::model_demand>();
         demand->model = model;
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -19,6 +19,8 @@
 struct traffic_events {
     std::function<void(std::shared_ptr<const fleet_snapshot>)> plan_;      // while this gateway plans
     std::function<void(std::string encoded)> relayed_configuration_;       // newer than the one in force
+    std::function<void(std::string bytes)> store_relay_;                   // what another gateway read
+    std::function<void(bool reads)> reads_store_;                          // whether this gateway is to read
 };
 
 class traffic {
@@ -35,6 +37,8 @@
     // From any thread.
     void set_configuration(std::shared_ptr<const configured> given, std::string encoded);
     void set_endpoints(std::map<std::string, fleet::endpoint_record, std::less<>> records);
+    void relay_store(std::string bytes);
+    void set_store_reachable(bool reachable) { store_reachable_ = reachable; }
     void give_orders(std::vector<planned_order> orders);
     void drain();
     void close_idle();
@@ -70,7 +74,9 @@
     std::int64_t ticks_ = 0;
     std::atomic<std::int64_t> in_service_ = 0;
     std::atomic<bool> leaving_ = false;
+    std::atomic<bool> store_reachable_ = false;
     bool planned_ = false;
+    bool reads_store_ = true;
 };
 
 } // namespace tamarack::gateway
--- a/src/links/link_generated.h
+++ b/src/links/link_generated.h
@@ -37,6 +37,10 @@
 struct AdapterStateBuilder;
 struct AdapterStateT;
 
+struct AdapterReleased;
+struct AdapterReleasedBuilder;
+struct AdapterReleasedT;
+
 struct PlacementOrder;
 struct PlacementOrderBuilder;
 struct PlacementOrderT;
@@ -49,6 +53,10 @@
 struct GatewayDigestBuilder;
 struct GatewayDigestT;
 
+struct StoreRelay;
+struct StoreRelayBuilder;
+struct StoreRelayT;
+
 struct ConfigurationRelay;
 struct ConfigurationRelayBuilder;
 struct ConfigurationRelayT;
@@ -63,44 +71,50 @@
   EngineStatus = 2,
   AdapterWanted = 3,
   AdapterState = 4,
-  PlacementOrder = 5,
-  GatewayDigest = 6,
-  ConfigurationRelay = 7,
+  AdapterReleased = 5,
+  PlacementOrder = 6,
+  GatewayDigest = 7,
+  ConfigurationRelay = 8,
+  StoreRelay = 9,
   MIN = NONE,
-  MAX = ConfigurationRelay
+  MAX = StoreRelay
 };
 
-inline const Body (&EnumValuesBody())[8] {
+inline const Body (&EnumValuesBody())[10] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
     Body::EngineStatus,
     Body::AdapterWanted,
     Body::AdapterState,
+    Body::AdapterReleased,
     Body::PlacementOrder,
     Body::GatewayDigest,
-    Body::ConfigurationRelay
+    Body::ConfigurationRelay,
+    Body::StoreRelay
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[9] = {
+  static const char * const names[11] = {
     "NONE",
     "Hello",
     "EngineStatus",
     "AdapterWanted",
     "AdapterState",
+    "AdapterReleased",
     "PlacementOrder",
     "GatewayDigest",
     "ConfigurationRelay",
+    "StoreRelay",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ConfigurationRelay)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::StoreRelay)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -125,6 +139,10 @@
   static const Body enum_value = Body::AdapterState;
 };
 
+template<> struct BodyTraits<tamarack::links::fbs::AdapterReleased> {
+  static const Body enum_value = Body::AdapterReleased;
+};
+
 template<> struct BodyTraits<tamarack::links::fbs::PlacementOrder> {
   static const Body enum_value = Body::PlacementOrder;
 };
@@ -137,6 +155,10 @@
   static const Body enum_value = Body::ConfigurationRelay;
 };
 
+template<> struct BodyTraits<tamarack::links::fbs::StoreRelay> {
+  static const Body enum_value = Body::StoreRelay;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -157,6 +179,10 @@
   static const Body enum_value = Body::AdapterState;
 };
 
+template<> struct BodyUnionTraits<tamarack::links::fbs::AdapterReleasedT> {
+  static const Body enum_value = Body::AdapterReleased;
+};
+
 template<> struct BodyUnionTraits<tamarack::links::fbs::PlacementOrderT> {
   static const Body enum_value = Body::PlacementOrder;
 };
@@ -169,6 +195,10 @@
   static const Body enum_value = Body::ConfigurationRelay;
 };
 
+template<> struct BodyUnionTraits<tamarack::links::fbs::StoreRelayT> {
+  static const Body enum_value = Body::StoreRelay;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -231,6 +261,14 @@
     return type == Body::AdapterState ?
       reinterpret_cast<const tamarack::links::fbs::AdapterStateT *>(value) : nullptr;
   }
+  tamarack::links::fbs::AdapterReleasedT *AsAdapterReleased() {
+    return type == Body::AdapterReleased ?
+      reinterpret_cast<tamarack::links::fbs::AdapterReleasedT *>(value) : nullptr;
+  }
+  const tamarack::links::fbs::AdapterReleasedT *AsAdapterReleased() const {
+    return type == Body::AdapterReleased ?
+      reinterpret_cast<const tamarack::links::fbs::AdapterReleasedT *>(value) : nullptr;
+  }
   tamarack::links::fbs::PlacementOrderT *AsPlacementOrder() {
     return type == Body::PlacementOrder ?
       reinterpret_cast<tamarack::links::fbs::PlacementOrderT *>(value) : nullptr;
@@ -255,6 +293,14 @@
     return type == Body::ConfigurationRelay ?
       reinterpret_cast<const tamarack::links::fbs::ConfigurationRelayT *>(value) : nullptr;
   }
+  tamarack::links::fbs::StoreRelayT *AsStoreRelay() {
+    return type == Body::StoreRelay ?
+      reinterpret_cast<tamarack::links::fbs::StoreRelayT *>(value) : nullptr;
+  }
+  const tamarack::links::fbs::StoreRelayT *AsStoreRelay() const {
+    return type == Body::StoreRelay ?
+      reinterpret_cast<const tamarack::links::fbs::StoreRelayT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -895,6 +941,64 @@
 
 flatbuffers::Offset<AdapterState> CreateAdapterState(flatbuffers::FlatBufferBuilder &_fbb, const AdapterStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct AdapterReleasedT : public flatbuffers::NativeTable {
+  typedef AdapterReleased TableType;
+  uint64_t number = 0;
+};
+
+struct AdapterReleased FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AdapterReleasedT NativeTableType;
+  typedef AdapterReleasedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           verifier.EndTable();
+  }
+  AdapterReleasedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AdapterReleasedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AdapterReleased> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdapterReleasedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AdapterReleasedBuilder {
+  typedef AdapterReleased Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(AdapterReleased::VT_NUMBER, number, 0);
+  }
+  explicit AdapterReleasedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AdapterReleased> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AdapterReleased>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AdapterReleased> CreateAdapterReleased(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0) {
+  AdapterReleasedBuilder builder_(_fbb);
+  builder_.add_number(number);
+  return builder_.Finish();
+}
+
+struct AdapterReleased::Traits {
+  using type = AdapterReleased;
+  static auto constexpr Create = CreateAdapterReleased;
+};
+
+flatbuffers::Offset<AdapterReleased> CreateAdapterReleased(flatbuffers::FlatBufferBuilder &_fbb, const AdapterReleasedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct PlacementOrderT : public flatbuffers::NativeTable {
   typedef PlacementOrder TableType;
   std::string planner{};
@@ -1205,6 +1309,7 @@
   uint64_t incarnation = 0;
   int64_t age_ms = 0;
   int64_t configuration_version = 0;
+  bool store_reachable = false;
   std::vector<std::unique_ptr<tamarack::links::fbs::ModelDemandT>> demand{};
   GatewayDigestT() = default;
   GatewayDigestT(const GatewayDigestT &o);
@@ -1221,7 +1326,8 @@
     VT_INCARNATION = 6,
     VT_AGE_MS = 8,
     VT_CONFIGURATION_VERSION = 10,
-    VT_DEMAND = 12
+    VT_STORE_REACHABLE = 12,
+    VT_DEMAND = 14
   };
   const flatbuffers::String *from() const {
     return GetPointer<const flatbuffers::String *>(VT_FROM);
@@ -1235,6 +1341,9 @@
   int64_t configuration_version() const {
     return GetField<int64_t>(VT_CONFIGURATION_VERSION, 0);
   }
+  bool store_reachable() const {
+    return GetField<uint8_t>(VT_STORE_REACHABLE, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>> *demand() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>> *>(VT_DEMAND);
   }
@@ -1245,6 +1354,7 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_REACHABLE, 1) &&
            VerifyOffset(verifier, VT_DEMAND) &&
            verifier.VerifyVector(demand()) &&
            verifier.VerifyVectorOfTables(demand()) &&
@@ -1271,6 +1381,9 @@
   void add_configuration_version(int64_t configuration_version) {
     fbb_.AddElement<int64_t>(GatewayDigest::VT_CONFIGURATION_VERSION, configuration_version, 0);
   }
+  void add_store_reachable(bool store_reachable) {
+    fbb_.AddElement<uint8_t>(GatewayDigest::VT_STORE_REACHABLE, static_cast<uint8_t>(store_reachable), 0);
+  }
   void add_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>>> demand) {
     fbb_.AddOffset(GatewayDigest::VT_DEMAND, demand);
   }
@@ -1291,6 +1404,7 @@
     uint64_t incarnation = 0,
     int64_t age_ms = 0,
     int64_t configuration_version = 0,
+    bool store_reachable = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>>> demand = 0) {
   GatewayDigestBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
@@ -1298,6 +1412,7 @@
   builder_.add_incarnation(incarnation);
   builder_.add_demand(demand);
   builder_.add_from(from);
+  builder_.add_store_reachable(store_reachable);
   return builder_.Finish();
 }
 
@@ -1312,6 +1427,7 @@
     uint64_t incarnation = 0,
     int64_t age_ms = 0,
     int64_t configuration_version = 0,
+    bool store_reachable = false,
     const std::vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>> *demand = nullptr) {
   auto from__ = from ? _fbb.CreateString(from) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>>(*demand) : 0;
@@ -1321,11 +1437,95 @@
       incarnation,
       age_ms,
       configuration_version,
+      store_reachable,
       demand__);
 }
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct StoreRelayT : public flatbuffers::NativeTable {
+  typedef StoreRelay TableType;
+  std::string from{};
+  std::vector<uint8_t> bytes{};
+};
+
+struct StoreRelay FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreRelayT NativeTableType;
+  typedef StoreRelayBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FROM = 4,
+    VT_BYTES = 6
+  };
+  const flatbuffers::String *from() const {
+    return GetPointer<const flatbuffers::String *>(VT_FROM);
+  }
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_FROM) &&
+           verifier.VerifyString(from()) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           verifier.EndTable();
+  }
+  StoreRelayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StoreRelayT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StoreRelay> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreRelayT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StoreRelayBuilder {
+  typedef StoreRelay Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_from(flatbuffers::Offset<flatbuffers::String> from) {
+    fbb_.AddOffset(StoreRelay::VT_FROM, from);
+  }
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(StoreRelay::VT_BYTES, bytes);
+  }
+  explicit StoreRelayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreRelay> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreRelay>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreRelay> CreateStoreRelay(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> from = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+  StoreRelayBuilder builder_(_fbb);
+  builder_.add_bytes(bytes);
+  builder_.add_from(from);
+  return builder_.Finish();
+}
+
+struct StoreRelay::Traits {
+  using type = StoreRelay;
+  static auto constexpr Create = CreateStoreRelay;
+};
+
+inline flatbuffers::Offset<StoreRelay> CreateStoreRelayDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *from = nullptr,
+    const std::vector<uint8_t> *bytes = nullptr) {
+  auto from__ = from ? _fbb.CreateString(from) : 0;
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  return tamarack::links::fbs::CreateStoreRelay(
+      _fbb,
+      from__,
+      bytes__);
+}
+
+flatbuffers::Offset<StoreRelay> CreateStoreRelay(flatbuffers::FlatBufferBuilder &_fbb, const StoreRelayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ConfigurationRelayT : public flatbuffers::NativeTable {
   typedef ConfigurationRelay TableType;
   int64_t version = 0;
@@ -1439,6 +1639,9 @@
   const tamarack::links::fbs::AdapterState *body_as_AdapterState() const {
     return body_type() == tamarack::links::fbs::Body::AdapterState ? static_cast<const tamarack::links::fbs::AdapterState *>(body()) : nullptr;
   }
+  const tamarack::links::fbs::AdapterReleased *body_as_AdapterReleased() const {
+    return body_type() == tamarack::links::fbs::Body::AdapterReleased ? static_cast<const tamarack::links::fbs::AdapterReleased *>(body()) : nullptr;
+  }
   const tamarack::links::fbs::PlacementOrder *body_as_PlacementOrder() const {
     return body_type() == tamarack::links::fbs::Body::PlacementOrder ? static_cast<const tamarack::links::fbs::PlacementOrder *>(body()) : nullptr;
   }
@@ -1448,6 +1651,9 @@
   const tamarack::links::fbs::ConfigurationRelay *body_as_ConfigurationRelay() const {
     return body_type() == tamarack::links::fbs::Body::ConfigurationRelay ? static_cast<const tamarack::links::fbs::ConfigurationRelay *>(body()) : nullptr;
   }
+  const tamarack::links::fbs::StoreRelay *body_as_StoreRelay() const {
+    return body_type() == tamarack::links::fbs::Body::StoreRelay ? static_cast<const tamarack::links::fbs::StoreRelay *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1476,6 +1682,10 @@
   return body_as_AdapterState();
 }
 
+template<> inline const tamarack::links::fbs::AdapterReleased *Frame::body_as<tamarack::links::fbs::AdapterReleased>() const {
+  return body_as_AdapterReleased();
+}
+
 template<> inline const tamarack::links::fbs::PlacementOrder *Frame::body_as<tamarack::links::fbs::PlacementOrder>() const {
   return body_as_PlacementOrder();
 }
@@ -1488,6 +1698,10 @@
   return body_as_ConfigurationRelay();
 }
 
+template<> inline const tamarack::links::fbs::StoreRelay *Frame::body_as<tamarack::links::fbs::StoreRelay>() const {
+  return body_as_StoreRelay();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1760,6 +1974,32 @@
       _ready);
 }
 
+inline AdapterReleasedT *AdapterReleased::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AdapterReleasedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AdapterReleased::UnPackTo(AdapterReleasedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+}
+
+inline flatbuffers::Offset<AdapterReleased> AdapterReleased::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdapterReleasedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAdapterReleased(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AdapterReleased> CreateAdapterReleased(flatbuffers::FlatBufferBuilder &_fbb, const AdapterReleasedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdapterReleasedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  return tamarack::links::fbs::CreateAdapterReleased(
+      _fbb,
+      _number);
+}
+
 inline PlacementOrderT *PlacementOrder::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<PlacementOrderT>();
   UnPackTo(_o.get(), _resolver);
@@ -1852,7 +2092,8 @@
       : from(o.from),
         incarnation(o.incarnation),
         age_ms(o.age_ms),
-        configuration_version(o.configuration_version) {
+        configuration_version(o.configuration_version),
+        store_reachable(o.store_reachable) {
   demand.reserve(o.demand.size());
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new tamarack::links::fbs::ModelDemandT(*demand_) : nullptr); }
 }
@@ -1862,6 +2103,7 @@
   std::swap(incarnation, o.incarnation);
   std::swap(age_ms, o.age_ms);
   std::swap(configuration_version, o.configuration_version);
+  std::swap(store_reachable, o.store_reachable);
   std::swap(demand, o.demand);
   return *this;
 }
@@ -1879,6 +2121,7 @@
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = configuration_version(); _o->configuration_version = _e; }
+  { auto _e = store_reachable(); _o->store_reachable = _e; }
   { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<tamarack::links::fbs::ModelDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -1894,6 +2137,7 @@
   auto _incarnation = _o->incarnation;
   auto _age_ms = _o->age_ms;
   auto _configuration_version = _o->configuration_version;
+  auto _store_reachable = _o->store_reachable;
   auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateModelDemand(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
   return tamarack::links::fbs::CreateGatewayDigest(
       _fbb,
@@ -1901,9 +2145,39 @@
       _incarnation,
       _age_ms,
       _configuration_version,
+      _store_reachable,
       _demand);
 }
 
+inline StoreRelayT *StoreRelay::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StoreRelayT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StoreRelay::UnPackTo(StoreRelayT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = from(); if (_e) _o->from = _e->str(); }
+  { auto _e = bytes(); if (_e) { _o->bytes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->bytes.begin()); } }
+}
+
+inline flatbuffers::Offset<StoreRelay> StoreRelay::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreRelayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStoreRelay(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StoreRelay> CreateStoreRelay(flatbuffers::FlatBufferBuilder &_fbb, const StoreRelayT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StoreRelayT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _from = _o->from.empty() ? 0 : _fbb.CreateString(_o->from);
+  auto _bytes = _o->bytes.size() ? _fbb.CreateVector(_o->bytes) : 0;
+  return tamarack::links::fbs::CreateStoreRelay(
+      _fbb,
+      _from,
+      _bytes);
+}
+
 inline ConfigurationRelayT *ConfigurationRelay::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<ConfigurationRelayT>();
   UnPackTo(_o.get(), _resolver);
@@ -1983,6 +2257,10 @@
       auto ptr = reinterpret_cast<const tamarack::links::fbs::AdapterState *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::AdapterReleased: {
+      auto ptr = reinterpret_cast<const tamarack::links::fbs::AdapterReleased *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case Body::PlacementOrder: {
       auto ptr = reinterpret_cast<const tamarack::links::fbs::PlacementOrder *>(obj);
       return verifier.VerifyTable(ptr);
@@ -1995,6 +2273,10 @@
       auto ptr = reinterpret_cast<const tamarack::links::fbs::ConfigurationRelay *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::StoreRelay: {
+      auto ptr = reinterpret_cast<const tamarack::links::fbs::StoreRelay *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2030,6 +2312,10 @@
       auto ptr = reinterpret_cast<const tamarack::links::fbs::AdapterState *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::AdapterReleased: {
+      auto ptr = reinterpret_cast<const tamarack::links::fbs::AdapterReleased *>(obj);
+      return ptr->UnPack(resolver);
+    }
     case Body::PlacementOrder: {
       auto ptr = reinterpret_cast<const tamarack::links::fbs::PlacementOrder *>(obj);
       return ptr->UnPack(resolver);
@@ -2042,6 +2328,10 @@
       auto ptr = reinterpret_cast<const tamarack::links::fbs::ConfigurationRelay *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::StoreRelay: {
+      auto ptr = reinterpret_cast<const tamarack::links::fbs::StoreRelay *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2065,6 +2355,10 @@
       auto ptr = reinterpret_cast<const tamarack::links::fbs::AdapterStateT *>(value);
       return CreateAdapterState(_fbb, ptr, _rehasher).Union();
     }
+    case Body::AdapterReleased: {
+      auto ptr = reinterpret_cast<const tamarack::links::fbs::AdapterReleasedT *>(value);
+      return CreateAdapterReleased(_fbb, ptr, _rehasher).Union();
+    }
     case Body::PlacementOrder: {
       auto ptr = reinterpret_cast<const tamarack::links::fbs::PlacementOrderT *>(value);
       return CreatePlacementOrder(_fbb, ptr, _rehasher).Union();
@@ -2077,6 +2371,10 @@
       auto ptr = reinterpret_cast<const tamarack::links::fbs::ConfigurationRelayT *>(value);
       return CreateConfigurationRelay(_fbb, ptr, _rehasher).Union();
     }
+    case Body::StoreRelay: {
+      auto ptr = reinterpret_cast<const tamarack::links::fbs::StoreRelayT *>(value);
+      return CreateStoreRelay(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2099,6 +2397,10 @@
       value = new tamarack::links::fbs::AdapterStateT(*reinterpret_cast<tamarack::links::fbs::AdapterStateT *>(u.value));
       break;
     }
+    case Body::AdapterReleased: {
+      value = new tamarack::links::fbs::AdapterReleasedT(*reinterpret_cast<tamarack::links::fbs::AdapterReleasedT *>(u.value));
+      break;
+    }
     case Body::PlacementOrder: {
       value = new tamarack::links::fbs::PlacementOrderT(*reinterpret_cast<tamarack::links::fbs::PlacementOrderT *>(u.value));
       break;
@@ -2111,6 +2413,10 @@
       value = new tamarack::links::fbs::ConfigurationRelayT(*reinterpret_cast<tamarack::links::fbs::ConfigurationRelayT *>(u.value));
       break;
     }
+    case Body::StoreRelay: {
+      value = new tamarack::links::fbs::StoreRelayT(*reinterpret_cast<tamarack::links::fbs::StoreRelayT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2138,6 +2444,11 @@
       delete ptr;
       break;
     }
+    case Body::AdapterReleased: {
+      auto ptr = reinterpret_cast<tamarack::links::fbs::AdapterReleasedT *>(value);
+      delete ptr;
+      break;
+    }
     case Body::PlacementOrder: {
       auto ptr = reinterpret_cast<tamarack::links::fbs::PlacementOrderT *>(value);
       delete ptr;
@@ -2153,6 +2464,11 @@
       delete ptr;
       break;
     }
+    case Body::StoreRelay: {
+      auto ptr = reinterpret_cast<tamarack::links::fbs::StoreRelayT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
