--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t most_pipelined_bytes = 64 * 1024; // read ahead while a request is in service
 constexpr int silence_limit_ms = 8'000;                 // of a client that acknowledges nothing
 constexpr time_ms body_limit_ms = 10'000;               // for a body to arrive after its header
-constexpr time_ms linger_ms = 300; // for a client to read a last answer before the connection ends
+constexpr time_ms linger_ms = 150; // for a client to read a last answer before the connection ends
 
 constexpr int status_continue = 100;
 constexpr int status_timeout = 408;
@@ -203,6 +203,8 @@
 }
 
 void client_session::finish_answer() {
+    // The head of a long stream may have been sent before this process was told to stop.
+    keep_alive_ = keep_alive_ && !host_.leaving_();
     close_when_written_ = !keep_alive_;
     write();
     // Posted, since the flow that answers is still on the stack.
--- a/src/gateway/demand.hpp
+++ b/src/gateway/demand.hpp
@@ -1,4 +1,5 @@
-// Measures the demand for each model: arrivals, the time that one request takes, and requests without an engine.
+// Measures the demand for each model: arrivals and their trend, the time that one request takes, and requests
+// without an engine.
 #pragma once
 
 #include "tamarack/kernel.hpp"
@@ -16,7 +17,7 @@
     void note_waiting(std::string_view model, int change);
 
     struct level {
-        double work_ = 0; // requests in service at once
+        double work_ = 0; // requests in service at once, as expected when a load that begins now has ended
         int waiting_ = 0;
     };
 
@@ -25,7 +26,8 @@
 
 private:
     struct meter {
-        double rate_per_s_ = 0; // fades by half each half-life
+        double fast_per_s_ = 0; // arrival rates that fade by half each half-life
+        double slow_per_s_ = 0;
         time_ms at_ = 0;
         double service_ms_ = 0; // mean; 0 if not known
         int waiting_ = 0;
--- a/src/provisioning/plan.cpp
+++ b/src/provisioning/plan.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Part of an engine's batch that one model may fill before another copy is worth a load.
-constexpr double busy_share = 0.25;
+constexpr double busy_share = 0.12;
 
 // A victim's copies may become at most this busy, relative to those of the model that is loaded.
 constexpr double victim_ratio = 0.5;
