Bound what gateways relay to each other; refuse unsent requests before the end

Cause: in a configuration storm every gateway sent the whole configuration while any other was behind, which filled the relaying agent's memory (one exit of its own) and the thin links (CONFIG broken); requests that waited for a model were cut at the end of the grace time (LOST).

--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -180,8 +180,9 @@
     virtual ~fleet_source() = default;
     virtual void start() = 0;
 
-    // Whether this process reads for itself and relays, or takes what others relay. It reads at first.
-    virtual void set_reads(bool reads) = 0;
+    // Whether this process reads for itself and relays, or takes what others relay. It reads at first. Of
+    // several that read, the `first` relays at once.
+    virtual void set_reads(bool reads, bool first) = 0;
     virtual void take_relayed(const std::string& bytes) = 0;
 
     // Decodes a configuration that a peer relayed. Fails with `invalid`.
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -171,7 +171,8 @@
 
 void agent::relay(const gateway& from, const links::frame& received) {
     const std::string bytes = links::encode(received);
-    for (const auto& one : gateways_) {
+    const auto linked = gateways_; // a link that fails leaves the list
+    for (const auto& one : linked) {
         if (one.get() != &from) {
             one->link_->send_encoded(bytes);
         }
--- a/src/gateway/answer_sink.hpp
+++ b/src/gateway/answer_sink.hpp
@@ -31,6 +31,9 @@
 
     // The client has taken what was sent.
     virtual void drained() = 0;
+
+    // The process is about to end; a request that was not sent yet is refused.
+    virtual void process_ends() = 0;
 };
 
 } // namespace tamarack::gateway
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -261,6 +261,12 @@
     }
 }
 
+void client_session::process_ends() {
+    if (const auto request = request_) {
+        request->process_ends();
+    }
+}
+
 void client_session::close() {
     if (closed_) {
         return;
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -26,7 +26,7 @@
 
     // Closes the connection if no request is being read or answered.
     void close_if_idle();
-    bool in_service() const { return request_ != nullptr; }
+    void process_ends();
     void close();
 
     void send_whole(int status, const std::vector<http::header>& headers, std::string_view body) override;
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -17,6 +17,9 @@
 // After SIGTERM the platform asks twice, a second apart, before new connections go elsewhere.
 constexpr time_ms rotation_ms = 2'600;
 
+// Before the end, for clients to read that their requests were not sent.
+constexpr time_ms refusal_ms = 150;
+
 // Kept of the grace time, for the process to end by itself.
 constexpr time_ms end_margin_ms = 600;
 
@@ -46,7 +49,9 @@
                 [this](std::string bytes) {
                     asio::post(context_, [this, bytes = std::move(bytes)] { source_->take_relayed(bytes); });
                 },
-                [this](bool reads) { asio::post(context_, [this, reads] { source_->set_reads(reads); }); }}),
+                [this](bool reads, bool first) {
+                    asio::post(context_, [this, reads, first] { source_->set_reads(reads, first); });
+                }}),
       admin_(context_, http::server_limits(),
              [this](http::exchange& current) -> asio::awaitable<void> { co_await handle_admin(current); }),
       metrics_server_(context_, http::server_limits(),
@@ -190,6 +195,9 @@
     if (rotated) {
         traffic_.close_idle();
     }
+    if (now >= until - refusal_ms) {
+        traffic_.refuse_unsent();
+    }
     if (now >= until || (rotated && traffic_.in_service() == 0)) {
         context_.stop();
         return;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr time_ms silence_ms = 1'800;   // several digests; the gateway counts as gone then
-constexpr int readers = 2;              // of the store; one may fail unnoticed
 constexpr time_ms listening_ms = 1'200; // after a start, until the digests of the others have come in
 
 } // namespace
@@ -63,12 +62,11 @@
     return total;
 }
 
-bool peers::reads_store(bool reachable_here, time_ms now) const {
-    const auto before = std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+int peers::reader_rank(bool reachable_here, time_ms now) const {
+    return int( std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
         return alive(entry.second, now) && entry.second.store_reachable_ &&
                (!reachable_here || entry.first < own_id_);
-    });
-    return before < readers;
+    }));
 }
 
 bool peers::any_behind(std::int64_t version, time_ms now) const {
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -7,6 +7,9 @@
 
 namespace tamarack::gateway {
 
+// Gateways that read the store for all; one may fail unnoticed.
+inline constexpr int store_readers = 2;
+
 class peers {
 public:
     explicit peers(std::string own_id) : own_id_(std::move(own_id)) {}
@@ -19,8 +22,8 @@
     // The gateway with the least id plans. One that has just started listens to the others first.
     bool plans_here(time_ms now, time_ms started_at) const;
 
-    // Whether this gateway is one of the few that read the store for all.
-    bool reads_store(bool reachable_here, time_ms now) const;
+    // This gateway's place among those that read the store; the first `store_readers` read for all.
+    int reader_rank(bool reachable_here, time_ms now) const;
 
     // Demand over all gateways.
     std::map<std::string, provisioning::model_need, std::less<>>
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -309,6 +309,13 @@
     finish(0, "client_gone");
 }
 
+void request_flow::process_ends() {
+    const bool unsent = !exchange_ || !exchange_->sent();
+    if (!finished_ && unsent) {
+        refuse("process_ends", busy_return_ms);
+    }
+}
+
 void request_flow::finish(int status, std::string_view outcome) {
     if (finished_) {
         return;
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -54,6 +54,7 @@
 
     void client_gone() override;
     void drained() override;
+    void process_ends() override;
 
 private:
     bool find_route();
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::int64_t ticks_per_digest = 2; // digests twice a second
-constexpr std::int64_t ticks_per_relay = 4;  // of a configuration that another gateway lacks
+constexpr time_ms configuration_patience_ms = 1'000; // for a version to reach all gateways by itself
 constexpr std::int64_t ticks_per_report = 4; // one line a second about what the planner sees
 constexpr int accept_backlog = 1'024;
 constexpr double ms_per_s = 1'000;
@@ -151,15 +151,14 @@
     if (++ticks_ % ticks_per_digest == 0) {
         send_digest(now);
     }
-    if (ticks_ % ticks_per_relay == 0) {
-        relay_configuration();
-    }
-    const bool reads = peers_.reads_store(store_reachable_, now);
-    if (reads != reads_store_) {
-        reads_store_ = reads;
+    relay_configuration(now);
+    const int rank = std::min(peers_.reader_rank(store_reachable_, now), store_readers);
+    if (rank != reader_rank_) {
+        reader_rank_ = rank;
+        const bool reads = rank < store_readers;
         events_.write({event_kind::belief, "gateway", reads ? "reads_store" : "leaves_reading_to_others", {},
                        {{"gateways", peers_.count(now)}}});
-        handlers_.reads_store_(reads);
+        handlers_.reads_store_(reads, rank == 0);
     }
     const bool plans = peers_.plans_here(now, started_at_) && !leaving_;
     if (plans != planned_) {
@@ -201,11 +200,18 @@
     agents_.relay(links::make_frame(std::move(digest)));
 }
 
-// Sends the configuration on while another gateway has an older one, for gateways that cannot read the store.
-void traffic::relay_configuration() {
-    if (fleet_.current() == nullptr || !peers_.any_behind(fleet_.current()->configuration_->version_, steady_now_ms())) {
+// Sends the configuration to gateways that neither read the store nor heard from those that do. Only the planner
+// does, and only while one stays behind, since a new version takes a moment to reach all.
+void traffic::relay_configuration(time_ms now) {
+    if (fleet_.current() == nullptr || !planned_ ||
+        !peers_.any_behind(fleet_.current()->configuration_->version_, now)) {
+        behind_since_ = now;
+        return;
+    }
+    if (now - behind_since_ < configuration_patience_ms) {
         return;
     }
+    behind_since_ = now;
     links::configuration_relay relay;
     relay.version = fleet_.current()->configuration_->version_;
     relay.encoded = encoded_configuration_;
@@ -285,6 +291,15 @@
     });
 }
 
+void traffic::refuse_unsent() {
+    asio::post(context_, [this] {
+        const std::vector<std::shared_ptr<answer_sink>> open(sessions_.begin(), sessions_.end());
+        for (const auto& one : open) {
+            std::static_pointer_cast<client_session>(one)->process_ends();
+        }
+    });
+}
+
 void traffic::stop() {
     asio::post(context_, [this] {
         work_.reset();
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -20,7 +20,7 @@
     std::function<void(std::shared_ptr<const fleet_snapshot>)> plan_;      // while this gateway plans
     std::function<void(std::string encoded)> relayed_configuration_;       // newer than the one in force
     std::function<void(std::string bytes)> store_relay_;                   // what another gateway read
-    std::function<void(bool reads)> reads_store_;                          // whether this gateway is to read
+    std::function<void(bool reads, bool first)> reads_store_;              // whether this gateway is to read
 };
 
 class traffic {
@@ -42,6 +42,9 @@
     void give_orders(std::vector<planned_order> orders);
     void drain();
     void close_idle();
+
+    // Refuses requests that were not sent yet, shortly before the process ends.
+    void refuse_unsent();
     void stop();
     std::int64_t in_service() const { return in_service_.load(); }
 
@@ -50,7 +53,7 @@
     std::shared_ptr<running_request> begin(std::shared_ptr<answer_sink> sink, http::request incoming);
     void tick();
     void send_digest(time_ms now);
-    void relay_configuration();
+    void relay_configuration(time_ms now);
     void report_plan(const fleet_snapshot& seen);
     std::shared_ptr<const fleet_snapshot> snapshot(time_ms now) const;
 
@@ -76,7 +79,8 @@
     std::atomic<bool> leaving_ = false;
     std::atomic<bool> store_reachable_ = false;
     bool planned_ = false;
-    bool reads_store_ = true;
+    time_ms behind_since_ = 0;
+    int reader_rank_ = 0;
 };
 
 } // namespace tamarack::gateway
--- a/src/links/link.cpp
+++ b/src/links/link.cpp
@@ -3,6 +3,7 @@
 #include "net/socket_options.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 namespace tamarack::links {
@@ -95,7 +96,8 @@
             return;
         }
         used += length_bytes + length;
-        handlers_.frame_(value(decoded));
+        const auto handle = handlers_.frame_;
+        handle(value(decoded));
         if (closed_) {
             return;
         }
@@ -143,9 +145,9 @@
     closed_ = true;
     boost::system::error_code ignored;
     socket_.close(ignored);
-    if (handlers_.closed_) {
-        handlers_.closed_();
-    }
+    // The handlers may own this link; they are released once none of them is on the stack.
+    const auto handlers = std::make_shared<events>(std::move(handlers_));
+    asio::post(socket_.get_executor(), [handlers, self = shared_from_this()] { handlers->closed_(); });
 }
 
 } // namespace tamarack::links
