Plan by unmet work; admit what can come in time and let others return

Change: the model with the most work beyond its copies goes first; rare models may be parked; a first attempt is taken only if it can come within its objective, a returned one as long as its client still waits.

--- a/include/tamarack/dispatch.hpp
+++ b/include/tamarack/dispatch.hpp
@@ -99,7 +99,7 @@
 // Speeds of engines that the gateway learns from answers.
 struct engine_pace {
     double ms_per_prompt_token_ = 0.03;
-    double ms_per_queued_request_ = 20;
+    double slot_ms_ = 1'000; // that a request holds its place in the batch
 };
 
 // Estimated time until the first event, in ms.
@@ -114,9 +114,18 @@
 // meet, and within the share of its remaining time that clients honour.
 time_ms return_after_ms(time_ms wait_ms, time_ms left_ms, std::uint64_t random);
 
-// Whether a request that is expected to start in `wait_ms` should be taken. Requests that would use up most
-// of their deadline before they start are better told to return.
-bool worth_waiting(time_ms wait_ms, time_ms objective_ms, time_ms left_ms);
+// What decides whether a request is taken, in ms.
+struct admission_facts {
+    time_ms wait_ms_ = 0;      // until its first event
+    time_ms objective_ms_ = 0; // for the first event
+    time_ms patience_ms_ = 0;  // after which the client leaves; 0 if not known
+    time_ms left_ms_ = 0;      // until the deadline
+    bool returned_ = false;    // the client was told to return and did
+};
+
+// Whether the request should be taken. One that would come late holds a place that others could use in time, so
+// its client is told to return; a client that did return is taken as long as it still waits.
+bool should_admit(const admission_facts& facts);
 
 // Which endpoints fail or went silent, learned from the outcome of sends.
 class endpoint_health {
--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -66,6 +66,7 @@
     time_ms timeout_ms_ = 0;     // longest time until the final answer
     time_ms objective_ms_ = 0;   // latency objective; for streams until the first event
     time_ms pause_limit_ms_ = 0; // longest pause between events that is in time; 0 for none
+    time_ms patience_ms_ = 0;    // clients leave a stream after such a pause; 0 if not known
     int rank_ = 0;               // 0 is the most urgent
     int max_attempts_ = 1;       // endpoints that one request may be sent to
     std::vector<route_target> targets_;
--- a/include/tamarack/provisioning.hpp
+++ b/include/tamarack/provisioning.hpp
@@ -41,8 +41,9 @@
     bool store_load_allowed_ = true; // by the pacer
 };
 
-// The next order, if any is worth giving. Models without a copy go first, then those whose copies are the
-// busiest. The last copy of a model is never dropped, nor one that would then be busier than the new one.
+// The next order, if any is worth giving: the model with the most work beyond what its copies carry goes first.
+// No copy is dropped that would then be busier than the new one. The last copy of a model goes only if it is
+// not in demand and the engine has its weights at hand.
 std::optional<placement_step> next_placement(const plan_facts& facts);
 
 } // namespace tamarack::provisioning
--- a/src/dispatch/choose.cpp
+++ b/src/dispatch/choose.cpp
@@ -24,9 +24,10 @@
     const double unread = choice.unread_tokens_ + std::max(0.0, prompt_tokens - choice.kept_tokens_);
     double expected = choice.same_data_centre_ ? 0.0 : other_data_centre_ms;
     expected += unread * pace.ms_per_prompt_token_ * choice.slowness_;
-    expected += choice.queued_ * pace.ms_per_queued_request_ * choice.slowness_;
     expected += std::min(choice.running_, double(choice.slots_)) * running_ms * choice.slowness_;
-    expected += std::max(0.0, choice.running_ - choice.slots_) * pace.ms_per_queued_request_ * choice.slowness_;
+    // A place in a full batch becomes free each time one of its requests ends.
+    const double ahead = choice.queued_ + std::max(0.0, choice.running_ - choice.slots_);
+    expected += ahead * pace.slot_ms_ / choice.slots_ * choice.slowness_;
     if (choice.memory_use_ > memory_limit) {
         expected += full_memory_ms * (choice.memory_use_ - memory_limit) / (1 - memory_limit);
     }
@@ -53,13 +54,21 @@
 
 time_ms return_after_ms(time_ms wait_ms, time_ms left_ms, std::uint64_t random) {
     const double spread = double(random % 1'000) / 1'000.0;
-    const double wanted = double(wait_ms) * (1.0 + 0.5 * spread) + 100.0 * spread;
     const double most = double(left_ms) * honoured_share;
-    return std::max(earliest_return_ms, time_ms(std::min(wanted, most)));
+    // A returning request is late in any case, so it comes when there is most likely room.
+    const double earliest = std::min(double(wait_ms), most);
+    return std::max(earliest_return_ms, time_ms(earliest + spread * (most - earliest)));
 }
 
-bool worth_waiting(time_ms wait_ms, time_ms objective_ms, time_ms left_ms) {
-    return wait_ms <= objective_ms || double(wait_ms) <= start_share * double(left_ms);
+bool should_admit(const admission_facts& facts) {
+    if (facts.wait_ms_ <= facts.objective_ms_) {
+        return true;
+    }
+    if (!facts.returned_) {
+        return false;
+    }
+    const double longest = facts.patience_ms_ > 0 ? std::min(facts.patience_ms_, facts.left_ms_) : facts.left_ms_;
+    return double(facts.wait_ms_) <= start_share * longest;
 }
 
 } // namespace tamarack::dispatch
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -166,6 +166,7 @@
     events_.write({event_kind::order, "agent", "placement_taken", {},
                    {{"planner", order.planner}, {"load", order.load}, {"expected_planner", planner()}}});
     book_.take_placement(std::move(wanted), steady_now_ms());
+    push_status();
     give_next();
 }
 
--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -36,6 +36,11 @@
 
 std::vector<fleet::held_model> order_book::usable_models() const {
     std::vector<fleet::held_model> usable = report_->models_;
+    // The engine refuses new requests for a model from the moment at which it is told to drop it.
+    std::erase_if(usable, [&](const fleet::held_model& model) {
+        return placement_ && std::find(placement_->drop_.begin(), placement_->drop_.end(), model.name_) !=
+                                 placement_->drop_.end();
+    });
     for (fleet::held_model& model : usable) {
         std::erase_if(model.adapters_, [&](const std::string& adapter) {
             return going_.contains(key_of(model.name_, adapter));
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -10,6 +10,9 @@
 constexpr double learning_share = 0.08;  // weight of one more sample of an endpoint
 constexpr double service_share = 0.02;   // the same for its service
 constexpr double most_slowness = 20;
+constexpr double slot_share = 0.03;      // weight of one more sample of the time in a batch
+constexpr double usual_share = 0.97;     // of a route's longest deadline; shorter ones have been used up in part
+constexpr double rank_memory = 0.995;    // counts of ranks halve with each 140 requests
 constexpr time_ms planning_ms = 600;     // until a missing model is ordered
 
 } // namespace
@@ -59,6 +62,40 @@
     at.slowness_ = std::max(0.5, at.slowness_ + learning_share * (ratio - at.slowness_));
 }
 
+void fleet_state::note_slot(const std::string& service, time_ms held_ms) {
+    double& slot_ms = paces_[service].slot_ms_;
+    slot_ms += slot_share * (double(held_ms) - slot_ms);
+}
+
+bool fleet_state::note_deadline(const std::string& route, time_ms deadline_ms) {
+    time_ms& longest = longest_deadline_ms_[route];
+    longest = std::max(longest, deadline_ms);
+    return double(deadline_ms) < usual_share * double(longest);
+}
+
+void fleet_state::note_rank(const std::string& service, int rank) {
+    auto& counts = requests_by_rank_[service];
+    for (auto& [other, count] : counts) {
+        count *= rank_memory;
+    }
+    counts[rank] += 1;
+}
+
+// The engine takes requests of the same rank in order, so those count as well.
+double fleet_state::share_ahead(const std::string& service, int rank) const {
+    const auto found = requests_by_rank_.find(service);
+    if (found == requests_by_rank_.end()) {
+        return 1;
+    }
+    double all = 0;
+    double ahead = 0;
+    for (const auto& [other, count] : found->second) {
+        all += count;
+        ahead += other <= rank ? count : 0;
+    }
+    return all > 0 ? ahead / all : 1;
+}
+
 time_ms fleet_state::model_wait_ms(std::string_view service, std::string_view model) const {
     const fleet::service_spec* spec =
         current_ == nullptr ? nullptr : current_->configuration_->find_service(service);
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -39,6 +39,16 @@
     // Mean time to the first event of a service, for judging its endpoints.
     void note_first_event(endpoint& at, time_ms took_ms, time_ms now);
 
+    // A request held its place in a batch for so long.
+    void note_slot(const std::string& service, time_ms held_ms);
+
+    // Notes a request's deadline. Returns whether it is shorter than usual for the route, as after a refusal.
+    bool note_deadline(const std::string& route, time_ms deadline_ms);
+
+    // Counts requests by rank, and tells which share of a service's requests goes before one of this rank.
+    void note_rank(const std::string& service, int rank);
+    double share_ahead(const std::string& service, int rank) const;
+
     // Time until an engine is expected to hold the model, in ms.
     time_ms model_wait_ms(std::string_view service, std::string_view model) const;
 
@@ -59,6 +69,8 @@
     std::map<std::string, dispatch::retry_window> retries_;
     std::map<std::string, dispatch::engine_pace> paces_;
     std::map<std::string, double> mean_first_event_ms_;
+    std::map<std::string, time_ms> longest_deadline_ms_;                // by route
+    std::map<std::string, std::map<int, double>> requests_by_rank_;    // by service; fading counts
     std::mt19937_64 random_;
     int gateways_;
 };
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -155,7 +155,9 @@
         return false;
     }
     note_health(dispatch::send_end::answered, status_ok);
-    context_.fleet_.demand_.note_service(facts_.model_, double(steady_now_ms() - sending_->began_at_));
+    const time_ms now = steady_now_ms();
+    context_.fleet_.demand_.note_service(facts_.model_, double(now - sending_->began_at_));
+    context_.fleet_.note_slot(service_->name_, now - sending_->first_event_at());
     sink_->end_stream();
     finish(status_ok, "served");
     return true;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -37,7 +37,7 @@
 }
 
 void open_sending::first_event() {
-    first_event_seen_ = true;
+    first_event_at_ = first_event_at_ > 0 ? first_event_at_ : steady_now_ms();
     at_->unread_tokens_ = std::max(0.0, at_->unread_tokens_ - std::exchange(unread_tokens_, 0));
 }
 
@@ -53,6 +53,8 @@
     }
     const time_ms deadline = facts_.deadline_ms_.value_or(default_timeout_ms);
     until_ = arrived_at_ + std::min(deadline, route_->timeout_ms_);
+    returned_ = context_.fleet_.note_deadline(route_->name_, deadline);
+    context_.fleet_.note_rank(service_->name_, route_->rank_);
     if (facts_.last_event_id_) {
         splitter_.set_last_id(*facts_.last_event_id_);
     }
@@ -112,7 +114,7 @@
     option.same_data_centre_ = true;
     option.slots_ = one.record().slots_;
     option.running_ = std::max(one.open_, one.engine_.running_ + one.begun_since_report_);
-    option.queued_ = one.engine_.queued_;
+    option.queued_ = one.engine_.queued_ * context_.fleet_.share_ahead(service_->name_, route_->rank_);
     option.unread_tokens_ = one.unread_tokens_;
     option.memory_use_ = one.engine_.kv_total_ > 0 ? one.engine_.kv_used_ / one.engine_.kv_total_ : 0;
     option.slowness_ = std::max(1.0, one.slowness_);
@@ -164,13 +166,23 @@
     const auto chosen = dispatch::choose_endpoint(options, facts_.prompt_tokens_, pace, tie_break);
     const auto expected = time_ms(dispatch::expected_first_event_ms(options[*chosen], facts_.prompt_tokens_, pace));
     const bool in_service = maybe_runs_ > 0; // has been admitted before
-    if (!in_service && !dispatch::worth_waiting(expected, route_->objective_ms_, left_ms(now))) {
+    if (!in_service && !dispatch::should_admit(admission_facts(expected, now))) {
         refuse("too_busy", expected);
         return;
     }
     prepare(usable[*chosen]);
 }
 
+dispatch::admission_facts request_flow::admission_facts(time_ms wait_ms, time_ms now) const {
+    dispatch::admission_facts facts;
+    facts.wait_ms_ = wait_ms;
+    facts.objective_ms_ = route_->objective_ms_;
+    facts.patience_ms_ = route_->patience_ms_;
+    facts.left_ms_ = left_ms(now);
+    facts.returned_ = returned_;
+    return facts;
+}
+
 // No engine holds the model: waits for one if that can still be in time, and refuses otherwise.
 void request_flow::hold_for_model() {
     const time_ms now = steady_now_ms();
@@ -181,7 +193,10 @@
         context_.events_.write({event_kind::admission, "gateway", "held_for_model", facts_.id_,
                                 {{"model", facts_.model_}, {"wait_ms", wait}, {"left_ms", left_ms(now)}}});
     }
-    if (!dispatch::worth_waiting(wait, route_->objective_ms_, left_ms(now))) {
+    // There is no place to wait in an engine yet, and waiting here takes none from others.
+    dispatch::admission_facts facts = admission_facts(wait, now);
+    facts.returned_ = true;
+    if (!dispatch::should_admit(facts)) {
         refuse("model_not_held", wait);
         return;
     }
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -32,7 +32,8 @@
 
     // The prompt has been read.
     void first_event();
-    bool first_event_seen() const { return first_event_seen_; }
+    bool first_event_seen() const { return first_event_at_ > 0; }
+    time_ms first_event_at() const { return first_event_at_; }
 
     endpoint& at() { return *at_; }
     const time_ms began_at_;
@@ -40,7 +41,7 @@
 private:
     std::shared_ptr<endpoint> at_;
     double unread_tokens_;
-    bool first_event_seen_ = false;
+    time_ms first_event_at_ = 0;
 };
 
 class request_flow : public running_request, public std::enable_shared_from_this<request_flow> {
@@ -61,6 +62,7 @@
     void try_next();
     std::vector<std::shared_ptr<endpoint>> usable_endpoints() const;
     dispatch::option make_option(const endpoint& one, time_ms now) const;
+    dispatch::admission_facts admission_facts(time_ms wait_ms, time_ms now) const;
     double adapter_wait_ms(const endpoint& one) const;
     void hold_for_model();
     void stop_holding();
@@ -113,6 +115,7 @@
     int maybe_runs_ = 0;    // of these, not confirmed as not run
     bool stream_begun_ = false;
     bool holding_ = false;
+    bool returned_ = false; // after a refusal, as its shorter deadline shows
     bool finished_ = false;
     time_ms last_event_at_ = 0;
 };
--- a/src/provisioning/plan.cpp
+++ b/src/provisioning/plan.cpp
@@ -12,6 +12,12 @@
 // A victim's copies may become at most this busy, relative to those of the model that is loaded.
 constexpr double victim_ratio = 0.5;
 
+// Requests in service at once below which a model counts as unused.
+constexpr double idle_work = 0.3;
+
+// Weight of a request that waits for a model without a copy, against one that runs.
+constexpr double waiting_weight = 4;
+
 // Memory that is kept for adapters, in adapters of the largest size.
 double adapter_reserve_mb(const fleet::engine_spec& spec) {
     double largest = 0;
@@ -28,7 +34,14 @@
     int waiting_ = 0;
 
     double work_per_copy(int copies) const { return work_ / std::max(1, copies); }
-    bool in_demand() const { return work_ > 0 || waiting_ > 0; }
+
+    // A request now and then can wait for a load from the engine's own disk.
+    bool in_demand() const { return work_ > idle_work || waiting_ > 0; }
+
+    // Work beyond what its copies should carry; requests that wait for a first copy weigh more.
+    double unmet(double busy_work) const {
+        return std::max(0.0, work_ - busy_work * copies_) + (copies_ == 0 ? waiting_weight * waiting_ : 0.0);
+    }
 };
 
 using standings = std::map<std::string, model_standing, std::less<>>;
@@ -162,20 +175,12 @@
     std::vector<const model_standing*> wanted;
     const double busy_work = busy_share * facts.spec_->slots_;
     for (const auto& [name, standing] : all) {
-        if (standing.copies_ == 0 || standing.work_per_copy(standing.copies_) > busy_work) {
+        if (standing.copies_ == 0 || standing.unmet(busy_work) > 0) {
             wanted.push_back(&standing);
         }
     }
-    std::sort(wanted.begin(), wanted.end(), [](const model_standing* left, const model_standing* right) {
-        const bool left_missing = left->copies_ == 0 && left->in_demand();
-        const bool right_missing = right->copies_ == 0 && right->in_demand();
-        if (left_missing != right_missing) {
-            return left_missing;
-        }
-        if (left->waiting_ != right->waiting_) {
-            return left->waiting_ > right->waiting_;
-        }
-        return left->work_per_copy(left->copies_) > right->work_per_copy(right->copies_);
+    std::sort(wanted.begin(), wanted.end(), [busy_work](const model_standing* left, const model_standing* right) {
+        return left->unmet(busy_work) > right->unmet(busy_work);
     });
     for (const model_standing* standing : wanted) {
         auto step = place(*standing, all, facts);
