--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -200,10 +200,10 @@
     agents_.relay(links::make_frame(std::move(digest)));
 }
 
-// Sends the configuration to gateways that neither read the store nor heard from those that do. Only the planner
-// does, and only while one stays behind, since a new version takes a moment to reach all.
+// Sends the configuration to gateways that neither read the store nor heard from those that do. Only the first
+// reader does, and only while one stays behind, since a new version takes a moment to reach all.
 void traffic::relay_configuration(time_ms now) {
-    if (fleet_.current() == nullptr || !planned_ ||
+    if (fleet_.current() == nullptr || reader_rank_ != 0 ||
         !peers_.any_behind(fleet_.current()->configuration_->version_, now)) {
         behind_since_ = now;
         return;
