--- /dev/null
+++ b/tests/direct/gateway_test.cpp
@@ -0,0 +1,259 @@
+#include "gateway/demand.hpp"
+#include "gateway/event_splitter.hpp"
+#include "gateway/head_rewrite.hpp"
+#include "gateway/peers.hpp"
+#include "gateway/planner.hpp"
+#include "http/message_parser.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace tamarack::gateway {
+
+namespace {
+
+std::string event(int id) {
+    return "id: " + std::to_string(id) + "\ndata: word\n\n";
+}
+
+std::string events(int first, int last) {
+    std::string all;
+    for (int id = first; id <= last; ++id) {
+        all += event(id);
+    }
+    return all;
+}
+
+struct head_fixture {
+    header_names names_;
+    http::request incoming_;
+
+    head_fixture() {
+        names_.request_id_ = "X-Id";
+        names_.deadline_ = "X-Left";
+        names_.model_ = "X-Model";
+        names_.tokens_ = "X-Tokens";
+        names_.prompt_parts_ = "X-Parts";
+        names_.last_event_id_ = "Last-Event-Id";
+        names_.expected_endpoint_ = "X-Expect";
+        names_.priority_ = "X-Priority";
+        names_.reserved_ = {"X-Expect", "X-Priority", "X-Hold"};
+        incoming_.method_ = "POST";
+        incoming_.target_ = "/a/b?c=d";
+        incoming_.headers_ = {{"Host", "shop.example"}, {"X-Id", "r1"},     {"X-Left", "1000"},
+                              {"X-Model", "base/a3"},   {"X-Tokens", "20,5"}, {"X-Parts", "1f:12,2e:8"}};
+    }
+
+    std::string forward() const { return forwarded_request(incoming_, names_, {700, "i-1", 2, std::nullopt}); }
+};
+
+struct parse_case {
+    const char* name_;
+    const char* bytes_;
+    http::parse_fault fault_;
+};
+
+links::gateway_digest make_digest(const char* from, bool store = true) {
+    links::gateway_digest digest;
+    digest.from = from;
+    digest.store_reachable = store;
+    return digest;
+}
+
+} // namespace
+
+TEST_CASE("events_cut_in_the_middle_only_whole_ones_are_passed_on") {
+    event_splitter splitter;
+    std::string whole;
+    const std::string stream = events(1, 3) + "id: 4\nda";
+    CHECK(splitter.take(stream, whole));
+    CHECK(whole == events(1, 3));
+    CHECK(splitter.unfinished());
+    CHECK(splitter.last_id() == 3);
+}
+
+TEST_CASE("events_stream_goes_on_at_another_engine_none_is_missing_or_comes_twice") {
+    CHECK(rc::check([] {
+        const int total = *rc::gen::inRange(1, 30);
+        event_splitter splitter;
+        std::string passed;
+        int from = 1;
+        while (splitter.last_id().value_or(0) < total) {
+            // Each engine sends from an event that the client may know already, and is cut anywhere.
+            std::string stream = events(from, total);
+            const auto cut = std::size_t(*rc::gen::inRange(0, int(stream.size()) + 1));
+            RC_ASSERT(splitter.take(stream.substr(0, cut), passed));
+            splitter.restart();
+            from = int(splitter.last_id().value_or(0)) + 1;
+            from = std::max(1, from - *rc::gen::inRange(0, 2));
+        }
+        RC_ASSERT(passed == events(1, total));
+    }));
+}
+
+TEST_CASE("events_engine_leaves_one_out_is_noticed") {
+    event_splitter splitter;
+    std::string whole;
+    CHECK(splitter.take(events(1, 2), whole));
+    CHECK_FALSE(splitter.take(event(4), whole));
+    CHECK(whole == events(1, 2));
+}
+
+TEST_CASE_FIXTURE(head_fixture, "head_forwarded_keeps_the_request_and_sets_what_is_ours") {
+    incoming_.headers_.push_back({"X-Hold", "stolen"});
+    incoming_.headers_.push_back({"x-priority", "0"});
+    const std::string bytes = forward();
+    CHECK(bytes.starts_with("POST /a/b?c=d HTTP/1.1\r\n"));
+    CHECK(bytes.find("X-Model: base/a3\r\n") != std::string::npos);
+    CHECK(bytes.find("X-Left: 700\r\n") != std::string::npos);
+    CHECK(bytes.find("X-Left: 1000") == std::string::npos);
+    CHECK(bytes.find("X-Expect: i-1\r\n") != std::string::npos);
+    CHECK(bytes.find("X-Priority: 2\r\n") != std::string::npos);
+    CHECK(bytes.find("stolen") == std::string::npos);
+    CHECK(bytes.find("x-priority: 0") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(head_fixture, "head_connection_header_names_essential_headers_they_stay") {
+    incoming_.headers_.push_back({"Connection", "X-Id, X-Private"});
+    incoming_.headers_.push_back({"X-Private", "1"});
+    const std::string bytes = forward();
+    CHECK(bytes.find("X-Id: r1\r\n") != std::string::npos);
+    CHECK(bytes.find("X-Private") == std::string::npos);
+    CHECK(bytes.find("Connection") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(head_fixture, "head_chunked_body_is_sent_on_with_its_length") {
+    incoming_.headers_.push_back({"Transfer-Encoding", "chunked"});
+    incoming_.body_ = "hello";
+    const std::string bytes = forward();
+    CHECK(bytes.find("Transfer-Encoding") == std::string::npos);
+    CHECK(bytes.ends_with("Content-Length: 5\r\n\r\nhello"));
+}
+
+TEST_CASE_FIXTURE(head_fixture, "facts_of_a_request_are_read") {
+    const request_facts facts = read_facts(incoming_, names_);
+    CHECK(facts.id_ == "r1");
+    CHECK(facts.model_ == "base");
+    CHECK(facts.adapter_ == "a3");
+    CHECK(facts.prompt_tokens_ == 20);
+    CHECK(facts.deadline_ms_ == 1'000);
+    REQUIRE(facts.prompt_parts_.size() == 2);
+    CHECK(facts.prompt_parts_[1].first == "2e");
+}
+
+TEST_CASE("parser_requests_with_ambiguous_framing_are_faults") {
+    using http::parse_fault;
+    const parse_case cases[] = {
+        {"plain", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", parse_fault::none},
+        {"two lengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+         parse_fault::malformed},
+        {"same length twice", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+         parse_fault::malformed},
+        {"length and chunked",
+         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         parse_fault::malformed},
+        {"chunked and length",
+         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n",
+         parse_fault::malformed},
+        {"unknown encoding", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+         parse_fault::malformed},
+        {"chunked twice", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+         parse_fault::malformed},
+        {"bare line feeds", "GET / HTTP/1.1\nHost: a\n\n", parse_fault::malformed},
+        {"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", parse_fault::malformed},
+        {"no host", "GET / HTTP/1.1\r\n\r\n", parse_fault::malformed},
+        {"space before the colon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n", parse_fault::malformed},
+        {"too long a body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n", parse_fault::body_too_large},
+    };
+    for (const parse_case& one : cases) {
+        CAPTURE(one.name_);
+        http::request_parser parser(1'024, 50);
+        boost::beast::flat_buffer received;
+        const std::string_view bytes = one.bytes_;
+        boost::asio::buffer_copy(received.prepare(bytes.size()), boost::asio::buffer(bytes));
+        received.commit(bytes.size());
+        parser.take(received);
+        CHECK(int(parser.fault()) == int(one.fault_));
+    }
+}
+
+TEST_CASE("demand_rising_fast_is_expected_to_rise_on") {
+    demand_meter meter;
+    meter.note_service("m", 1'000);
+    double rate = 1;
+    double sent_until = 0;
+    for (time_ms now = 0; now < 4'000; now += 10) {
+        rate += 0.2; // arrivals a second, growing by 20 each second
+        sent_until += rate / 100;
+        for (; sent_until >= 1; sent_until -= 1) {
+            meter.note_arrival("m", now);
+        }
+    }
+    const double work = meter.levels(4'000).at("m").work_;
+    CHECK(work > rate);
+    CHECK(work < 3 * rate);
+}
+
+TEST_CASE("demand_that_ended_fades_and_waiting_requests_count") {
+    demand_meter meter;
+    for (int arrival = 0; arrival < 50; ++arrival) {
+        meter.note_arrival("m", arrival * 10);
+    }
+    CHECK(meter.levels(500).at("m").work_ > 1);
+    CHECK(meter.levels(60'000).empty());
+    meter.note_waiting("n", 1);
+    CHECK(meter.levels(60'000).at("n").waiting_ == 1);
+}
+
+TEST_CASE("peers_least_id_in_service_plans_and_the_next_takes_over_when_it_is_silent") {
+    peers known("b");
+    CHECK_FALSE(known.plans_here(1'000, 500)); // listens first
+    known.take(make_digest("a"), 2'000);
+    CHECK_FALSE(known.plans_here(2'100, 0));
+    CHECK(known.count(2'100) == 2);
+    CHECK(known.plans_here(6'000, 0));
+    CHECK(known.count(6'000) == 1);
+}
+
+TEST_CASE("peers_two_that_reach_the_store_read_it_for_all") {
+    peers known("c");
+    known.take(make_digest("a", false), 1'000);
+    known.take(make_digest("b"), 1'000);
+    CHECK(known.reader_rank(true, 1'100) == 1);
+    known.take(make_digest("a"), 1'200);
+    CHECK(known.reader_rank(true, 1'300) == store_readers);
+    CHECK(known.reader_rank(false, 1'300) >= store_readers);
+}
+
+TEST_CASE("planner_new_one_keeps_the_stores_rate_by_what_engines_report") {
+    auto configuration = std::make_shared<fleet::configuration>();
+    fleet::service_spec service;
+    service.engine_ = fleet::engine_spec();
+    service.engine_->weights_mb_ = 220;
+    service.engine_->store_loads_per_s_ = 1;
+    for (int model = 0; model < 20; ++model) {
+        fleet::model_spec one;
+        one.name_ = "m" + std::to_string(model);
+        one.weights_mb_ = 70;
+        service.engine_->models_.push_back(one);
+    }
+    configuration->services_.push_back(service);
+    fleet_snapshot snapshot;
+    service_snapshot part{configuration, &*configuration->services_[0].engine_, {}};
+    for (int engine = 0; engine < 10; ++engine) {
+        engine_snapshot one;
+        one.state_.id_ = "e" + std::to_string(engine);
+        one.state_.available_ = one.state_.serving_ = true;
+        one.store_loads_ = engine < 4 ? std::vector<time_ms>{99'000} : std::vector<time_ms>{};
+        part.engines_.push_back(one);
+        snapshot.needs_["m" + std::to_string(engine)] = {5.0, 1};
+    }
+    snapshot.services_.push_back(part);
+    planner one("gateway-1", 5);
+    // Four of the five loads that fit a window have begun under the planner before.
+    CHECK(one.step(snapshot, 100'000).size() <= 1);
+}
+
+} // namespace tamarack::gateway
--- /dev/null
+++ b/tests/direct/provisioning_test.cpp
@@ -0,0 +1,206 @@
+#include "tamarack/provisioning.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace tamarack::provisioning {
+
+namespace {
+
+constexpr double model_mb = 70'000;
+constexpr double engine_mb = 220'000; // room for three models
+
+struct plan_fixture {
+    fleet::engine_spec spec_;
+    std::vector<engine_state> engines_;
+    std::map<std::string, model_need, std::less<>> needs_;
+    bool store_allowed_ = true;
+
+    plan_fixture() {
+        spec_.slots_ = 32;
+        spec_.weights_mb_ = engine_mb;
+        spec_.adapter_slots_ = 8;
+        spec_.store_loads_per_s_ = 2;
+    }
+
+    void add_model(const std::string& name) {
+        fleet::model_spec model;
+        model.name_ = name;
+        model.weights_mb_ = model_mb;
+        spec_.models_.push_back(model);
+    }
+
+    engine_state& add_engine(const std::string& id, std::vector<std::string> models) {
+        engine_state engine;
+        engine.id_ = id;
+        engine.nearby_.insert(models.begin(), models.end());
+        engine.models_ = std::move(models);
+        engine.available_ = true;
+        engine.serving_ = true;
+        engines_.push_back(engine);
+        return engines_.back();
+    }
+
+    std::optional<placement_step> next() const {
+        return next_placement({&spec_, engines_, &needs_, store_allowed_});
+    }
+
+    // Carries steps out at once until there are none; returns how many there were.
+    int run(int most) {
+        for (int done = 0; done < most; ++done) {
+            const auto step = next();
+            if (!step) {
+                return done;
+            }
+            const auto engine = std::find_if(engines_.begin(), engines_.end(),
+                                             [&](const engine_state& one) { return one.id_ == step->engine_; });
+            std::erase_if(engine->models_, [&](const std::string& model) {
+                return std::find(step->drop_.begin(), step->drop_.end(), model) != step->drop_.end();
+            });
+            engine->models_.push_back(step->load_);
+            engine->nearby_.insert(step->load_);
+        }
+        return most;
+    }
+
+    int copies(const std::string& model) const {
+        return int(std::count_if(engines_.begin(), engines_.end(), [&](const engine_state& engine) {
+            return std::find(engine.models_.begin(), engine.models_.end(), model) != engine.models_.end();
+        }));
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(plan_fixture, "plan_nothing_is_missing_or_busy_gives_no_order") {
+    add_model("a");
+    add_engine("e1", {"a"});
+    needs_["a"] = {1.0, 0};
+    CHECK_FALSE(next());
+}
+
+TEST_CASE_FIXTURE(plan_fixture, "plan_demand_moves_to_a_model_while_engines_are_full_of_parked_ones_it_spreads") {
+    // The busy model has one copy; every other engine holds last copies that nobody asks for.
+    add_model("busy");
+    add_engine("e0", {"busy"});
+    for (int engine = 1; engine <= 5; ++engine) {
+        std::vector<std::string> held;
+        for (int place = 0; place < 3; ++place) {
+            held.push_back("idle-" + std::to_string(engine) + "-" + std::to_string(place));
+            add_model(held.back());
+        }
+        add_engine("e" + std::to_string(engine), held);
+    }
+    needs_["busy"] = {100.0, 0};
+    run(50);
+    CHECK(copies("busy") == 6);
+}
+
+TEST_CASE_FIXTURE(plan_fixture, "plan_last_copy_that_is_in_demand_is_never_dropped") {
+    for (const char* name : {"busy", "b", "c", "d"}) {
+        add_model(name);
+    }
+    add_engine("e0", {"busy"});
+    add_engine("e1", {"b", "c", "d"});
+    needs_ = {{"busy", {500.0, 0}}, {"b", {0.5, 0}}, {"c", {0.5, 0}}, {"d", {0.5, 0}}};
+    CHECK_FALSE(next());
+}
+
+TEST_CASE_FIXTURE(plan_fixture, "plan_last_copy_goes_only_where_its_weights_stay_at_hand") {
+    for (const char* name : {"busy", "b", "c", "d"}) {
+        add_model(name);
+    }
+    add_engine("e0", {"busy"});
+    add_engine("e1", {"b", "c", "d"}).nearby_.clear();
+    needs_ = {{"busy", {500.0, 0}}};
+    CHECK_FALSE(next());
+}
+
+TEST_CASE_FIXTURE(plan_fixture, "plan_only_holder_is_lost_model_in_demand_is_loaded_again") {
+    for (const char* name : {"a", "b"}) {
+        add_model(name);
+    }
+    add_engine("lost", {"a"}).serving_ = false;
+    add_engine("e1", {"b"});
+    needs_ = {{"a", {2.0, 3}}};
+    const auto step = next();
+    REQUIRE(step);
+    CHECK(step->load_ == "a");
+    CHECK(step->engine_ == "e1");
+}
+
+TEST_CASE_FIXTURE(plan_fixture, "plan_rush_on_one_model_goes_before_rare_models_without_a_copy") {
+    for (const char* name : {"busy", "rare"}) {
+        add_model(name);
+    }
+    add_engine("e0", {"busy"});
+    add_engine("e1", {});
+    needs_ = {{"busy", {800.0, 0}}, {"rare", {0.5, 1}}};
+    REQUIRE(next());
+    CHECK(next()->load_ == "busy");
+}
+
+TEST_CASE_FIXTURE(plan_fixture, "plan_weight_store_at_its_rate_only_weights_at_hand_are_loaded") {
+    for (const char* name : {"a", "b"}) {
+        add_model(name);
+    }
+    add_engine("e1", {});
+    add_engine("e2", {}).nearby_.insert("b");
+    needs_ = {{"a", {9.0, 9}}, {"b", {1.0, 1}}};
+    store_allowed_ = false;
+    const auto step = next();
+    REQUIRE(step);
+    CHECK(step->load_ == "b");
+    CHECK(step->engine_ == "e2");
+    CHECK_FALSE(step->from_store_);
+}
+
+TEST_CASE("plan_any_demand_memory_is_never_overcommitted_and_steps_come_to_an_end") {
+    CHECK(rc::check([] {
+        plan_fixture plan;
+        const int models = *rc::gen::inRange(1, 15);
+        for (int model = 0; model < models; ++model) {
+            plan.add_model("m" + std::to_string(model));
+            plan.needs_["m" + std::to_string(model)] = {double(*rc::gen::inRange(0, 200)), *rc::gen::inRange(0, 3)};
+        }
+        const int engines = *rc::gen::inRange(1, 7);
+        for (int engine = 0; engine < engines; ++engine) {
+            std::vector<std::string> held;
+            for (int place = 0; place < 3; ++place) {
+                const std::string model = "m" + std::to_string(*rc::gen::inRange(0, models));
+                if (std::find(held.begin(), held.end(), model) == held.end()) {
+                    held.push_back(model);
+                }
+            }
+            plan.add_engine("e" + std::to_string(engine), held);
+        }
+        constexpr int more_than_enough = 300;
+        RC_ASSERT(plan.run(more_than_enough) < more_than_enough);
+        for (const engine_state& engine : plan.engines_) {
+            RC_ASSERT(double(engine.models_.size()) * model_mb <= engine_mb);
+        }
+    }));
+}
+
+TEST_CASE("pacing_loads_from_the_store_in_any_window_stay_within_its_rate") {
+    constexpr double per_s = 1.8;
+    constexpr double window_s = 5;
+    std::vector<time_ms> starts;
+    for (time_ms now = 0; now < 60'000; now += 50) {
+        if (store_load_allowed(starts, per_s, window_s, now)) {
+            starts.push_back(now);
+        }
+    }
+    for (std::size_t index = 0; index < starts.size(); ++index) {
+        const auto in_window = std::count_if(starts.begin(), starts.end(), [&](time_ms start) {
+            return start >= starts[index] && start < starts[index] + 5'000;
+        });
+        CHECK(double(in_window) <= per_s * window_s);
+    }
+    CHECK(starts.size() > 60);
+}
+
+} // namespace tamarack::provisioning
