--- /dev/null
+++ b/tests/direct/platform_stand_ins.cpp
@@ -0,0 +1,277 @@
+#include "direct/platform_stand_ins.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <nlohmann/json.hpp>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace tamarack::direct {
+
+namespace {
+
+constexpr auto loopback = INADDR_LOOPBACK;
+
+std::string big_endian(std::uint64_t number, int bytes) {
+    std::string text;
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) {
+        text.push_back(char(number >> shift));
+    }
+    return text;
+}
+
+std::string base64(const std::string& bytes) {
+    namespace codec = boost::beast::detail::base64;
+    std::string text(codec::encoded_size(bytes.size()), '\0');
+    text.resize(codec::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+std::string header_value(const std::string& request, const std::string& name) {
+    const std::size_t at = request.find("\r\n" + name + ": ");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const std::size_t begin = at + name.size() + 4;
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+std::string event(int id) {
+    return "id: " + std::to_string(id) + "\ndata: word\n\n";
+}
+
+std::string chunk(const std::string& bytes) {
+    char length[24];
+    std::snprintf(length, sizeof(length), "%zx\r\n", bytes.size());
+    return length + bytes + "\r\n";
+}
+
+} // namespace
+
+fake_store::fake_store()
+    : context_(1), server_(context_, http::server_limits(), [this](http::exchange& current) -> http::awaitable<void> {
+          co_await handle(current);
+      }) {
+    server_.listen({boost::asio::ip::address_v4::loopback(), 0});
+    thread_ = std::thread([this] { context_.run(); });
+}
+
+fake_store::~fake_store() {
+    context_.stop();
+    thread_.join();
+}
+
+boost::asio::ip::tcp::endpoint fake_store::address() const {
+    return {boost::asio::ip::address_v4::loopback(), server_.port()};
+}
+
+void fake_store::put(const std::string& topic, const std::string& key, const std::string& value) {
+    const std::lock_guard lock(mutex_);
+    topics_[topic].push_back({key, value});
+}
+
+void fake_store::drop(const std::string& topic, const std::string& key) {
+    const std::lock_guard lock(mutex_);
+    topics_[topic].push_back({key, std::nullopt});
+}
+
+http::awaitable<void> fake_store::handle(http::exchange& current) {
+    ++calls_;
+    const http::request& call = current.incoming();
+    const bool reads = call.path() == "/api/log-read";
+    const fault present = fault_;
+    http::response answer;
+    if (present == fault::silent) {
+        boost::asio::steady_timer timer(context_, std::chrono::hours(1));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    if (present == fault::busy) {
+        answer = http::json_response(503, "{}");
+    } else if (present == fault::limited) {
+        answer = http::json_response(429, "{}");
+    } else if (present == fault::expired && reads) {
+        answer = http::json_response(410, "{\"first\":1}");
+    } else {
+        answer = reads ? read(call) : newest(call);
+    }
+    if (present == fault::truncated && answer.body_.size() > 3) {
+        answer.body_.resize(answer.body_.size() - 3);
+    }
+    co_await current.reply(std::move(answer));
+}
+
+http::response fake_store::newest(const http::request& call) {
+    const std::lock_guard lock(mutex_);
+    const auto& records = topics_[std::string(call.query("topic").value_or(""))];
+    std::map<std::string, std::pair<std::string, std::size_t>> newest;
+    for (std::size_t offset = 0; offset < records.size(); ++offset) {
+        if (records[offset].value_) {
+            newest[records[offset].key_] = {*records[offset].value_, offset};
+        } else {
+            newest.erase(records[offset].key_);
+        }
+    }
+    nlohmann::json items = nlohmann::json::array();
+    for (const auto& [key, value] : newest) {
+        items.push_back({{"key", key}, {"value", base64(value.first)}, {"offset", value.second}});
+    }
+    const nlohmann::json body = {{"items", items}, {"has_more", false}, {"end", records.size()}};
+    return http::json_response(200, body.dump());
+}
+
+http::response fake_store::read(const http::request& call) {
+    const std::lock_guard lock(mutex_);
+    const auto& records = topics_[std::string(call.query("topic").value_or(""))];
+    const std::size_t from = std::stoul(std::string(call.query("from").value_or("0")));
+    std::string body = big_endian(records.size(), 8) + big_endian(0, 8);
+    for (std::size_t offset = from; offset < records.size(); ++offset) {
+        const record& one = records[offset];
+        const std::string content = char(one.key_.size()) + one.key_ + one.value_.value_or("");
+        body += big_endian(content.size(), 4) + content;
+    }
+    return {200, {}, body};
+}
+
+fake_endpoint::fake_endpoint(std::string id) : id_(std::move(id)) {
+    listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(loopback);
+    ::bind(listener_, reinterpret_cast<sockaddr*>(&local), sizeof(local));
+    ::listen(listener_, 64);
+    socklen_t length = sizeof(local);
+    ::getsockname(listener_, reinterpret_cast<sockaddr*>(&local), &length);
+    address_ = {boost::asio::ip::address_v4::loopback(), ntohs(local.sin_port)};
+    acceptor_ = std::thread([this] { accept_all(); });
+}
+
+fake_endpoint::~fake_endpoint() {
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+        ::shutdown(listener_, SHUT_RDWR);
+        for (const int socket : sockets_) {
+            ::shutdown(socket, SHUT_RDWR);
+        }
+    }
+    acceptor_.join();
+    for (std::thread& thread : threads_) {
+        thread.join();
+    }
+    ::close(listener_);
+}
+
+void fake_endpoint::set_manners(std::vector<manner> manners) {
+    const std::lock_guard lock(mutex_);
+    manners_ = std::move(manners);
+    next_ = 0;
+    arrived_.clear();
+}
+
+std::vector<std::string> fake_endpoint::arrived() const {
+    const std::lock_guard lock(mutex_);
+    return arrived_;
+}
+
+void fake_endpoint::accept_all() {
+    while (true) {
+        const int socket = ::accept(listener_, nullptr, nullptr);
+        const std::lock_guard lock(mutex_);
+        if (socket < 0 || stopping_) {
+            return;
+        }
+        sockets_.push_back(socket);
+        threads_.emplace_back([this, socket] { serve(socket); });
+    }
+}
+
+fake_endpoint::manner fake_endpoint::next_manner() {
+    const manner present = manners_[std::min(next_, manners_.size() - 1)];
+    ++next_;
+    return present;
+}
+
+void fake_endpoint::serve(int socket) {
+    std::string received;
+    char bytes[4'096];
+    while (true) {
+        const ssize_t count = ::recv(socket, bytes, sizeof(bytes), 0);
+        if (count <= 0) {
+            break;
+        }
+        received.append(bytes, std::size_t(count));
+        const std::size_t head = received.find("\r\n\r\n");
+        if (head == std::string::npos) {
+            continue;
+        }
+        const std::string length = header_value(received, "Content-Length");
+        const std::size_t whole = head + 4 + (length.empty() ? 0 : std::stoul(length));
+        if (received.size() < whole) {
+            continue;
+        }
+        const std::string request = received.substr(0, whole);
+        received.erase(0, whole);
+        manner how{};
+        {
+            const std::lock_guard lock(mutex_);
+            arrived_.push_back(request);
+            how = next_manner();
+        }
+        const std::string reply = answer(how, request);
+        ::send(socket, reply.data(), reply.size(), MSG_NOSIGNAL);
+        const bool ends = how == manner::truncated || how == manner::reset || how == manner::garbage ||
+                          how == manner::cut_stream;
+        if (ends) {
+            ::shutdown(socket, SHUT_RDWR);
+            break;
+        }
+    }
+    ::close(socket);
+    const std::lock_guard lock(mutex_);
+    std::erase(sockets_, socket);
+}
+
+std::string fake_endpoint::answer(manner how, const std::string& request) const {
+    const std::string id = header_value(request, "Tamarackbeam-Request-Id");
+    const std::string stamp = "Tamarackbeam-Server-Stamp: s-" + id_ + "\r\n";
+    const std::string named = "Tamarackbeam-Request-Id: " + id + "\r\n";
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string body = "Content-Length: 4\r\n\r\ndone";
+    const std::string stream = ok + named + stamp + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    switch (how) {
+    case manner::whole:
+        return ok + named + stamp + body;
+    case manner::foreign_first:
+        return ok + "Tamarackbeam-Request-Id: other\r\n" + stamp + body + ok + named + stamp + body;
+    case manner::truncated:
+        return ok + named + stamp + "Content-Length: 4\r\n\r\ndo";
+    case manner::not_run:
+        return "HTTP/1.1 503 Service Unavailable\r\n" + named + "Tamarackbeam-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    case manner::unstamped:
+        return ok + named + body;
+    case manner::failing:
+        return "HTTP/1.1 500 Internal Server Error\r\n" + named + stamp + body;
+    case manner::garbage:
+        return "\x01\x02 no answer at all\r\n\r\n";
+    case manner::reset:
+    case manner::silent:
+        return {};
+    case manner::whole_stream:
+    case manner::cut_stream: {
+        const std::string last = header_value(request, "Last-Event-Id");
+        const int first = last.empty() ? 1 : std::stoi(last) + 1;
+        std::string events;
+        const int end = how == manner::whole_stream ? 5 : first + 1;
+        for (int event_id = first; event_id <= end; ++event_id) {
+            events += chunk(event(event_id));
+        }
+        return stream + events + (how == manner::whole_stream ? "0\r\n\r\n" : chunk("id: 99\nda"));
+    }
+    }
+    return {};
+}
+
+} // namespace tamarack::direct
--- /dev/null
+++ b/tests/direct/platform_stand_ins.hpp
@@ -0,0 +1,100 @@
+// Stand-ins for the platform's store and for an endpoint, with faults, for contract tests of the adapter.
+#pragma once
+
+#include "tamarack/http.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace tamarack::direct {
+
+// A keyed log over HTTP, as the platform's pages describe it.
+class fake_store {
+public:
+    enum class fault { none, busy, limited, expired, silent, truncated };
+
+    fake_store();
+    ~fake_store();
+
+    void put(const std::string& topic, const std::string& key, const std::string& value);
+    void drop(const std::string& topic, const std::string& key);
+
+    // In force until changed.
+    void set_fault(fault one) { fault_ = one; }
+    boost::asio::ip::tcp::endpoint address() const;
+    int calls() const { return calls_; }
+
+private:
+    struct record {
+        std::string key_;
+        std::optional<std::string> value_;
+    };
+
+    boost::asio::awaitable<void> handle(http::exchange& current);
+    http::response newest(const http::request& call);
+    http::response read(const http::request& call);
+
+    boost::asio::io_context context_;
+    http::server server_;
+    std::mutex mutex_;
+    std::map<std::string, std::vector<record>> topics_;
+    std::atomic<fault> fault_ = fault::none;
+    std::atomic<int> calls_ = 0;
+    std::thread thread_;
+};
+
+// An endpoint that answers each request with bytes of the test's choice, and counts what arrives.
+class fake_endpoint {
+public:
+    // How one request is answered; applied in order, the last one for good.
+    enum class manner {
+        whole,         // a stamped answer
+        foreign_first, // an answer to another request, then the right one
+        truncated,     // the connection ends in the middle of the body
+        reset,         // the connection ends without an answer
+        not_run,       // refused, and said so
+        unstamped,     // a success that the endpoint did not make
+        failing,       // a stamped server error
+        garbage,       // bytes that are no answer
+        silent,        // nothing
+        whole_stream,  // five events
+        cut_stream,    // two events and half of the third
+    };
+
+    explicit fake_endpoint(std::string id);
+    ~fake_endpoint();
+
+    void set_manners(std::vector<manner> manners);
+    boost::asio::ip::tcp::endpoint address() const { return address_; }
+    const std::string& id() const { return id_; }
+
+    // The requests that arrived, as bytes.
+    std::vector<std::string> arrived() const;
+
+private:
+    void accept_all();
+    void serve(int socket);
+    manner next_manner();
+    std::string answer(manner how, const std::string& request) const;
+
+    std::string id_;
+    int listener_ = -1;
+    boost::asio::ip::tcp::endpoint address_;
+    mutable std::mutex mutex_;
+    std::vector<manner> manners_ = {manner::whole};
+    std::size_t next_ = 0;
+    std::vector<std::string> arrived_;
+    std::vector<int> sockets_;
+    std::vector<std::thread> threads_;
+    std::thread acceptor_;
+    bool stopping_ = false;
+};
+
+} // namespace tamarack::direct
