Recover faster when everything restarts; learn the fleet from a peer without the store

Cause: after all processes lost power the planner listened 1.2 s and gave 12 orders a round to 55 empty engines; agents whose engine was down said nothing, so their links were closed; 11 of 30 gateways that the store turned away knew no configuration for 6 s.

--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -186,6 +186,9 @@
     virtual void set_reads(bool reads, bool first) = 0;
     virtual void take_relayed(const std::string& bytes) = 0;
 
+    // All that is known, for a gateway that starts while it cannot reach the store; taken by `take_relayed`.
+    virtual std::vector<std::string> snapshot() const = 0;
+
     // Decodes a configuration that a peer relayed. Fails with `invalid`.
     virtual result<std::shared_ptr<const configuration>> decode(const std::string& encoded) const = 0;
 };
--- a/include/tamarack/settings.hpp
+++ b/include/tamarack/settings.hpp
@@ -54,6 +54,8 @@
     boost::asio::ip::tcp::endpoint admin_;   // readiness
     boost::asio::ip::tcp::endpoint metrics_; // /metrics
     boost::asio::ip::tcp::endpoint store_;   // the platform's store
+    boost::asio::ip::tcp::endpoint peers_;   // other gateways that cannot reach the store; optional
+    std::vector<boost::asio::ip::tcp::endpoint> seeds_; // such addresses of other gateways, perhaps stale
     std::string platform_ = "log-store";     // name of the platform plug-in
     std::string ready_path_ = "/readyz";
     std::int64_t agent_port_ = 0;            // on which every engine agent listens
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -301,22 +301,25 @@
 }
 
 void agent::push_status() {
-    if (!book_.report() || gateways_.empty()) {
+    if (gateways_.empty()) {
         return;
     }
-    const engine::report& report = *book_.report();
     const time_ms now = steady_now_ms();
-    const std::vector<fleet::held_model> models = book_.usable_models();
-    const bool models_changed = models != pushed_models_ || report.incarnation_ != pushed_incarnation_;
-    const bool urgent = models_changed || reachable_ != pushed_reachable_ || report.leaving_ != pushed_leaving_;
+    pushed_state state;
+    state.reachable_ = reachable_;
+    if (book_.report()) {
+        state.leaving_ = book_.report()->leaving_;
+        state.incarnation_ = book_.report()->incarnation_;
+        state.models_ = book_.usable_models();
+    }
+    const bool models_changed = state.models_ != pushed_.models_ || state.incarnation_ != pushed_.incarnation_;
+    const bool urgent =
+        models_changed || state.reachable_ != pushed_.reachable_ || state.leaving_ != pushed_.leaving_;
     if (!urgent && now - pushed_at_ < push_interval_ms()) {
         return;
     }
     pushed_at_ = now;
-    pushed_reachable_ = reachable_;
-    pushed_leaving_ = report.leaving_;
-    pushed_models_ = models;
-    pushed_incarnation_ = report.incarnation_;
+    pushed_ = std::move(state);
     const std::string bytes = links::encode(links::make_frame(make_status(models_changed)));
     const auto linked = gateways_; // a link that fails leaves the list
     for (const auto& one : linked) {
--- a/src/engine_agent/agent.hpp
+++ b/src/engine_agent/agent.hpp
@@ -27,6 +27,14 @@
         std::map<std::uint64_t, std::uint64_t> wants_; // its numbers of wants, and those of this agent
     };
 
+    // What the gateways were last told; a change is told at once.
+    struct pushed_state {
+        std::vector<fleet::held_model> models_;
+        std::int64_t incarnation_ = 0;
+        bool reachable_ = false;
+        bool leaving_ = false;
+    };
+
     result<done> listen();
     void accept();
     void take_frame(const std::shared_ptr<gateway>& from, const links::frame& received);
@@ -59,13 +67,10 @@
     std::map<std::int64_t, std::string> engine_ids_; // by the engine's start, as the registry names them
     std::map<std::uint64_t, std::pair<std::weak_ptr<links::link>, std::uint64_t>> wants_; // link and its number
     std::uint64_t next_want_ = 1;
-    std::vector<fleet::held_model> pushed_models_;
-    std::int64_t pushed_incarnation_ = 0;
     bool reachable_ = false;
-    bool pushed_reachable_ = false;
-    bool pushed_leaving_ = false;
     bool reading_ = false;
     int failures_ = 0;
+    pushed_state pushed_;
     time_ms pushed_at_ = 0;
 };
 
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -68,6 +68,7 @@
     handlers.relay_ = [this](std::string bytes) { traffic_.relay_store(std::move(bytes)); };
     source_ = (*registry<fleet::fleet_source_factory>::instance().find(settings.platform_))(
         context_, settings.store_, std::move(handlers));
+    seeds_ = std::make_unique<seed_exchange>(context_, *source_, settings.peers_, settings.seeds_, events);
 }
 
 int control::run() {
@@ -86,6 +87,7 @@
     events_.write({event_kind::process, "gateway", "started", {}, {{"port", int(settings_.listen_.port())}}});
     std::thread traffic_thread([this] { traffic_.run(); });
     source_->start();
+    seeds_->start([this] { return version_ >= 0 && endpoints_known_; });
     watch_signals();
     tick();
     context_.run();
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -1,6 +1,7 @@
 // The control thread: the store, readiness, planning, signals and metrics.
 #pragma once
 
+#include "gateway/seed_exchange.hpp"
 #include "gateway/traffic.hpp"
 #include "tamarack/http.hpp"
 
@@ -41,6 +42,7 @@
     fleet::directory directory_;
     planner planner_;
     traffic traffic_;
+    std::unique_ptr<seed_exchange> seeds_;
     http::server admin_;
     http::server metrics_server_;
     std::int64_t version_ = -1;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr time_ms silence_ms = 1'800;   // several digests; the gateway counts as gone then
-constexpr time_ms listening_ms = 1'200; // after a start, until the digests of the others have come in
+constexpr time_ms listening_ms = 700; // after a start, until the digests of the others have come in
 
 } // namespace
 
--- a/src/gateway/planner.cpp
+++ b/src/gateway/planner.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr time_ms order_shown_ms = 2'500; // until an order shows in the reports of its engine
-constexpr int most_steps = 12;            // in one round; bounds the time that a round takes
+constexpr int most_steps = 64;            // in one round; after a restart of everything each engine needs one
 
 bool holds(const provisioning::engine_state& engine, const std::string& model) {
     return std::find(engine.models_.begin(), engine.models_.end(), model) != engine.models_.end();
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -15,6 +15,7 @@
 constexpr std::int64_t ticks_per_digest = 2; // digests twice a second
 constexpr time_ms configuration_patience_ms = 1'000; // for a version to reach all gateways by itself
 constexpr std::int64_t ticks_per_report = 4; // one line a second about what the planner sees
+constexpr time_ms introduction_ms = 2'500;   // after a start, in which digests go out at each tick
 constexpr int accept_backlog = 1'024;
 constexpr double ms_per_s = 1'000;
 
@@ -148,7 +149,8 @@
     const time_ms now = steady_now_ms();
     agents_.tick(now);
     fleet_.set_gateways(peers_.count(now));
-    if (++ticks_ % ticks_per_digest == 0) {
+    const bool just_started = now - started_at_ < introduction_ms;
+    if (++ticks_ % ticks_per_digest == 0 || just_started) {
         send_digest(now);
     }
     relay_configuration(now);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -33,6 +33,23 @@
     return value(parsed);
 }
 
+std::vector<boost::asio::ip::tcp::endpoint> read_endpoints(row_reader& reader, const std::string& field) {
+    std::vector<boost::asio::ip::tcp::endpoint> all;
+    const nlohmann::json* listed = reader.list(field);
+    if (listed == nullptr) {
+        return all;
+    }
+    for (const nlohmann::json& text : *listed) {
+        const auto parsed = http::parse_endpoint(text.is_string() ? text.get<std::string>() : std::string());
+        if (ok(parsed)) {
+            all.push_back(value(parsed));
+        } else {
+            reader.fault(field, "has an entry that is no address", failure(parsed).remedy_);
+        }
+    }
+    return all;
+}
+
 void read_duration(row_reader& reader, const std::string& field, std::int64_t& duration_ms) {
     duration_ms = reader.number(field, 1, max_duration_ms, duration_ms);
 }
@@ -121,6 +138,10 @@
     settings.admin_ = read_endpoint(reader, "admin");
     settings.metrics_ = read_endpoint(reader, "metrics");
     settings.store_ = read_endpoint(reader, "store");
+    settings.seeds_ = read_endpoints(reader, "seeds");
+    if (reader.has("peers")) {
+        settings.peers_ = read_endpoint(reader, "peers");
+    }
     settings.platform_ = reader.text("platform", settings.platform_);
     settings.ready_path_ = reader.text("ready_path", settings.ready_path_);
     settings.agent_port_ = reader.number("agent_port", 1, max_port);
--- a/src/tables/row_reader.cpp
+++ b/src/tables/row_reader.cpp
@@ -18,6 +18,10 @@
     return found == row_.end() ? nullptr : &*found;
 }
 
+bool row_reader::has(const std::string& field) const {
+    return row_.is_object() && row_.contains(field);
+}
+
 std::string row_reader::text(const std::string& field, std::optional<std::string> fallback) {
     const nlohmann::json* given = take(field);
     if (given == nullptr && fallback) {
--- a/src/tables/row_reader.hpp
+++ b/src/tables/row_reader.hpp
@@ -15,6 +15,7 @@
     row_reader(const nlohmann::json& row, std::string table, std::string row_name, std::string prefix,
                std::vector<table_fault>& faults);
 
+    bool has(const std::string& field) const;
     std::string text(const std::string& field, std::optional<std::string> fallback = std::nullopt);
     std::int64_t number(const std::string& field, std::int64_t minimum, std::int64_t maximum,
                         std::optional<std::int64_t> fallback = std::nullopt);
