--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -27,6 +27,8 @@
     std::string tenant_;
     std::string model_;
     std::string key_;
+    std::string events_;  // files with event lines, separated by commas
+    std::string request_; // id of the request to tell of
 };
 
 inline constexpr std::int64_t no_base = -2;
@@ -37,5 +39,6 @@
 int show(const options& given);
 int status(const options& given);
 int explain(const options& given);
+int story(const options& given);
 
 } // namespace tamarack::ctl
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -20,6 +20,8 @@
 DEFINE_string(tenant, "default", "tenant of the request to explain");
 DEFINE_string(model, "", "model of the request to explain");
 DEFINE_string(key, "", "idempotency key of the request to explain");
+DEFINE_string(events, "", "files with event lines of the processes, separated by commas");
+DEFINE_string(request, "", "id of the request to tell of");
 
 namespace {
 
@@ -31,6 +33,7 @@
   show      --log                                the tables in force
   status    --instances                          readiness and version of instances
   explain   --log --list --path --model ...      route, pool and endpoints of a request
+  story     --events --request                   what happened to a request, from saved event lines
 
 Exit codes: 0 done, 1 rejected or faulty tables, 2 wrong flags or files, 3 not reachable or unknown.)";
 
@@ -50,6 +53,8 @@
     given.tenant_ = FLAGS_tenant;
     given.model_ = FLAGS_model;
     given.key_ = FLAGS_key;
+    given.events_ = FLAGS_events;
+    given.request_ = FLAGS_request;
     return given;
 }
 
@@ -61,6 +66,7 @@
         {"validate", tamarack::ctl::validate}, {"publish", tamarack::ctl::publish},
         {"history", tamarack::ctl::history},   {"show", tamarack::ctl::show},
         {"status", tamarack::ctl::status},     {"explain", tamarack::ctl::explain},
+        {"story", tamarack::ctl::story},
     };
     gflags::SetUsageMessage(usage);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -108,7 +108,8 @@
         if (one->engine_.loading_ == model) {
             wait = std::min(wait, known->store_load_ms_);
         }
-        if (one->engine_.nearby_.contains(model)) {
+        // An engine that has not reported yet, as after a restart of everything, most likely has it on its disk.
+        if (one->engine_.nearby_.contains(model) || !one->engine_.known_) {
             wait = std::min(wait, planning_ms + known->disk_load_ms_);
         }
     }
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr time_ms silence_ms = 1'800;   // several digests; the gateway counts as gone then
-constexpr time_ms listening_ms = 700; // after a start, until the digests of the others have come in
+constexpr time_ms listening_ms = 1'200; // after a start, until the digests of the others have come in
 
 } // namespace
 
@@ -34,10 +34,11 @@
                                  [&](const auto& entry) { return alive(entry.second, now); }));
 }
 
-bool peers::plans_here(time_ms now, time_ms started_at) const {
-    if (now - started_at < listening_ms) {
-        return false;
-    }
+bool peers::settled(time_ms now, time_ms started_at) {
+    return now - started_at >= listening_ms;
+}
+
+bool peers::plans_here(time_ms now) const {
     return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
         return alive(entry.second, now) && entry.first < own_id_;
     });
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -19,8 +19,11 @@
     // Gateways in service, this one included.
     int count(time_ms now) const;
 
-    // The gateway with the least id plans. One that has just started listens to the others first.
-    bool plans_here(time_ms now, time_ms started_at) const;
+    // The gateway with the least id plans.
+    bool plans_here(time_ms now) const;
+
+    // Whether a gateway that started at `started_at` has had the time to hear of the others.
+    static bool settled(time_ms now, time_ms started_at);
 
     // This gateway's place among those that read the store; the first `store_readers` read for all.
     int reader_rank(bool reachable_here, time_ms now) const;
--- a/src/gateway/planner.cpp
+++ b/src/gateway/planner.cpp
@@ -90,8 +90,9 @@
             facts.spec_ = service.spec_;
             facts.engines_ = engines;
             facts.needs_ = &snapshot.needs_;
-            facts.store_load_allowed_ = provisioning::store_load_allowed(
-                starts, service.spec_->store_loads_per_s_, load_window_s_, now);
+            facts.store_load_allowed_ =
+                snapshot.settled_ && provisioning::store_load_allowed(
+                                         starts, service.spec_->store_loads_per_s_, load_window_s_, now);
             const auto step = provisioning::next_placement(facts);
             if (!step) {
                 break;
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -162,7 +162,7 @@
                        {{"gateways", peers_.count(now)}}});
         handlers_.reads_store_(reads, rank == 0);
     }
-    const bool plans = peers_.plans_here(now, started_at_) && !leaving_;
+    const bool plans = peers_.plans_here(now) && !leaving_;
     if (plans != planned_) {
         planned_ = plans;
         events_.write({event_kind::belief, "planner", plans ? "plans_here" : "plans_elsewhere", {},
@@ -222,6 +222,7 @@
 
 std::shared_ptr<const fleet_snapshot> traffic::snapshot(time_ms now) const {
     auto all = std::make_shared<fleet_snapshot>();
+    all->settled_ = peers::settled(now, started_at_);
     all->needs_ = peers_.needs(fleet_.demand_.levels(now), now);
     const auto& configuration = fleet_.current()->configuration_;
     for (const fleet::service_spec& service : configuration->services_) {
--- /dev/null
+++ b/tests/direct/events_test.cpp
@@ -0,0 +1,90 @@
+#include "ctl/story.hpp"
+#include "tamarack/events.hpp"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <future>
+
+namespace tamarack {
+
+namespace {
+
+event ending(std::string_view request) {
+    return {event_kind::ending, "gateway", "request_ended", request, {{"status", 503}, {"outcome", "too_busy"}}};
+}
+
+} // namespace
+
+TEST_CASE("event_line_fields_are_typed_escaped_and_bounded") {
+    const event one{event_kind::sending, "gateway", "send_ended", "id\"\n", {{"long", std::string(5'000, 'x')},
+                                                                             {"left", std::int64_t(5)},
+                                                                             {"budget", true}}};
+    const std::string line = to_json_line(one, "gateway-1", 77);
+    CHECK(line.find('\n') == std::string::npos);
+    CHECK(line.size() < 1'000);
+    const nlohmann::json body = nlohmann::json::parse(line);
+    CHECK(body["request"] == "id\"\n");
+    CHECK(body["kind"] == "sending");
+    CHECK(body["left"] == 5);
+    CHECK(body["budget"] == true);
+    CHECK(body["at_ms"] == 77);
+}
+
+TEST_CASE("event_bytes_that_are_no_text_still_make_a_line") {
+    const event one{event_kind::ending, "gateway", "request_ended", "\xff\xfe", {{"text", "\xc3\x28"}}};
+    CHECK(nlohmann::json::accept(to_json_line(one, "gateway-1", 1)));
+}
+
+TEST_CASE("event_kind_in_a_flood_is_limited_and_others_are_not") {
+    event_limiter limiter({10, 20});
+    int allowed = 0;
+    for (int line = 0; line < 1'000; ++line) {
+        allowed += limiter.allow(event_kind::ending, 1'000 + line) ? 1 : 0;
+    }
+    CHECK(allowed >= 20);
+    CHECK(allowed <= 31);
+    CHECK(limiter.allow(event_kind::dependency, 2'000));
+    const auto left_out = limiter.take_left_out();
+    CHECK(left_out[std::size_t(event_kind::ending)] == 1'000 - allowed);
+    CHECK(limiter.take_left_out()[std::size_t(event_kind::ending)] == 0);
+}
+
+TEST_CASE("event_output_that_nobody_reads_never_blocks_the_writer") {
+    std::promise<void> read;
+    const std::shared_future<void> reading = read.get_future().share();
+    event_log log("gateway-1", {1e9, 1e9}, [reading](const std::string&) { reading.wait(); });
+    for (int line = 0; line < 50'000; ++line) {
+        log.write(ending("r-1"));
+    }
+    read.set_value();
+}
+
+TEST_CASE("event_log_that_stops_writes_what_was_queued") {
+    std::string written;
+    {
+        event_log log("gateway-1", event_rate(), [&](const std::string& lines) { written += lines + "\n"; });
+        log.write(ending("r-1"));
+        log.write(ending("r-2"));
+    }
+    CHECK(written.find("r-1") != std::string::npos);
+    CHECK(written.find("r-2") != std::string::npos);
+}
+
+TEST_CASE("story_of_a_request_holds_its_lines_and_what_its_process_learned_before") {
+    const std::vector<std::string> lines = {
+        to_json_line({event_kind::belief, "gateway", "engine_down", {}, {{"endpoint", "i-1"}}}, "gateway-1", 9'000),
+        "12.5 front " + to_json_line(ending("r-1"), "gateway-1", 10'000),
+        to_json_line(ending("r-2"), "gateway-1", 9'900),
+        to_json_line({event_kind::belief, "gateway", "engine_down", {}, {}}, "gateway-2", 9'900),
+        to_json_line({event_kind::belief, "gateway", "engine_back", {}, {}}, "gateway-1", 1'000),
+        "no event at all",
+    };
+    const auto story = ctl::story_of(lines, "r-1", std::chrono::milliseconds(2'000));
+    REQUIRE(story.size() == 2);
+    CHECK(story[0].find("engine_down") != std::string::npos);
+    CHECK(story[1].find("r-1") != std::string::npos);
+    CHECK(ctl::story_of(lines, "r-3", std::chrono::milliseconds(2'000)).empty());
+}
+
+} // namespace tamarack
--- a/tests/direct/gateway_test.cpp
+++ b/tests/direct/gateway_test.cpp
@@ -209,11 +209,11 @@
 
 TEST_CASE("peers_least_id_in_service_plans_and_the_next_takes_over_when_it_is_silent") {
     peers known("b");
-    CHECK_FALSE(known.plans_here(1'000, 500)); // listens first
+    CHECK_FALSE(peers::settled(1'000, 500)); // listens first
     known.take(make_digest("a"), 2'000);
-    CHECK_FALSE(known.plans_here(2'100, 0));
+    CHECK_FALSE(known.plans_here(2'100));
     CHECK(known.count(2'100) == 2);
-    CHECK(known.plans_here(6'000, 0));
+    CHECK(known.plans_here(6'000));
     CHECK(known.count(6'000) == 1);
 }
 
@@ -227,6 +227,44 @@
     CHECK(known.reader_rank(false, 1'300) >= store_readers);
 }
 
+TEST_CASE("planner_everything_restarted_loads_from_disks_at_once_and_from_the_store_only_when_settled") {
+    auto configuration = std::make_shared<fleet::configuration>();
+    fleet::service_spec service;
+    service.engine_ = fleet::engine_spec();
+    service.engine_->weights_mb_ = 220;
+    service.engine_->store_loads_per_s_ = 10;
+    for (const char* model : {"on-disk", "elsewhere"}) {
+        fleet::model_spec one;
+        one.name_ = model;
+        one.weights_mb_ = 70;
+        service.engine_->models_.push_back(one);
+    }
+    configuration->services_.push_back(service);
+    fleet_snapshot snapshot;
+    snapshot.settled_ = false;
+    snapshot.needs_ = {{"on-disk", {5.0, 1}}, {"elsewhere", {5.0, 1}}};
+    service_snapshot part{configuration, &*configuration->services_[0].engine_, {}};
+    for (int engine = 0; engine < 4; ++engine) {
+        engine_snapshot one;
+        one.state_.id_ = "e" + std::to_string(engine);
+        one.state_.available_ = one.state_.serving_ = true;
+        one.state_.nearby_ = {"on-disk"};
+        part.engines_.push_back(one);
+    }
+    snapshot.services_.push_back(part);
+    planner one("gateway-1", 5);
+    const auto at_once = one.step(snapshot, 100'000);
+    REQUIRE_FALSE(at_once.empty());
+    for (const planned_order& order : at_once) {
+        CHECK(order.order_.load == "on-disk");
+    }
+    snapshot.settled_ = true;
+    planner settled("gateway-1", 5);
+    const auto later = settled.step(snapshot, 101'200);
+    CHECK(std::any_of(later.begin(), later.end(),
+                      [](const planned_order& order) { return order.order_.load == "elsewhere"; }));
+}
+
 TEST_CASE("planner_new_one_keeps_the_stores_rate_by_what_engines_report") {
     auto configuration = std::make_shared<fleet::configuration>();
     fleet::service_spec service;
