--- a/src/ctl/story.cpp
+++ b/src/ctl/story.cpp
@@ -79,6 +79,10 @@
 }
 
 int story(const options& given) {
+    if (given.request_.empty() || given.events_.empty()) {
+        std::cerr << "story needs --events and --request\n";
+        return exit_usage;
+    }
     std::vector<std::string> lines;
     for (const std::string& path : split_list(given.events_)) {
         std::ifstream file(path);
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -216,6 +216,8 @@
                              {"end", dispatch::to_string(end)},
                              {"status", answer.status_},
                              {"took_ms", now - sending_->began_at_},
+                             {"may_run_again", facts.repeatable_},
+                             {"other_endpoint", facts.other_endpoint_},
                              {"budget_left", facts.budget_left_},
                              {"left_ms", left_ms(now)},
                              {"outcome", dispatch::to_string(step)}}});
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -167,12 +167,29 @@
     const auto expected = time_ms(dispatch::expected_first_event_ms(options[*chosen], facts_.prompt_tokens_, pace));
     const bool in_service = maybe_runs_ > 0; // has been admitted before
     if (!in_service && !dispatch::should_admit(admission_facts(expected, now))) {
+        note_refusal(*usable[*chosen], options[*chosen], expected, now);
         refuse("too_busy", expected);
         return;
     }
     prepare(usable[*chosen]);
 }
 
+// What the refusal rests on: the best endpoint and the age of what is known of it.
+void request_flow::note_refusal(const endpoint& best, const dispatch::option& option, time_ms expected,
+                                time_ms now) {
+    context_.events_.write({event_kind::admission, "gateway", "would_be_late", facts_.id_,
+                            {{"model", facts_.model_},
+                             {"best_endpoint", best.record().id_},
+                             {"expected_ms", expected},
+                             {"objective_ms", route_->objective_ms_},
+                             {"left_ms", left_ms(now)},
+                             {"returned", returned_},
+                             {"running", option.running_},
+                             {"queued_ahead", option.queued_},
+                             {"unread_tokens", option.unread_tokens_},
+                             {"report_age_ms", best.engine_.known_ ? now - best.engine_.at_ : -1}}});
+}
+
 dispatch::admission_facts request_flow::admission_facts(time_ms wait_ms, time_ms now) const {
     dispatch::admission_facts facts;
     facts.wait_ms_ = wait_ms;
