--- a/include/tamarack/dispatch.hpp
+++ b/include/tamarack/dispatch.hpp
@@ -32,14 +32,14 @@
 
 struct send_facts {
     send_end end_ = send_end::broken;
-    bool repeatable_ = false;         // the request may run more than once
+    bool repeatable_ = false;          // the request may run more than once
     bool may_have_run_before_ = false; // an earlier sending was broken
-    bool failure_status_ = false;     // the answer is a server error
-    int sends_that_may_have_run_ = 0; // this one included
+    bool failure_status_ = false;      // the answer is a server error
+    int sends_that_may_have_run_ = 0;  // this one included
     int max_attempts_ = 1;
-    bool budget_left_ = true;         // of the retry budget
-    bool time_left_ = true;           // another endpoint could still answer in time
-    bool other_endpoint_ = true;      // there is one that was not tried
+    bool budget_left_ = true;    // of the retry budget
+    bool time_left_ = true;      // another endpoint could still answer in time
+    bool other_endpoint_ = true; // there is one that was not tried
 };
 
 // Sends a request again only if it may run twice or is known not to have run.
@@ -85,15 +85,15 @@
     std::string_view id_;
     bool same_data_centre_ = false;
     int slots_ = 1;
-    double running_ = 0;          // requests in its batch: reported, plus sent and less ended since
-    double queued_ = 0;           // requests that wait there, as reported
-    double unread_tokens_ = 0;    // prompts that this gateway sent and that have no first event yet
-    double kept_tokens_ = 0;      // of this request's prompt, likely in its cache
-    double memory_use_ = 0;       // share of its KV cache that cannot yield
-    double slowness_ = 1;         // its time to the first event against its peers, 1 or more
-    double failure_rate_ = 0;     // recent share of failed sends
-    double adapter_wait_ms_ = 0;  // until the wanted adapter is resident
-    bool suspected_ = false;      // did not connect or went silent a moment ago
+    double running_ = 0;         // requests in its batch: reported, plus sent and less ended since
+    double queued_ = 0;          // requests that wait there, as reported
+    double unread_tokens_ = 0;   // prompts that this gateway sent and that have no first event yet
+    double kept_tokens_ = 0;     // of this request's prompt, likely in its cache
+    double memory_use_ = 0;      // share of its KV cache that cannot yield
+    double slowness_ = 1;        // its time to the first event against its peers, 1 or more
+    double failure_rate_ = 0;    // recent share of failed sends
+    double adapter_wait_ms_ = 0; // until the wanted adapter is resident
+    bool suspected_ = false;     // did not connect or went silent a moment ago
 };
 
 // Speeds of engines that the gateway learns from answers.
@@ -123,8 +123,8 @@
     bool returned_ = false;    // the client was told to return and did
 };
 
-// Whether the request should be taken. One that would come late holds a place that others could use in time, so
-// its client is told to return; a client that did return is taken as long as it still waits.
+// Whether the request should be taken. One that would come late holds a place that others could use in time,
+// so its client is told to return; a client that did return is taken as long as it still waits.
 bool should_admit(const admission_facts& facts);
 
 // Which endpoints fail or went silent, learned from the outcome of sends.
--- a/include/tamarack/engine.hpp
+++ b/include/tamarack/engine.hpp
@@ -17,8 +17,8 @@
     int queued_ = 0;
     double kv_used_ = 0; // tokens that cannot yield
     double kv_total_ = 0;
-    bool busy_ = false;          // an order is being carried out
-    std::int64_t accepted_ = 0;  // orders accepted since the start
+    bool busy_ = false;         // an order is being carried out
+    std::int64_t accepted_ = 0; // orders accepted since the start
     std::vector<fleet::held_model> models_;
     std::set<std::string> nearby_; // models whose weights it has on disk or in main memory
     std::set<std::string> coming_; // adapters in transit, as "model/adapter"
--- a/include/tamarack/links.hpp
+++ b/include/tamarack/links.hpp
@@ -34,8 +34,8 @@
 // Largest frame that is accepted; a configuration with thousands of routes fits.
 inline constexpr std::size_t max_frame_bytes = 2 * 1024 * 1024;
 
-// Bytes queued to a peer that does not read, beyond which the link is closed. A few dozen links fit the memory
-// of a small instance.
+// Bytes queued to a peer that does not read, beyond which the link is closed. A few dozen links fit the
+// memory of a small instance.
 inline constexpr std::size_t max_queued_bytes = 2 * 1024 * 1024;
 
 // Wraps a message in a frame.
--- a/include/tamarack/provisioning.hpp
+++ b/include/tamarack/provisioning.hpp
@@ -10,18 +10,18 @@
 // An engine as the planner sees it.
 struct engine_state {
     std::string id_;
-    std::vector<std::string> models_;         // resident
-    std::string loading_;                     // model under way, or empty
+    std::vector<std::string> models_;           // resident
+    std::string loading_;                       // model under way, or empty
     std::set<std::string, std::less<>> nearby_; // weights on its disk or in its main memory
-    bool available_ = false;                  // reachable, not leaving, and ready for an order
-    bool serving_ = false;                    // reachable and not leaving
-    double running_ = 0;                      // requests in its batch and queue
+    bool available_ = false;                    // reachable, not leaving, and ready for an order
+    bool serving_ = false;                      // reachable and not leaving
+    double running_ = 0;                        // requests in its batch and queue
 };
 
 // Demand for one model over all gateways.
 struct model_need {
-    double work_ = 0;  // requests in service at once, at the pace of an idle engine
-    int waiting_ = 0;  // requests that no engine could take
+    double work_ = 0; // requests in service at once, at the pace of an idle engine
+    int waiting_ = 0; // requests that no engine could take
 };
 
 struct placement_step {
@@ -41,9 +41,9 @@
     bool store_load_allowed_ = true; // by the pacer
 };
 
-// The next order, if any is worth giving: the model with the most work beyond what its copies carry goes first.
-// No copy is dropped that would then be busier than the new one. The last copy of a model goes only if it is
-// not in demand and the engine has its weights at hand.
+// The next order, if any is worth giving: the model with the most work beyond what its copies carry goes
+// first. No copy is dropped that would then be busier than the new one. The last copy of a model goes only if
+// it is not in demand and the engine has its weights at hand.
 std::optional<placement_step> next_placement(const plan_facts& facts);
 
 } // namespace tamarack::provisioning
--- a/include/tamarack/settings.hpp
+++ b/include/tamarack/settings.hpp
@@ -56,14 +56,14 @@
     boost::asio::ip::tcp::endpoint store_;   // the platform's store
     boost::asio::ip::tcp::endpoint peers_;   // other gateways that cannot reach the store; optional
     std::vector<boost::asio::ip::tcp::endpoint> seeds_; // such addresses of other gateways, perhaps stale
-    std::string platform_ = "log-store";     // name of the platform plug-in
+    std::string platform_ = "log-store";                // name of the platform plug-in
     std::string ready_path_ = "/readyz";
-    std::int64_t agent_port_ = 0;            // on which every engine agent listens
-    double shutdown_grace_s_ = 8;            // from SIGTERM until the platform kills the process
-    double retry_ratio_ = 0.2;               // retries per request, over all gateways
-    double retry_slack_ = 50;                // retries beyond the ratio, over all gateways
+    std::int64_t agent_port_ = 0; // on which every engine agent listens
+    double shutdown_grace_s_ = 8; // from SIGTERM until the platform kills the process
+    double retry_ratio_ = 0.2;    // retries per request, over all gateways
+    double retry_slack_ = 50;     // retries beyond the ratio, over all gateways
     double retry_window_s_ = 10;
-    double load_window_s_ = 5;               // window for the rate of the weight store
+    double load_window_s_ = 5; // window for the rate of the weight store
 
     bool operator==(const gateway_settings&) const = default;
 };
@@ -74,7 +74,7 @@
     boost::asio::ip::tcp::endpoint listen_;  // gateways
     boost::asio::ip::tcp::endpoint metrics_; // /metrics
     boost::asio::ip::tcp::endpoint engine_;
-    std::string platform_ = "log-store";     // name of the platform plug-in
+    std::string platform_ = "log-store"; // name of the platform plug-in
 
     bool operator==(const engine_agent_settings&) const = default;
 };
--- a/src/ctl/story.cpp
+++ b/src/ctl/story.cpp
@@ -38,7 +38,8 @@
 }
 
 bool is_context(const event_line& line) {
-    return line.kind_ == "dependency" || line.kind_ == "belief" || line.kind_ == "process" || line.kind_ == "order";
+    return line.kind_ == "dependency" || line.kind_ == "belief" || line.kind_ == "process" ||
+           line.kind_ == "order";
 }
 
 } // namespace
@@ -65,7 +66,8 @@
         if (span == spans.end()) {
             return true;
         }
-        const bool near = line.at_ms_ >= span->second.first - context.count() && line.at_ms_ <= span->second.second;
+        const bool near =
+            line.at_ms_ >= span->second.first - context.count() && line.at_ms_ <= span->second.second;
         return line.request_ != request && !(near && is_context(line));
     });
     std::stable_sort(parsed.begin(), parsed.end(), [](const event_line& left, const event_line& right) {
--- a/src/ctl/story.hpp
+++ b/src/ctl/story.hpp
@@ -9,8 +9,9 @@
 
 namespace tamarack::ctl {
 
-// Lines that name the request, and what its processes came to know shortly before, each process in its own order.
-// Text before a line's JSON object, as log collectors add it, is kept; lines without one are passed over.
+// Lines that name the request, and what its processes came to know shortly before, each process in its own
+// order. Text before a line's JSON object, as log collectors add it, is kept; lines without one are passed
+// over.
 std::vector<std::string> story_of(std::span<const std::string> lines, std::string_view request,
                                   std::chrono::milliseconds context);
 
--- a/src/dispatch/after_send.cpp
+++ b/src/dispatch/after_send.cpp
@@ -31,8 +31,8 @@
 }
 
 next_step after_send(const send_facts& facts) {
-    const bool may_have_run = facts.may_have_run_before_ || facts.end_ == send_end::broken ||
-                              facts.end_ == send_end::answered;
+    const bool may_have_run =
+        facts.may_have_run_before_ || facts.end_ == send_end::broken || facts.end_ == send_end::answered;
     const bool can_go_on = facts.time_left_ && facts.other_endpoint_ && facts.budget_left_ &&
                            facts.sends_that_may_have_run_ < facts.max_attempts_;
     if (facts.end_ == send_end::answered) {
--- a/src/dispatch/choose.cpp
+++ b/src/dispatch/choose.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-constexpr double other_data_centre_ms = 3.0;   // a round trip between neighbouring data centres
-constexpr double running_ms = 0.35;            // growth of the wait with each request in the batch
-constexpr double full_memory_ms = 400.0;       // preemption is likely in a full KV cache
-constexpr double memory_limit = 0.85;          // share of the KV cache above which it counts as full
-constexpr double failure_ms = 3'000.0;         // for an endpoint that fails every request
-constexpr double suspicion_ms = 60'000.0;      // an endpoint that does not answer comes last
-constexpr double near_tie_ms = 4.0;            // differences below this are noise
+constexpr double other_data_centre_ms = 3.0; // a round trip between neighbouring data centres
+constexpr double running_ms = 0.35;          // growth of the wait with each request in the batch
+constexpr double full_memory_ms = 400.0;     // preemption is likely in a full KV cache
+constexpr double memory_limit = 0.85;        // share of the KV cache above which it counts as full
+constexpr double failure_ms = 3'000.0;       // for an endpoint that fails every request
+constexpr double suspicion_ms = 60'000.0;    // an endpoint that does not answer comes last
+constexpr double near_tie_ms = 4.0;          // differences below this are noise
 
 constexpr double honoured_share = 1.0 / 3.0; // clients honour a return within this share of what is left
 constexpr time_ms earliest_return_ms = 50;
@@ -67,7 +67,8 @@
     if (!facts.returned_) {
         return false;
     }
-    const double longest = facts.patience_ms_ > 0 ? std::min(facts.patience_ms_, facts.left_ms_) : facts.left_ms_;
+    const double longest =
+        facts.patience_ms_ > 0 ? std::min(facts.patience_ms_, facts.left_ms_) : facts.left_ms_;
     return double(facts.wait_ms_) <= start_share * longest;
 }
 
--- a/src/dispatch/health.cpp
+++ b/src/dispatch/health.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double half_life_ms = 2'000;     // of what was learned about an endpoint
+constexpr double half_life_ms = 2'000;      // of what was learned about an endpoint
 constexpr time_ms first_suspicion_ms = 300; // after one connection that was not accepted
 constexpr time_ms longest_suspicion_ms = 2'000;
 constexpr double prior_sends = 2; // successes assumed of an endpoint that is not known
@@ -38,7 +38,8 @@
     if (suspected(now)) {
         return;
     }
-    suspicion_ms_ = suspicion_ms_ == 0 ? first_suspicion_ms : std::min(longest_suspicion_ms, 2 * suspicion_ms_);
+    suspicion_ms_ =
+        suspicion_ms_ == 0 ? first_suspicion_ms : std::min(longest_suspicion_ms, 2 * suspicion_ms_);
     suspected_until_ = now + suspicion_ms_;
 }
 
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -22,21 +22,26 @@
 agent::agent(const engine_agent_settings& settings, event_log& events)
     : settings_(settings), events_(events), context_(1), acceptor_(context_),
       signals_(context_, SIGTERM, SIGINT, SIGHUP), report_timer_(context_),
-      port_((*registry<engine::port_factory>::instance().find(settings.platform_))(context_, settings.engine_)),
-      book_(settings.id_),
-      metrics_server_(context_, http::server_limits(), [this](http::exchange& current) -> asio::awaitable<void> {
-          co_await handle_metrics(current);
-      }) {}
+      port_(
+          (*registry<engine::port_factory>::instance().find(settings.platform_))(context_, settings.engine_)),
+      book_(settings.id_), metrics_server_(context_, http::server_limits(),
+                                           [this](http::exchange& current) -> asio::awaitable<void> {
+                                               co_await handle_metrics(current);
+                                           }) {}
 
 int agent::run() {
     const auto listening = listen();
     if (!ok(listening)) {
-        events_.write({event_kind::process, "agent", "cannot_listen", {}, {{"error", to_string(failure(listening))}}});
+        events_.write(
+            {event_kind::process, "agent", "cannot_listen", {}, {{"error", to_string(failure(listening))}}});
         return 1;
     }
     const auto metrics_listening = metrics_server_.listen(settings_.metrics_);
     if (!ok(metrics_listening)) {
-        events_.write({event_kind::process, "agent", "metrics_not_served", {},
+        events_.write({event_kind::process,
+                       "agent",
+                       "metrics_not_served",
+                       {},
                        {{"error", to_string(failure(metrics_listening))}}});
     }
     events_.write({event_kind::process, "agent", "started", {}, {{"port", int(settings_.listen_.port())}}});
@@ -163,7 +168,10 @@
         wanted.model_mb_[order.model_names[index]] = order.model_mb[index];
         wanted.adapter_mb_[order.model_names[index]] = order.adapter_mb[index];
     }
-    events_.write({event_kind::order, "agent", "placement_taken", {},
+    events_.write({event_kind::order,
+                   "agent",
+                   "placement_taken",
+                   {},
                    {{"planner", order.planner}, {"load", order.load}, {"expected_planner", planner()}}});
     book_.take_placement(std::move(wanted), steady_now_ms());
     push_status();
@@ -205,7 +213,10 @@
         give_next();
     } else if (++failures_ >= failures_until_down) {
         if (reachable_) {
-            events_.write({event_kind::dependency, "agent", "engine_lost", {},
+            events_.write({event_kind::dependency,
+                           "agent",
+                           "engine_lost",
+                           {},
                            {{"error", to_string(failure(outcome))}}});
         }
         reachable_ = false;
@@ -233,7 +244,10 @@
     }
     port_->give(*order, [this, order = *order](engine::order_answer answer) {
         book_.answered(answer, steady_now_ms());
-        events_.write({event_kind::order, "agent", order.load_ ? "load" : "unload", {},
+        events_.write({event_kind::order,
+                       "agent",
+                       order.load_ ? "load" : "unload",
+                       {},
                        {{"model", order.model_},
                         {"adapter", order.adapter_},
                         {"engine", order.engine_},
@@ -312,7 +326,8 @@
         state.incarnation_ = book_.report()->incarnation_;
         state.models_ = book_.usable_models();
     }
-    const bool models_changed = state.models_ != pushed_.models_ || state.incarnation_ != pushed_.incarnation_;
+    const bool models_changed =
+        state.models_ != pushed_.models_ || state.incarnation_ != pushed_.incarnation_;
     const bool urgent =
         models_changed || state.reachable_ != pushed_.reachable_ || state.leaving_ != pushed_.leaving_;
     if (!urgent && now - pushed_at_ < push_interval_ms()) {
--- a/src/engine_agent/agent.hpp
+++ b/src/engine_agent/agent.hpp
@@ -65,7 +65,8 @@
     http::server metrics_server_;
     std::vector<std::shared_ptr<gateway>> gateways_;
     std::map<std::int64_t, std::string> engine_ids_; // by the engine's start, as the registry names them
-    std::map<std::uint64_t, std::pair<std::weak_ptr<links::link>, std::uint64_t>> wants_; // link and its number
+    std::map<std::uint64_t, std::pair<std::weak_ptr<links::link>, std::uint64_t>>
+        wants_; // link and its number
     std::uint64_t next_want_ = 1;
     bool reachable_ = false;
     bool reading_ = false;
--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -12,7 +12,7 @@
 constexpr time_ms going_limit_ms = 10'000;    // for the requests that use an unloaded adapter to end
 constexpr time_ms conflict_pause_ms = 30;     // before an order is given again that met another one
 constexpr time_ms store_load_memory_ms = 20'000;
-constexpr int default_adapter_slots = 8;      // until a placement has told the number
+constexpr int default_adapter_slots = 8; // until a placement has told the number
 
 std::string key_of(std::string_view model, std::string_view adapter) {
     return std::string(model) + "/" + std::string(adapter);
@@ -72,10 +72,10 @@
 
 // Whether no request uses or wants the adapter.
 bool order_book::evictable(const std::string& key) const {
-    const bool pinned = std::any_of(pins_.begin(), pins_.end(), [&](const auto& pin) { return pin.second == key; });
-    const bool wanted = std::any_of(wants_.begin(), wants_.end(), [&](const want& one) {
-        return key_of(one.model_, one.adapter_) == key;
-    });
+    const bool pinned =
+        std::any_of(pins_.begin(), pins_.end(), [&](const auto& pin) { return pin.second == key; });
+    const bool wanted = std::any_of(wants_.begin(), wants_.end(),
+                                    [&](const want& one) { return key_of(one.model_, one.adapter_) == key; });
     return !pinned && !wanted && !going_.contains(key);
 }
 
@@ -266,8 +266,8 @@
     switch (answer) {
     case engine::order_answer::accepted:
     case engine::order_answer::done: {
-        const bool from_store = order->load_ && order->adapter_.empty() && report_ &&
-                                !report_->nearby_.contains(order->model_);
+        const bool from_store =
+            order->load_ && order->adapter_.empty() && report_ && !report_->nearby_.contains(order->model_);
         if (from_store && answer == engine::order_answer::accepted) {
             store_loads_.push_back(now);
         }
--- a/src/engine_agent/order_book.hpp
+++ b/src/engine_agent/order_book.hpp
@@ -88,8 +88,8 @@
     std::map<std::string, time_ms, std::less<>> going_;       // adapters whose unload was accepted
     std::map<std::string, time_ms, std::less<>> coming_;      // adapters whose load was accepted
     std::map<std::uint64_t, std::string> pins_;               // wants that were met, until their release
-    std::optional<engine::order> given_; // not answered yet
-    std::optional<engine::order> doubtful_; // not answered; may still be carried out
+    std::optional<engine::order> given_;                      // not answered yet
+    std::optional<engine::order> doubtful_;                   // not answered; may still be carried out
     std::deque<time_ms> store_loads_;
     time_ms placement_until_ = 0;
     time_ms quiet_until_ = 0; // after a conflict
--- a/src/gateway/agent_links.cpp
+++ b/src/gateway/agent_links.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds connect_limit{500};
-constexpr time_ms reconnect_ms = 500;      // between attempts to reach an agent
-constexpr time_ms silence_ms = 1'500;      // several reports; the link is then opened anew
+constexpr time_ms reconnect_ms = 500;       // between attempts to reach an agent
+constexpr time_ms silence_ms = 1'500;       // several reports; the link is then opened anew
 constexpr time_ms adapter_limit_ms = 1'500; // for an adapter to become resident
 
 } // namespace
@@ -42,8 +42,9 @@
     }
     for (const auto& [id, known] : fleet_.endpoints()) {
         const fleet::service_spec* service =
-            fleet_.current() == nullptr ? nullptr
-                                        : fleet_.current()->configuration_->find_service(known->record().service_);
+            fleet_.current() == nullptr
+                ? nullptr
+                : fleet_.current()->configuration_->find_service(known->record().service_);
         if (service == nullptr || !service->engine_) {
             continue;
         }
@@ -180,7 +181,8 @@
     view.reachable_ = status.reachable;
     view.leaving_ = status.leaving;
     view.incarnation_ = status.incarnation;
-    view.gone_at_ = status.remaining_ms >= 0 ? std::optional<time_ms>(now + status.remaining_ms) : std::nullopt;
+    view.gone_at_ =
+        status.remaining_ms >= 0 ? std::optional<time_ms>(now + status.remaining_ms) : std::nullopt;
     view.running_ = status.running;
     view.queued_ = status.queued;
     view.kv_used_ = double(status.kv_used);
@@ -201,7 +203,10 @@
         view.store_loads_.push_back(now - age);
     }
     if (was_reachable != status.reachable) {
-        events_.write({event_kind::belief, "gateway", status.reachable ? "engine_back" : "engine_down", {},
+        events_.write({event_kind::belief,
+                       "gateway",
+                       status.reachable ? "engine_back" : "engine_down",
+                       {},
                        {{"endpoint", one.endpoint_}}});
     }
 }
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -69,30 +69,30 @@
         return;
     }
     reading_ = true;
-    socket_.async_read_some(received_.prepare(read_bytes), [self = shared_from_this()](
-                                                               boost::system::error_code failed,
-                                                               std::size_t count) {
-        self->reading_ = false;
-        if (self->closed_) {
-            return;
-        }
-        if (failed) {
-            self->close();
-            return;
-        }
-        self->received_.commit(count);
-        if (self->deaf_) {
-            self->received_.consume(self->received_.size());
-            self->read();
-        } else if (self->request_ != nullptr) {
-            // The next request waits; reading goes on only to notice that the client leaves.
-            if (self->received_.size() < most_pipelined_bytes) {
-                self->read();
-            }
-        } else {
-            self->take_received();
-        }
-    });
+    socket_.async_read_some(received_.prepare(read_bytes),
+                            [self = shared_from_this()](boost::system::error_code failed, std::size_t count) {
+                                self->reading_ = false;
+                                if (self->closed_) {
+                                    return;
+                                }
+                                if (failed) {
+                                    self->close();
+                                    return;
+                                }
+                                self->received_.commit(count);
+                                if (self->deaf_) {
+                                    self->received_.consume(self->received_.size());
+                                    self->read();
+                                } else if (self->request_ != nullptr) {
+                                    // The next request waits; reading goes on only to notice that the client
+                                    // leaves.
+                                    if (self->received_.size() < most_pipelined_bytes) {
+                                        self->read();
+                                    }
+                                } else {
+                                    self->take_received();
+                                }
+                            });
 }
 
 void client_session::take_received() {
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -54,16 +54,17 @@
                 }}),
       admin_(context_, http::server_limits(),
              [this](http::exchange& current) -> asio::awaitable<void> { co_await handle_admin(current); }),
-      metrics_server_(context_, http::server_limits(),
-                      [this](http::exchange& current) -> asio::awaitable<void> {
-                          co_await handle_metrics(current);
-                      }) {
+      metrics_server_(
+          context_, http::server_limits(),
+          [this](http::exchange& current) -> asio::awaitable<void> { co_await handle_metrics(current); }) {
     fleet::fleet_events handlers;
     handlers.configuration_ = [this](std::shared_ptr<const fleet::configuration> given,
                                      const std::string& encoded) {
         take_configuration(std::move(given), encoded);
     };
-    handlers.endpoints_ = [this](const std::vector<fleet::endpoint_change>& changes) { take_endpoints(changes); };
+    handlers.endpoints_ = [this](const std::vector<fleet::endpoint_change>& changes) {
+        take_endpoints(changes);
+    };
     handlers.registry_ = [this](bool reachable) { note_registry(reachable); };
     handlers.relay_ = [this](std::string bytes) { traffic_.relay_store(std::move(bytes)); };
     source_ = (*registry<fleet::fleet_source_factory>::instance().find(settings.platform_))(
@@ -74,14 +75,20 @@
 int control::run() {
     for (const auto& listening : {traffic_.listen(), admin_.listen(settings_.admin_)}) {
         if (!ok(listening)) {
-            events_.write({event_kind::process, "gateway", "cannot_listen", {},
+            events_.write({event_kind::process,
+                           "gateway",
+                           "cannot_listen",
+                           {},
                            {{"error", to_string(failure(listening))}}});
             return 1;
         }
     }
     const auto metrics_listening = metrics_server_.listen(settings_.metrics_);
     if (!ok(metrics_listening)) {
-        events_.write({event_kind::process, "gateway", "metrics_not_served", {},
+        events_.write({event_kind::process,
+                       "gateway",
+                       "metrics_not_served",
+                       {},
                        {{"error", to_string(failure(metrics_listening))}}});
     }
     events_.write({event_kind::process, "gateway", "started", {}, {{"port", int(settings_.listen_.port())}}});
@@ -97,7 +104,8 @@
     return 0;
 }
 
-void control::take_configuration(std::shared_ptr<const fleet::configuration> given, const std::string& encoded) {
+void control::take_configuration(std::shared_ptr<const fleet::configuration> given,
+                                 const std::string& encoded) {
     if (given->version_ <= version_) {
         return;
     }
@@ -125,8 +133,12 @@
     } else {
         directory_.registry_lost(now);
     }
-    events_.write({event_kind::dependency, "gateway", reachable ? "store_regained" : "store_lost", {},
-                   {{"endpoints", std::int64_t(directory_.endpoints().size())}, {"configuration", version_}}});
+    events_.write(
+        {event_kind::dependency,
+         "gateway",
+         reachable ? "store_regained" : "store_lost",
+         {},
+         {{"endpoints", std::int64_t(directory_.endpoints().size())}, {"configuration", version_}}});
 }
 
 void control::tick() {
@@ -173,12 +185,13 @@
     });
 }
 
-// Settings that can change while the process runs take effect at its next start; a wrong file changes nothing.
+// Settings that can change while the process runs take effect at its next start; a wrong file changes
+// nothing.
 void control::reload() {
     const auto settings = load_gateway_settings(settings_path_);
-    const std::string outcome = !ok(settings)                       ? to_string(failure(settings))
+    const std::string outcome = !ok(settings)                  ? to_string(failure(settings))
                                 : value(settings) == settings_ ? "unchanged"
-                                                                    : "in force at the next start";
+                                                               : "in force at the next start";
     events_.write({event_kind::process, "gateway", "settings_read", {}, {{"outcome", outcome}}});
 }
 
--- a/src/gateway/endpoint.cpp
+++ b/src/gateway/endpoint.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr int least_connections = 4;             // that a gateway may open, however many gateways there are
-constexpr double connection_share = 0.9;         // of an endpoint's limit that all gateways use together
+constexpr int least_connections = 4;              // that a gateway may open, however many gateways there are
+constexpr double connection_share = 0.9;          // of an endpoint's limit that all gateways use together
 constexpr std::size_t most_idle_connections = 24; // kept by one gateway for one endpoint
 
 } // namespace
@@ -79,14 +79,13 @@
         return;
     }
     connection->watched_ = true;
-    connection->socket_.async_wait(
-        boost::asio::ip::tcp::socket::wait_read,
-        [weak = weak_from_this(), connection](boost::system::error_code) {
-            connection->watched_ = false;
-            if (const auto self = weak.lock(); self && connection->idle_) {
-                self->drop(connection);
-            }
-        });
+    connection->socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                                   [weak = weak_from_this(), connection](boost::system::error_code) {
+                                       connection->watched_ = false;
+                                       if (const auto self = weak.lock(); self && connection->idle_) {
+                                           self->drop(connection);
+                                       }
+                                   });
 }
 
 void endpoint::drop(const std::shared_ptr<endpoint_connection>& connection) {
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -12,13 +12,14 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds connect_limit{450}; // a round trip, and one lost packet within a data centre
+constexpr std::chrono::milliseconds connect_limit{
+    450}; // a round trip, and one lost packet within a data centre
 constexpr std::size_t read_bytes = 16 * 1024;
 constexpr std::size_t max_answer_bytes = 64 * 1024 * 1024;
-constexpr int silence_limit_ms = 3'000;       // of an endpoint that acknowledges nothing
-constexpr int most_foreign_answers = 3;       // skipped before the connection is given up
-constexpr time_ms default_keep_ms = 4'000;    // where the endpoint names no idle time
-constexpr time_ms keep_margin_ms = 700;       // before the endpoint's idle time ends
+constexpr int silence_limit_ms = 3'000;    // of an endpoint that acknowledges nothing
+constexpr int most_foreign_answers = 3;    // skipped before the connection is given up
+constexpr time_ms default_keep_ms = 4'000; // where the endpoint names no idle time
+constexpr time_ms keep_margin_ms = 700;    // before the endpoint's idle time ends
 constexpr int status_first_final = 200;
 
 } // namespace
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -32,8 +32,8 @@
         std::function<void(exchange_end)> ended_; // once
     };
 
-    exchange(boost::asio::any_io_executor executor, std::shared_ptr<endpoint> target, exchange_request request,
-             events handlers);
+    exchange(boost::asio::any_io_executor executor, std::shared_ptr<endpoint> target,
+             exchange_request request, events handlers);
     ~exchange();
 
     void start();
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -6,14 +6,14 @@
 
 namespace {
 
-constexpr int gateways_until_known = 8;  // assumed until the others have been heard of
-constexpr double learning_share = 0.08;  // weight of one more sample of an endpoint
-constexpr double service_share = 0.02;   // the same for its service
+constexpr int gateways_until_known = 8; // assumed until the others have been heard of
+constexpr double learning_share = 0.08; // weight of one more sample of an endpoint
+constexpr double service_share = 0.02;  // the same for its service
 constexpr double most_slowness = 20;
-constexpr double slot_share = 0.03;      // weight of one more sample of the time in a batch
-constexpr double usual_share = 0.97;     // of a route's longest deadline; shorter ones have been used up in part
-constexpr double rank_memory = 0.995;    // counts of ranks halve with each 140 requests
-constexpr time_ms planning_ms = 600;     // until a missing model is ordered
+constexpr double slot_share = 0.03;   // weight of one more sample of the time in a batch
+constexpr double usual_share = 0.97;  // of a route's longest deadline; shorter ones have been used up in part
+constexpr double rank_memory = 0.995; // counts of ranks halve with each 140 requests
+constexpr time_ms planning_ms = 600;  // until a missing model is ordered
 
 } // namespace
 
@@ -99,7 +99,8 @@
 time_ms fleet_state::model_wait_ms(std::string_view service, std::string_view model) const {
     const fleet::service_spec* spec =
         current_ == nullptr ? nullptr : current_->configuration_->find_service(service);
-    const fleet::model_spec* known = spec == nullptr || !spec->engine_ ? nullptr : spec->engine_->find_model(model);
+    const fleet::model_spec* known =
+        spec == nullptr || !spec->engine_ ? nullptr : spec->engine_->find_model(model);
     if (known == nullptr) {
         return 0;
     }
@@ -108,7 +109,8 @@
         if (one->engine_.loading_ == model) {
             wait = std::min(wait, known->store_load_ms_);
         }
-        // An engine that has not reported yet, as after a restart of everything, most likely has it on its disk.
+        // An engine that has not reported yet, as after a restart of everything, most likely has it on its
+        // disk.
         if (one->engine_.nearby_.contains(model) || !one->engine_.known_) {
             wait = std::min(wait, planning_ms + known->disk_load_ms_);
         }
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -27,7 +27,9 @@
     const std::shared_ptr<const configured>& current() const { return current_; }
 
     void take_endpoints(const std::map<std::string, fleet::endpoint_record, std::less<>>& records);
-    const std::map<std::string, std::shared_ptr<endpoint>, std::less<>>& endpoints() const { return endpoints_; }
+    const std::map<std::string, std::shared_ptr<endpoint>, std::less<>>& endpoints() const {
+        return endpoints_;
+    }
     const std::vector<std::shared_ptr<endpoint>>& endpoints_of(std::string_view service) const;
 
     // Retries of a service; shared by all requests for it.
@@ -69,8 +71,8 @@
     std::map<std::string, dispatch::retry_window> retries_;
     std::map<std::string, dispatch::engine_pace> paces_;
     std::map<std::string, double> mean_first_event_ms_;
-    std::map<std::string, time_ms> longest_deadline_ms_;                // by route
-    std::map<std::string, std::map<int, double>> requests_by_rank_;    // by service; fading counts
+    std::map<std::string, time_ms> longest_deadline_ms_;            // by route
+    std::map<std::string, std::map<int, double>> requests_by_rank_; // by service; fading counts
     std::mt19937_64 random_;
     int gateways_;
 };
--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> connection_headers = {
-    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Transfer-Encoding", "Trailer",          "Upgrade",            "Content-Length"};
+    "Connection",        "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+    "Transfer-Encoding", "Trailer",    "Upgrade",          "Content-Length"};
 
 std::string_view trim(std::string_view text) {
     while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
--- a/src/gateway/head_rewrite.hpp
+++ b/src/gateway/head_rewrite.hpp
@@ -14,7 +14,7 @@
     std::string model_;   // empty for plain services
     std::string adapter_; // empty if none is named
     double prompt_tokens_ = 0;
-    double output_tokens_ = 0; // most that it may generate
+    double output_tokens_ = 0;                                 // most that it may generate
     std::vector<std::pair<std::string, double>> prompt_parts_; // id and tokens, in order
     std::optional<time_ms> deadline_ms_;                       // what is left
     std::optional<std::int64_t> last_event_id_;
@@ -26,7 +26,7 @@
 struct forward_facts {
     time_ms left_ms_ = 0;
     std::string_view endpoint_;
-    int priority_ = -1;                        // below 0 for plain services
+    int priority_ = -1;                         // below 0 for plain services
     std::optional<std::int64_t> last_event_id_; // instead of the client's
 };
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -39,9 +39,8 @@
 }
 
 bool peers::plans_here(time_ms now) const {
-    return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
-        return alive(entry.second, now) && entry.first < own_id_;
-    });
+    return std::none_of(peers_.begin(), peers_.end(),
+                        [&](const auto& entry) { return alive(entry.second, now) && entry.first < own_id_; });
 }
 
 std::map<std::string, provisioning::model_need, std::less<>>
@@ -64,7 +63,7 @@
 }
 
 int peers::reader_rank(bool reachable_here, time_ms now) const {
-    return int( std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return int(std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
         return alive(entry.second, now) && entry.second.store_reachable_ &&
                (!reachable_here || entry.first < own_id_);
     }));
--- a/src/gateway/planner.cpp
+++ b/src/gateway/planner.cpp
@@ -21,8 +21,8 @@
     if (found == pending_.end()) {
         return;
     }
-    const bool shown = holds(engine.state_, found->second.model_) ||
-                       engine.state_.loading_ == found->second.model_;
+    const bool shown =
+        holds(engine.state_, found->second.model_) || engine.state_.loading_ == found->second.model_;
     if (shown || now - found->second.given_at_ > order_shown_ms) {
         pending_.erase(found);
     }
@@ -102,12 +102,12 @@
             if (step->from_store_) {
                 starts.push_back(now);
                 std::vector<time_ms>& own = own_store_loads_[step->engine_];
-                std::erase_if(own, [&](time_ms start) { return now - start > time_ms(load_window_s_ * 2'000); });
+                std::erase_if(own,
+                              [&](time_ms start) { return now - start > time_ms(load_window_s_ * 2'000); });
                 own.push_back(now);
             }
-            const auto engine = std::find_if(engines.begin(), engines.end(), [&](const auto& one) {
-                return one.id_ == step->engine_;
-            });
+            const auto engine = std::find_if(engines.begin(), engines.end(),
+                                             [&](const auto& one) { return one.id_ == step->engine_; });
             engine->available_ = false;
             engine->loading_ = step->load_;
             std::erase_if(engine->models_, [&](const std::string& model) {
--- a/src/gateway/planner.hpp
+++ b/src/gateway/planner.hpp
@@ -34,7 +34,8 @@
 
 class planner {
 public:
-    planner(std::string own_id, double load_window_s) : own_id_(std::move(own_id)), load_window_s_(load_window_s) {}
+    planner(std::string own_id, double load_window_s)
+        : own_id_(std::move(own_id)), load_window_s_(load_window_s) {}
 
     // The orders that are worth giving now.
     std::vector<planned_order> step(const fleet_snapshot& snapshot, time_ms now);
@@ -52,7 +53,7 @@
 
     std::string own_id_;
     double load_window_s_;
-    std::map<std::string, pending_order> pending_;               // by engine
+    std::map<std::string, pending_order> pending_;                // by engine
     std::map<std::string, std::vector<time_ms>> own_store_loads_; // by engine
 };
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -10,8 +10,8 @@
 
 constexpr std::size_t most_unwritten_bytes = 256 * 1024; // to a client that reads slowly
 constexpr time_ms least_useful_ms = 30;                  // left, for another sending to make sense
-constexpr time_ms silence_ms = 1'100; // in a stream; clients give up after two seconds or more
-constexpr time_ms busy_return_ms = 300; // until a full endpoint has room
+constexpr time_ms silence_ms = 1'100;    // in a stream; clients give up after two seconds or more
+constexpr time_ms busy_return_ms = 300;  // until a full endpoint has room
 constexpr time_ms stale_report_ms = 900; // several reports of an agent
 constexpr int status_ok = 200;
 constexpr int first_failure_status = 300;
@@ -85,8 +85,8 @@
     }
 }
 
-// A stream that falls silent goes on elsewhere if its engine is not heard of either. Where it cannot, or where
-// the engine is only slow, silence is no reason to end it.
+// A stream that falls silent goes on elsewhere if its engine is not heard of either. Where it cannot, or
+// where the engine is only slow, silence is no reason to end it.
 void request_flow::arm_pause_watch() {
     pause_.expires_after(std::chrono::milliseconds(silence_ms));
     pause_.async_wait([self = shared_from_this()](boost::system::error_code cancelled) {
@@ -125,7 +125,8 @@
         return dispatch::send_end::broken;
     }
     const header_names& names = context_.fleet_.names_;
-    if (answer.status_ == status_misdirected || http::find_header(answer.headers_, names.not_run_) != nullptr) {
+    if (answer.status_ == status_misdirected ||
+        http::find_header(answer.headers_, names.not_run_) != nullptr) {
         return dispatch::send_end::rejected;
     }
     const bool stamped = http::find_header(answer.headers_, names.answer_stamp_) != nullptr;
@@ -211,7 +212,10 @@
     facts.time_left_ = left_ms(now) > least_useful_ms;
     facts.other_endpoint_ = !usable_endpoints().empty();
     const dispatch::next_step step = dispatch::after_send(facts);
-    context_.events_.write({event_kind::sending, "gateway", "send_ended", facts_.id_,
+    context_.events_.write({event_kind::sending,
+                            "gateway",
+                            "send_ended",
+                            facts_.id_,
                             {{"endpoint", sending_->at().record().id_},
                              {"end", dispatch::to_string(end)},
                              {"status", answer.status_},
@@ -330,7 +334,10 @@
     pause_.cancel();
     const time_ms now = steady_now_ms();
     const std::int64_t version = configured_ ? configured_->configuration_->version_ : -1;
-    context_.events_.write({event_kind::ending, "gateway", "request_ended", facts_.id_,
+    context_.events_.write({event_kind::ending,
+                            "gateway",
+                            "request_ended",
+                            facts_.id_,
                             {{"route", route_ == nullptr ? std::string() : route_->name_},
                              {"configuration", version},
                              {"model", facts_.model_},
@@ -341,7 +348,8 @@
                              {"status", status},
                              {"outcome", outcome}}});
     const std::string rank = route_ == nullptr ? "none" : std::to_string(route_->rank_);
-    context_.measures_.count("tamarack_requests_total", "Requests by the rank of their route and their outcome",
+    context_.measures_.count("tamarack_requests_total",
+                             "Requests by the rank of their route and their outcome",
                              {{"rank", rank}, {"outcome", std::string(outcome)}});
     context_.measures_.observe_ms("tamarack_request_ms", "From arrival to the end of the answer",
                                   {{"rank", rank}}, double(now - arrived_at_));
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -8,15 +8,15 @@
 
 namespace {
 
-constexpr time_ms default_timeout_ms = 30'000;     // for requests that name no deadline
-constexpr time_ms hold_interval_ms = 80;           // between looks for an engine that holds the model
-constexpr time_ms not_ready_return_ms = 400;       // until a gateway without configuration has one
-constexpr time_ms no_endpoint_return_ms = 1'000;   // until an endpoint registers
-constexpr time_ms fresh_connection_ms = 400;       // idle time after which an endpoint may have dropped it
-constexpr time_ms stale_report_ms = 900;           // several reports; the engine's machine may stand still
-constexpr double free_adapter_ms = 40;             // an order and the load of one adapter
-constexpr double full_adapter_ms = 90;             // the same, and an adapter that makes way
-constexpr double busy_adapter_ms = 1'500;          // an engine that carries out another order comes first
+constexpr time_ms default_timeout_ms = 30'000;   // for requests that name no deadline
+constexpr time_ms hold_interval_ms = 80;         // between looks for an engine that holds the model
+constexpr time_ms not_ready_return_ms = 400;     // until a gateway without configuration has one
+constexpr time_ms no_endpoint_return_ms = 1'000; // until an endpoint registers
+constexpr time_ms fresh_connection_ms = 400;     // idle time after which an endpoint may have dropped it
+constexpr time_ms stale_report_ms = 900;         // several reports; the engine's machine may stand still
+constexpr double free_adapter_ms = 40;           // an order and the load of one adapter
+constexpr double full_adapter_ms = 90;           // the same, and an adapter that makes way
+constexpr double busy_adapter_ms = 1'500;        // an engine that carries out another order comes first
 constexpr int status_not_found = 404;
 constexpr int status_bad_request = 400;
 constexpr int least_urgent = 9;
@@ -100,7 +100,8 @@
     const time_ms now = steady_now_ms();
     std::vector<std::shared_ptr<endpoint>> usable;
     for (const auto& one : context_.fleet_.endpoints_of(service_->name_)) {
-        const bool holds = !service_->engine_ || facts_.model_.empty() || one->find_model(facts_.model_) != nullptr;
+        const bool holds =
+            !service_->engine_ || facts_.model_.empty() || one->find_model(facts_.model_) != nullptr;
         if (one->takes_work(now) && holds && !tried_.contains(one->record().id_)) {
             usable.push_back(one);
         }
@@ -120,7 +121,8 @@
     option.slowness_ = std::max(1.0, one.slowness_);
     option.failure_rate_ = one.health_.failure_rate(now);
     const bool silent = one.engine_.known_ && now - one.engine_.at_ > stale_report_ms;
-    option.suspected_ = one.health_.suspected(now) || silent || (one.engine_.known_ && !one.engine_.reachable_);
+    option.suspected_ =
+        one.health_.suspected(now) || silent || (one.engine_.known_ && !one.engine_.reachable_);
     if (!facts_.adapter_.empty()) {
         const fleet::held_model* model = one.find_model(facts_.model_);
         if (model == nullptr || !model->adapters_.contains(facts_.adapter_)) {
@@ -164,7 +166,8 @@
     const std::uint64_t tie_break =
         facts_.adapter_.empty() ? context_.fleet_.random() : hash64(facts_.model_ + "/" + facts_.adapter_);
     const auto chosen = dispatch::choose_endpoint(options, facts_.prompt_tokens_, pace, tie_break);
-    const auto expected = time_ms(dispatch::expected_first_event_ms(options[*chosen], facts_.prompt_tokens_, pace));
+    const auto expected =
+        time_ms(dispatch::expected_first_event_ms(options[*chosen], facts_.prompt_tokens_, pace));
     const bool in_service = maybe_runs_ > 0; // has been admitted before
     if (!in_service && !dispatch::should_admit(admission_facts(expected, now))) {
         note_refusal(*usable[*chosen], options[*chosen], expected, now);
@@ -177,7 +180,10 @@
 // What the refusal rests on: the best endpoint and the age of what is known of it.
 void request_flow::note_refusal(const endpoint& best, const dispatch::option& option, time_ms expected,
                                 time_ms now) {
-    context_.events_.write({event_kind::admission, "gateway", "would_be_late", facts_.id_,
+    context_.events_.write({event_kind::admission,
+                            "gateway",
+                            "would_be_late",
+                            facts_.id_,
                             {{"model", facts_.model_},
                              {"best_endpoint", best.record().id_},
                              {"expected_ms", expected},
@@ -207,7 +213,10 @@
     if (!holding_) {
         holding_ = true;
         context_.fleet_.demand_.note_waiting(facts_.model_, 1);
-        context_.events_.write({event_kind::admission, "gateway", "held_for_model", facts_.id_,
+        context_.events_.write({event_kind::admission,
+                                "gateway",
+                                "held_for_model",
+                                facts_.id_,
                                 {{"model", facts_.model_}, {"wait_ms", wait}, {"left_ms", left_ms(now)}}});
     }
     // There is no place to wait in an engine yet, and waiting here takes none from others.
@@ -246,17 +255,18 @@
         return;
     }
     const auto self = shared_from_this();
-    adapter_want_ = context_.want_adapter_(*target, facts_.model_, facts_.adapter_, [self, target](bool ready) {
-        if (self->finished_) {
-            return;
-        }
-        if (ready) {
-            self->send(target);
-            return;
-        }
-        self->tried_.insert(target->record().id_);
-        self->try_next();
-    });
+    adapter_want_ =
+        context_.want_adapter_(*target, facts_.model_, facts_.adapter_, [self, target](bool ready) {
+            if (self->finished_) {
+                return;
+            }
+            if (ready) {
+                self->send(target);
+                return;
+            }
+            self->tried_.insert(target->record().id_);
+            self->try_next();
+        });
 }
 
 void request_flow::release_adapter() {
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -112,8 +112,8 @@
     std::string adapter_endpoint_; // that keeps the adapter for this request
     std::uint64_t adapter_want_ = 0;
     std::function<void()> on_finished_;
-    int arrivals_ = 0;      // sendings that reached an endpoint
-    int maybe_runs_ = 0;    // of these, not confirmed as not run
+    int arrivals_ = 0;   // sendings that reached an endpoint
+    int maybe_runs_ = 0; // of these, not confirmed as not run
     bool stream_begun_ = false;
     bool holding_ = false;
     bool returned_ = false; // after a refusal, as its shorter deadline shows
--- a/src/gateway/seed_exchange.cpp
+++ b/src/gateway/seed_exchange.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds first_wait{450};    // for the store to answer a gateway that starts
-constexpr std::chrono::milliseconds ask_interval{350};  // for one seed to answer
+constexpr std::chrono::milliseconds first_wait{450};     // for the store to answer a gateway that starts
+constexpr std::chrono::milliseconds ask_interval{350};   // for one seed to answer
 constexpr std::chrono::milliseconds answer_limit{2'000}; // for one asking gateway to take the answer
 
 } // namespace
@@ -15,8 +15,8 @@
 seed_exchange::seed_exchange(asio::io_context& context, fleet::fleet_source& source,
                              asio::ip::tcp::endpoint listen, std::vector<asio::ip::tcp::endpoint> seeds,
                              event_log& events)
-    : context_(context), source_(source), listen_(std::move(listen)), seeds_(std::move(seeds)), events_(events),
-      acceptor_(context), timer_(context) {
+    : context_(context), source_(source), listen_(std::move(listen)), seeds_(std::move(seeds)),
+      events_(events), acceptor_(context), timer_(context) {
     std::erase(seeds_, listen_);
 }
 
@@ -29,7 +29,8 @@
         acceptor_.bind(listen_, failed);
         acceptor_.listen(asio::socket_base::max_listen_connections, failed);
         if (failed) {
-            events_.write({event_kind::process, "gateway", "peers_not_served", {}, {{"error", failed.message()}}});
+            events_.write(
+                {event_kind::process, "gateway", "peers_not_served", {}, {{"error", failed.message()}}});
         } else {
             accept();
         }
@@ -50,7 +51,8 @@
         if (!failed) {
             const auto timer = std::make_shared<asio::steady_timer>(context_, answer_limit);
             const auto asking = std::make_shared<links::link>(
-                std::move(socket), links::link::events{[](const links::frame&) {}, [timer] { timer->cancel(); }});
+                std::move(socket),
+                links::link::events{[](const links::frame&) {}, [timer] { timer->cancel(); }});
             asking->start();
             for (const std::string& reading : source_.snapshot()) {
                 links::store_relay relay;
@@ -91,8 +93,12 @@
             if (received.body.type == links::fbs::Body::StoreRelay) {
                 const auto& bytes = received.body.AsStoreRelay()->bytes;
                 source_.take_relayed({bytes.begin(), bytes.end()});
-                events_.write({event_kind::dependency, "gateway", "fleet_learned_from_peer", {},
-                               {{"peer", seed.address().to_string()}, {"bytes", std::int64_t(bytes.size())}}});
+                events_.write(
+                    {event_kind::dependency,
+                     "gateway",
+                     "fleet_learned_from_peer",
+                     {},
+                     {{"peer", seed.address().to_string()}, {"bytes", std::int64_t(bytes.size())}}});
             }
         };
         handlers.closed_ = [] {};
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-constexpr std::int64_t ticks_per_digest = 2; // digests twice a second
+constexpr std::int64_t ticks_per_digest = 2;         // digests twice a second
 constexpr time_ms configuration_patience_ms = 1'000; // for a version to reach all gateways by itself
-constexpr std::int64_t ticks_per_report = 4; // one line a second about what the planner sees
-constexpr time_ms introduction_ms = 2'500;   // after a start, in which digests go out at each tick
+constexpr std::int64_t ticks_per_report = 4;         // one line a second about what the planner sees
+constexpr time_ms introduction_ms = 2'500;           // after a start, in which digests go out at each tick
 constexpr int accept_backlog = 1'024;
 constexpr double ms_per_s = 1'000;
 
@@ -110,7 +110,10 @@
             return;
         }
         encoded_configuration_ = std::move(encoded);
-        events_.write({event_kind::belief, "gateway", "configuration_in_force", {},
+        events_.write({event_kind::belief,
+                       "gateway",
+                       "configuration_in_force",
+                       {},
                        {{"version", given->configuration_->version_},
                         {"routes", std::int64_t(given->configuration_->routes_.size())}}});
         measures_.set("tamarack_config_version", "Version of the configuration in force", {},
@@ -135,7 +138,10 @@
     asio::post(context_, [this, orders = std::move(orders)] {
         for (const planned_order& one : orders) {
             const bool sent = agents_.order(one.engine_, one.order_);
-            events_.write({event_kind::order, "planner", "placement", {},
+            events_.write({event_kind::order,
+                           "planner",
+                           "placement",
+                           {},
                            {{"endpoint", one.engine_},
                             {"load", one.order_.load},
                             {"drop", one.order_.drop.empty() ? std::string() : one.order_.drop.front()},
@@ -158,14 +164,20 @@
     if (rank != reader_rank_) {
         reader_rank_ = rank;
         const bool reads = rank < store_readers;
-        events_.write({event_kind::belief, "gateway", reads ? "reads_store" : "leaves_reading_to_others", {},
+        events_.write({event_kind::belief,
+                       "gateway",
+                       reads ? "reads_store" : "leaves_reading_to_others",
+                       {},
                        {{"gateways", peers_.count(now)}}});
         handlers_.reads_store_(reads, rank == 0);
     }
     const bool plans = peers_.plans_here(now) && !leaving_;
     if (plans != planned_) {
         planned_ = plans;
-        events_.write({event_kind::belief, "planner", plans ? "plans_here" : "plans_elsewhere", {},
+        events_.write({event_kind::belief,
+                       "planner",
+                       plans ? "plans_here" : "plans_elsewhere",
+                       {},
                        {{"gateways", peers_.count(now)}}});
     }
     if (plans && fleet_.current()) {
@@ -202,8 +214,8 @@
     agents_.relay(links::make_frame(std::move(digest)));
 }
 
-// Sends the configuration to gateways that neither read the store nor heard from those that do. Only the first
-// reader does, and only while one stays behind, since a new version takes a moment to reach all.
+// Sends the configuration to gateways that neither read the store nor heard from those that do. Only the
+// first reader does, and only while one stays behind, since a new version takes a moment to reach all.
 void traffic::relay_configuration(time_ms now) {
     if (fleet_.current() == nullptr || reader_rank_ != 0 ||
         !peers_.any_behind(fleet_.current()->configuration_->version_, now)) {
@@ -235,8 +247,8 @@
             provisioning::engine_state& state = engine.state_;
             state.id_ = one->record().id_;
             state.serving_ = one->takes_work(now) && (!one->engine_.known_ || one->engine_.reachable_);
-            state.available_ = state.serving_ && one->engine_.known_ && !one->engine_.busy_ &&
-                               one->engine_.loading_.empty();
+            state.available_ =
+                state.serving_ && one->engine_.known_ && !one->engine_.busy_ && one->engine_.loading_.empty();
             state.loading_ = one->engine_.loading_;
             state.nearby_ = one->engine_.nearby_;
             state.running_ = one->engine_.running_ + one->engine_.queued_;
@@ -260,18 +272,20 @@
             int loading = 0;
             for (const engine_snapshot& engine : service.engines_) {
                 const auto& models = engine.state_.models_;
-                copies += engine.state_.serving_ && std::find(models.begin(), models.end(), model) != models.end();
+                copies +=
+                    engine.state_.serving_ && std::find(models.begin(), models.end(), model) != models.end();
                 loading += engine.state_.loading_ == model;
             }
-            lines.emplace_back(-need.work_, model + " work " + std::to_string(std::lround(need.work_)) + " copies " +
-                                                std::to_string(copies) + "+" + std::to_string(loading) +
-                                                " waiting " + std::to_string(need.waiting_));
+            lines.emplace_back(-need.work_, model + " work " + std::to_string(std::lround(need.work_)) +
+                                                " copies " + std::to_string(copies) + "+" +
+                                                std::to_string(loading) + " waiting " +
+                                                std::to_string(need.waiting_));
         }
         std::sort(lines.begin(), lines.end());
         event report{event_kind::belief, "planner", "demand", {}, {}};
         report.fields_.emplace_back("engines", std::int64_t(service.engines_.size()));
-        static constexpr std::array<std::string_view, 6> places = {"first", "second", "third",
-                                                                   "fourth", "fifth", "sixth"};
+        static constexpr std::array<std::string_view, 6> places = {"first",  "second", "third",
+                                                                   "fourth", "fifth",  "sixth"};
         for (std::size_t index = 0; index < std::min(lines.size(), places.size()); ++index) {
             report.fields_.emplace_back(places[index], lines[index].second);
         }
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -17,10 +17,10 @@
 
 // What the traffic thread tells the control thread. Called on the traffic thread.
 struct traffic_events {
-    std::function<void(std::shared_ptr<const fleet_snapshot>)> plan_;      // while this gateway plans
-    std::function<void(std::string encoded)> relayed_configuration_;       // newer than the one in force
-    std::function<void(std::string bytes)> store_relay_;                   // what another gateway read
-    std::function<void(bool reads, bool first)> reads_store_;              // whether this gateway is to read
+    std::function<void(std::shared_ptr<const fleet_snapshot>)> plan_; // while this gateway plans
+    std::function<void(std::string encoded)> relayed_configuration_;  // newer than the one in force
+    std::function<void(std::string bytes)> store_relay_;              // what another gateway read
+    std::function<void(bool reads, bool first)> reads_store_;         // whether this gateway is to read
 };
 
 class traffic {
--- a/src/http/kept_client.cpp
+++ b/src/http/kept_client.cpp
@@ -112,18 +112,18 @@
 void kept_client::read() {
     const std::uint64_t round = round_;
     const auto self = shared_from_this();
-    socket_.async_read_some(received_.prepare(read_bytes),
-                            [self, round](boost::system::error_code failed, std::size_t count) {
-                                if (round != self->round_) {
-                                    return;
-                                }
-                                if (failed) {
-                                    self->finish(lost(error_kind::interrupted, "the connection ended"), false);
-                                    return;
-                                }
-                                self->received_.commit(count);
-                                self->take_received();
-                            });
+    socket_.async_read_some(
+        received_.prepare(read_bytes), [self, round](boost::system::error_code failed, std::size_t count) {
+            if (round != self->round_) {
+                return;
+            }
+            if (failed) {
+                self->finish(lost(error_kind::interrupted, "the connection ended"), false);
+                return;
+            }
+            self->received_.commit(count);
+            self->take_received();
+        });
 }
 
 void kept_client::take_received() {
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -18,9 +18,8 @@
 }
 
 std::size_t count_headers(const std::vector<header>& headers, std::string_view name) {
-    return std::size_t(std::count_if(headers.begin(), headers.end(), [&](const header& one) {
-        return same_name(one.name_, name);
-    }));
+    return std::size_t(std::count_if(headers.begin(), headers.end(),
+                                     [&](const header& one) { return same_name(one.name_, name); }));
 }
 
 parse_fault fault_of(const boost::beast::error_code& failed) {
@@ -94,9 +93,10 @@
 void request_parser::on_header_impl(error_code& failed) {
     in_trailer_ = true;
     const header* encoding = find_header(request_.headers_, "Transfer-Encoding");
-    const bool framed_twice = count_headers(request_.headers_, "Transfer-Encoding") > 1 ||
-                              count_headers(request_.headers_, "Content-Length") > 1 ||
-                              (encoding != nullptr && find_header(request_.headers_, "Content-Length") != nullptr);
+    const bool framed_twice =
+        count_headers(request_.headers_, "Transfer-Encoding") > 1 ||
+        count_headers(request_.headers_, "Content-Length") > 1 ||
+        (encoding != nullptr && find_header(request_.headers_, "Content-Length") != nullptr);
     const bool unknown_encoding = encoding != nullptr && !same_name(encoding->value_, "chunked");
     if (framed_twice || unknown_encoding || count_headers(request_.headers_, "Host") != 1) {
         failed = bhttp::error::bad_field;
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr std::size_t max_text_bytes = 200;           // of one field
-constexpr std::size_t max_queued_bytes = 512 * 1024;  // of lines that nobody has read yet
+constexpr std::size_t max_text_bytes = 200;              // of one field
+constexpr std::size_t max_queued_bytes = 512 * 1024;     // of lines that nobody has read yet
 constexpr std::chrono::milliseconds write_interval{250}; // batches lines into few writes
 
 nlohmann::ordered_json to_json(const event_field& field) {
--- a/src/provisioning/plan.cpp
+++ b/src/provisioning/plan.cpp
@@ -68,8 +68,8 @@
             }
         }
         const auto loading = all.find(engine.loading_);
-        if (loading != all.end() &&
-            std::find(engine.models_.begin(), engine.models_.end(), engine.loading_) == engine.models_.end()) {
+        if (loading != all.end() && std::find(engine.models_.begin(), engine.models_.end(),
+                                              engine.loading_) == engine.models_.end()) {
             ++loading->second.copies_;
         }
     }
@@ -97,8 +97,10 @@
         if (found == all.end()) {
             continue;
         }
-        // The last copy of a model that nobody asks for may go if the engine can have it back within a second.
-        const bool parked = wanted.in_demand() && !found->second.in_demand() && engine.nearby_.contains(model);
+        // The last copy of a model that nobody asks for may go if the engine can have it back within a
+        // second.
+        const bool parked =
+            wanted.in_demand() && !found->second.in_demand() && engine.nearby_.contains(model);
         if (found->second.copies_ > 1 || parked) {
             victims.push_back(&found->second);
         }
@@ -179,9 +181,10 @@
             wanted.push_back(&standing);
         }
     }
-    std::sort(wanted.begin(), wanted.end(), [busy_work](const model_standing* left, const model_standing* right) {
-        return left->unmet(busy_work) > right->unmet(busy_work);
-    });
+    std::sort(wanted.begin(), wanted.end(),
+              [busy_work](const model_standing* left, const model_standing* right) {
+                  return left->unmet(busy_work) > right->unmet(busy_work);
+              });
     for (const model_standing* standing : wanted) {
         auto step = place(*standing, all, facts);
         if (step) {
--- a/tests/direct/dispatch_test.cpp
+++ b/tests/direct/dispatch_test.cpp
@@ -60,8 +60,8 @@
         facts.other_endpoint_ = *rc::gen::arbitrary<bool>();
         facts.max_attempts_ = *rc::gen::inRange(1, 4);
         facts.sends_that_may_have_run_ = *rc::gen::inRange(0, 4);
-        const bool may_have_run = facts.may_have_run_before_ || facts.end_ == send_end::broken ||
-                                  facts.end_ == send_end::answered;
+        const bool may_have_run =
+            facts.may_have_run_before_ || facts.end_ == send_end::broken || facts.end_ == send_end::answered;
         const next_step step = after_send(facts);
         RC_ASSERT(!(step == next_step::refuse && may_have_run));
         RC_ASSERT(!(step == next_step::try_again && may_have_run && !facts.repeatable_));
--- a/tests/direct/events_test.cpp
+++ b/tests/direct/events_test.cpp
@@ -11,15 +11,18 @@
 namespace {
 
 event ending(std::string_view request) {
-    return {event_kind::ending, "gateway", "request_ended", request, {{"status", 503}, {"outcome", "too_busy"}}};
+    return {
+        event_kind::ending, "gateway", "request_ended", request, {{"status", 503}, {"outcome", "too_busy"}}};
 }
 
 } // namespace
 
 TEST_CASE("event_line_fields_are_typed_escaped_and_bounded") {
-    const event one{event_kind::sending, "gateway", "send_ended", "id\"\n", {{"long", std::string(5'000, 'x')},
-                                                                             {"left", std::int64_t(5)},
-                                                                             {"budget", true}}};
+    const event one{event_kind::sending,
+                    "gateway",
+                    "send_ended",
+                    "id\"\n",
+                    {{"long", std::string(5'000, 'x')}, {"left", std::int64_t(5)}, {"budget", true}}};
     const std::string line = to_json_line(one, "gateway-1", 77);
     CHECK(line.find('\n') == std::string::npos);
     CHECK(line.size() < 1'000);
@@ -73,7 +76,8 @@
 
 TEST_CASE("story_of_a_request_holds_its_lines_and_what_its_process_learned_before") {
     const std::vector<std::string> lines = {
-        to_json_line({event_kind::belief, "gateway", "engine_down", {}, {{"endpoint", "i-1"}}}, "gateway-1", 9'000),
+        to_json_line({event_kind::belief, "gateway", "engine_down", {}, {{"endpoint", "i-1"}}}, "gateway-1",
+                     9'000),
         "12.5 front " + to_json_line(ending("r-1"), "gateway-1", 10'000),
         to_json_line(ending("r-2"), "gateway-1", 9'900),
         to_json_line({event_kind::belief, "gateway", "engine_down", {}, {}}, "gateway-2", 9'900),
--- a/tests/direct/gateway_test.cpp
+++ b/tests/direct/gateway_test.cpp
@@ -42,11 +42,13 @@
         names_.reserved_ = {"X-Expect", "X-Priority", "X-Hold"};
         incoming_.method_ = "POST";
         incoming_.target_ = "/a/b?c=d";
-        incoming_.headers_ = {{"Host", "shop.example"}, {"X-Id", "r1"},     {"X-Left", "1000"},
+        incoming_.headers_ = {{"Host", "shop.example"}, {"X-Id", "r1"},       {"X-Left", "1000"},
                               {"X-Model", "base/a3"},   {"X-Tokens", "20,5"}, {"X-Parts", "1f:12,2e:8"}};
     }
 
-    std::string forward() const { return forwarded_request(incoming_, names_, {700, "i-1", 2, std::nullopt}); }
+    std::string forward() const {
+        return forwarded_request(incoming_, names_, {700, "i-1", 2, std::nullopt});
+    }
 };
 
 struct parse_case {
@@ -159,13 +161,15 @@
          parse_fault::malformed},
         {"unknown encoding", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
          parse_fault::malformed},
-        {"chunked twice", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+        {"chunked twice",
+         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
          parse_fault::malformed},
         {"bare line feeds", "GET / HTTP/1.1\nHost: a\n\n", parse_fault::malformed},
         {"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", parse_fault::malformed},
         {"no host", "GET / HTTP/1.1\r\n\r\n", parse_fault::malformed},
         {"space before the colon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n", parse_fault::malformed},
-        {"too long a body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n", parse_fault::body_too_large},
+        {"too long a body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n",
+         parse_fault::body_too_large},
     };
     for (const parse_case& one : cases) {
         CAPTURE(one.name_);
--- a/tests/direct/order_book_test.cpp
+++ b/tests/direct/order_book_test.cpp
@@ -66,7 +66,8 @@
         if (order.load_) {
             report_.models_.push_back({order.model_, {}});
         } else {
-            std::erase_if(report_.models_, [&](const fleet::held_model& one) { return one.name_ == order.model_; });
+            std::erase_if(report_.models_,
+                          [&](const fleet::held_model& one) { return one.name_ == order.model_; });
         }
         return engine::order_answer::accepted;
     }
--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -52,9 +52,9 @@
 } // namespace
 
 fake_store::fake_store()
-    : context_(1), server_(context_, http::server_limits(), [this](http::exchange& current) -> http::awaitable<void> {
-          co_await handle(current);
-      }) {
+    : context_(1),
+      server_(context_, http::server_limits(),
+              [this](http::exchange& current) -> http::awaitable<void> { co_await handle(current); }) {
     server_.listen({boost::asio::ip::address_v4::loopback(), 0});
     thread_ = std::thread([this] { context_.run(); });
 }
@@ -240,7 +240,8 @@
     const std::string named = "Tamarackbeam-Request-Id: " + id + "\r\n";
     const std::string ok = "HTTP/1.1 200 OK\r\n";
     const std::string body = "Content-Length: 4\r\n\r\ndone";
-    const std::string stream = ok + named + stamp + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string stream =
+        ok + named + stamp + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     switch (how) {
     case manner::whole:
         return ok + named + stamp + body;
@@ -249,7 +250,8 @@
     case manner::truncated:
         return ok + named + stamp + "Content-Length: 4\r\n\r\ndo";
     case manner::not_run:
-        return "HTTP/1.1 503 Service Unavailable\r\n" + named + "Tamarackbeam-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        return "HTTP/1.1 503 Service Unavailable\r\n" + named +
+               "Tamarackbeam-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
     case manner::unstamped:
         return ok + named + body;
     case manner::failing:
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -37,21 +37,20 @@
     add("booking", "unsafe", 2, false);
     add("chat", "stream", 2, true);
     add("quote", "stream", 2, false);
-    const nlohmann::json body = {{"version", version},
-                                 {"routes", routes},
-                                 {"services", {{{"name", "svc"}, {"health_path", "/h"}, {"max_connections", 100}}}},
-                                 {"limits", {{"max_header_bytes", 4'096}, {"max_body_bytes", 1'000}}}};
+    const nlohmann::json body = {
+        {"version", version},
+        {"routes", routes},
+        {"services", {{{"name", "svc"}, {"health_path", "/h"}, {"max_connections", 100}}}},
+        {"limits", {{"max_header_bytes", 4'096}, {"max_body_bytes", 1'000}}}};
     return body.dump();
 }
 
 std::string endpoint_text(const fake_endpoint& endpoint, const char* state = "ready") {
-    const nlohmann::json body = {{"service", "svc"},
-                                 {"address", "127.0.0.1:" + std::to_string(endpoint.address().port())},
-                                 {"zone", "z1"},
-                                 {"slots", 4},
-                                 {"state", state},
-                                 {"born", 10},
-                                 {"sequence", 1}};
+    const nlohmann::json body = {
+        {"service", "svc"}, {"address", "127.0.0.1:" + std::to_string(endpoint.address().port())},
+        {"zone", "z1"},     {"slots", 4},
+        {"state", state},   {"born", 10},
+        {"sequence", 1}};
     return body.dump();
 }
 
@@ -73,12 +72,14 @@
     harness::process process_;
 
     gateway_process() {
-        folder_ = (std::filesystem::temp_directory_path() / ("tamarack-direct-" + std::to_string(::getpid()))).string();
+        folder_ = (std::filesystem::temp_directory_path() / ("tamarack-direct-" + std::to_string(::getpid())))
+                      .string();
         std::filesystem::create_directories(folder_);
         store_.put("keyed.op", "config", configuration_text(3));
         store_.put("keyed.servers", "bytes", "\xff\xfe no json");
         store_.put("keyed.servers", "fields", R"({"service": "svc", "address": 5})");
-        store_.put("keyed.servers", "state", R"({"service":"svc","address":"127.0.0.1:1","slots":1,"state":"odd"})");
+        store_.put("keyed.servers", "state",
+                   R"({"service":"svc","address":"127.0.0.1:1","slots":1,"state":"odd"})");
         store_.put("keyed.servers", "i-1", endpoint_text(first_));
         store_.put("keyed.servers", "i-2", endpoint_text(second_));
     }
@@ -99,7 +100,8 @@
                                          {"agent_port", 1}};
         const std::string path = folder_ + "/settings.json";
         std::ofstream(path) << settings.dump();
-        process_ = harness::process("build/release/tamarack-gateway", {"--settings=" + path}, folder_ + "/log");
+        process_ =
+            harness::process("build/release/tamarack-gateway", {"--settings=" + path}, folder_ + "/log");
     }
 
     // A call with a limit, run to its end.
@@ -109,8 +111,9 @@
         boost::asio::co_spawn(
             context,
             [&]() -> boost::asio::awaitable<void> {
-                outcome = co_await http::fetch({boost::asio::ip::address_v4::loopback(), port}, request,
-                                               {std::chrono::milliseconds(2'000), std::chrono::milliseconds(8'000)});
+                outcome = co_await http::fetch(
+                    {boost::asio::ip::address_v4::loopback(), port}, request,
+                    {std::chrono::milliseconds(2'000), std::chrono::milliseconds(8'000)});
             },
             boost::asio::detached);
         context.run();
@@ -144,10 +147,11 @@
     }
 
     static http::request request(const std::string& route, const std::string& id) {
-        return {route == "lookup" ? "GET" : "POST",
-                "/" + route + "/x",
-                {{"Host", "shop.example"}, {"Tamarackbeam-Request-Id", id}, {"Tamarackbeam-Deadline-Ms", "1200"}},
-                route == "lookup" ? "" : "body"};
+        return {
+            route == "lookup" ? "GET" : "POST",
+            "/" + route + "/x",
+            {{"Host", "shop.example"}, {"Tamarackbeam-Request-Id", id}, {"Tamarackbeam-Deadline-Ms", "1200"}},
+            route == "lookup" ? "" : "body"};
     }
 
     int status(const http::request& outgoing) const {
@@ -167,9 +171,9 @@
 struct fault_case {
     const char* name_;
     manner manner_;
-    int lookup_;            // status for a request that may be repeated
-    int booking_;           // status for one that may not
-    std::size_t bookings_;  // arrivals of the booking
+    int lookup_;           // status for a request that may be repeated
+    int booking_;          // status for one that may not
+    std::size_t bookings_; // arrivals of the booking
 };
 
 } // namespace
@@ -191,7 +195,10 @@
 }
 
 TEST_CASE("platform_endpoint_entries_of_other_writers_are_refused") {
-    const char* entries[] = {"", "[]", "null", R"({"service":"s"})",
+    const char* entries[] = {"",
+                             "[]",
+                             "null",
+                             R"({"service":"s"})",
                              R"({"service":7,"address":"1.2.3.4:5","state":"ready","slots":1})",
                              R"({"service":"s","address":"here","state":"ready","slots":1})",
                              R"({"service":"s","address":"1.2.3.4:5","state":"odd","slots":1})",
@@ -330,7 +337,8 @@
     CHECK(eventually([&] { return status(request("lookup", "r-4")) == 503; }));
 }
 
-TEST_CASE_FIXTURE(gateway_process, "direct_path_store_faults_configuration_stays_and_newer_one_comes_with_its_return") {
+TEST_CASE_FIXTURE(gateway_process,
+                  "direct_path_store_faults_configuration_stays_and_newer_one_comes_with_its_return") {
     start_ready();
     for (const auto fault : {fake_store::fault::busy, fake_store::fault::limited, fake_store::fault::silent,
                              fake_store::fault::truncated, fake_store::fault::expired}) {
--- a/tests/direct/provisioning_test.cpp
+++ b/tests/direct/provisioning_test.cpp
@@ -55,8 +55,9 @@
             if (!step) {
                 return done;
             }
-            const auto engine = std::find_if(engines_.begin(), engines_.end(),
-                                             [&](const engine_state& one) { return one.id_ == step->engine_; });
+            const auto engine = std::find_if(engines_.begin(), engines_.end(), [&](const engine_state& one) {
+                return one.id_ == step->engine_;
+            });
             std::erase_if(engine->models_, [&](const std::string& model) {
                 return std::find(step->drop_.begin(), step->drop_.end(), model) != step->drop_.end();
             });
@@ -82,7 +83,8 @@
     CHECK_FALSE(next());
 }
 
-TEST_CASE_FIXTURE(plan_fixture, "plan_demand_moves_to_a_model_while_engines_are_full_of_parked_ones_it_spreads") {
+TEST_CASE_FIXTURE(plan_fixture,
+                  "plan_demand_moves_to_a_model_while_engines_are_full_of_parked_ones_it_spreads") {
     // The busy model has one copy; every other engine holds last copies that nobody asks for.
     add_model("busy");
     add_engine("e0", {"busy"});
@@ -164,7 +166,8 @@
         const int models = *rc::gen::inRange(1, 15);
         for (int model = 0; model < models; ++model) {
             plan.add_model("m" + std::to_string(model));
-            plan.needs_["m" + std::to_string(model)] = {double(*rc::gen::inRange(0, 200)), *rc::gen::inRange(0, 3)};
+            plan.needs_["m" + std::to_string(model)] = {double(*rc::gen::inRange(0, 200)),
+                                                        *rc::gen::inRange(0, 3)};
         }
         const int engines = *rc::gen::inRange(1, 7);
         for (int engine = 0; engine < engines; ++engine) {
