Notice sooner that an engine's machine stands still

Change: three missed reports at the agents' present interval. Tried and reverted: before any demand, keep half of the copies of a model that is on many engines. Copies that are dropped before traffic come back from disks.

--- a/src/gateway/endpoint.cpp
+++ b/src/gateway/endpoint.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+constexpr time_ms least_report_ms = 100;          // between reports of an agent
+constexpr time_ms report_ms_per_gateway = 10;     // the same, where there are many gateways
+constexpr time_ms missed_reports = 3;             // in a row
+constexpr time_ms report_delay_ms = 100;          // of one report on its way
 constexpr int least_connections = 4;              // that a gateway may open, however many gateways there are
 constexpr double connection_share = 0.9;          // of an endpoint's limit that all gateways use together
 constexpr std::size_t most_idle_connections = 24; // kept by one gateway for one endpoint
@@ -34,6 +38,11 @@
     return !gone_ && !record_.leaving_ && !(engine_.known_ && engine_.leaving_);
 }
 
+bool endpoint::report_overdue(time_ms now, int gateways) const {
+    const time_ms interval = std::max(least_report_ms, report_ms_per_gateway * time_ms(gateways));
+    return engine_.known_ && now - engine_.at_ > missed_reports * interval + report_delay_ms;
+}
+
 const std::vector<fleet::held_model>& endpoint::models() const {
     return engine_.known_ ? engine_.models_ : record_.models_;
 }
--- a/src/gateway/endpoint.hpp
+++ b/src/gateway/endpoint.hpp
@@ -53,6 +53,10 @@
     // Whether new requests may go there.
     bool takes_work(time_ms now) const;
 
+    // Whether the engine's agent fell silent, as when its machine stands still. Agents report less often to many
+    // gateways.
+    bool report_overdue(time_ms now, int gateways) const;
+
     // The models that it holds, by the newest source.
     const std::vector<fleet::held_model>& models() const;
     const fleet::held_model* find_model(std::string_view name) const;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -12,7 +12,6 @@
 constexpr time_ms least_useful_ms = 30;                  // left, for another sending to make sense
 constexpr time_ms silence_ms = 1'100;    // in a stream; clients give up after two seconds or more
 constexpr time_ms busy_return_ms = 300;  // until a full endpoint has room
-constexpr time_ms stale_report_ms = 900; // several reports of an agent
 constexpr int status_ok = 200;
 constexpr int first_failure_status = 300;
 constexpr int first_server_error = 500;
@@ -32,8 +31,8 @@
 namespace {
 
 // Whether nothing tells that the engine still runs.
-bool endpoint_lost(const endpoint& one, time_ms now) {
-    return !one.engine_.known_ || !one.engine_.reachable_ || now - one.engine_.at_ > stale_report_ms;
+bool endpoint_lost(const endpoint& one, time_ms now, int gateways) {
+    return !one.engine_.known_ || !one.engine_.reachable_ || one.report_overdue(now, gateways);
 }
 
 } // namespace
@@ -105,7 +104,7 @@
 
 bool request_flow::can_go_on_elsewhere() const {
     const time_ms now = steady_now_ms();
-    return endpoint_lost(sending_->at(), now) && maybe_runs_ + 1 < route_->max_attempts_ &&
+    return endpoint_lost(sending_->at(), now, context_.fleet_.gateways()) && maybe_runs_ + 1 < route_->max_attempts_ &&
            left_ms(now) > least_useful_ms &&
            context_.fleet_.retries(service_->name_).available(now, context_.fleet_.gateways()) &&
            !usable_endpoints().empty();
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -13,7 +13,6 @@
 constexpr time_ms not_ready_return_ms = 400;     // until a gateway without configuration has one
 constexpr time_ms no_endpoint_return_ms = 1'000; // until an endpoint registers
 constexpr time_ms fresh_connection_ms = 400;     // idle time after which an endpoint may have dropped it
-constexpr time_ms stale_report_ms = 900;         // several reports; the engine's machine may stand still
 constexpr double free_adapter_ms = 40;           // an order and the load of one adapter
 constexpr double full_adapter_ms = 90;           // the same, and an adapter that makes way
 constexpr double busy_adapter_ms = 1'500;        // an engine that carries out another order comes first
@@ -120,7 +119,7 @@
     option.memory_use_ = one.engine_.kv_total_ > 0 ? one.engine_.kv_used_ / one.engine_.kv_total_ : 0;
     option.slowness_ = std::max(1.0, one.slowness_);
     option.failure_rate_ = one.health_.failure_rate(now);
-    const bool silent = one.engine_.known_ && now - one.engine_.at_ > stale_report_ms;
+    const bool silent = one.report_overdue(now, context_.fleet_.gateways());
     option.suspected_ =
         one.health_.suspected(now) || silent || (one.engine_.known_ && !one.engine_.reachable_);
     if (!facts_.adapter_.empty()) {
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -283,7 +283,17 @@
         }
         std::sort(lines.begin(), lines.end());
         event report{event_kind::belief, "planner", "demand", {}, {}};
+        std::int64_t available = 0;
+        std::int64_t store_loads = 0;
+        const time_ms window_start = steady_now_ms() - time_ms(settings_.load_window_s_ * ms_per_s);
+        for (const engine_snapshot& engine : service.engines_) {
+            available += engine.state_.available_ ? 1 : 0;
+            store_loads += std::count_if(engine.store_loads_.begin(), engine.store_loads_.end(),
+                                         [&](time_ms start) { return start > window_start; });
+        }
         report.fields_.emplace_back("engines", std::int64_t(service.engines_.size()));
+        report.fields_.emplace_back("available", available);
+        report.fields_.emplace_back("store_loads_in_window", store_loads);
         static constexpr std::array<std::string_view, 6> places = {"first",  "second", "third",
                                                                    "fourth", "fifth",  "sixth"};
         for (std::size_t index = 0; index < std::min(lines.size(), places.size()); ++index) {
