--- a/include/tamarack/events.hpp
+++ b/include/tamarack/events.hpp
@@ -4,9 +4,7 @@
 #include "tamarack/kernel.hpp"
 
 #include <array>
-#include <atomic>
-#include <condition_variable>
-#include <mutex>
+#include <memory>
 #include <thread>
 
 namespace tamarack {
@@ -96,19 +94,9 @@
     void stop(std::chrono::milliseconds limit);
 
 private:
-    void run();
-    std::string left_out_line();
-
-    std::string process_;
-    sink sink_;
-    std::mutex mutex_;
-    std::condition_variable wakeup_;
-    std::condition_variable idle_;
-    event_limiter limiter_;
-    std::string queued_;
-    std::int64_t overflowed_ = 0;
-    bool writing_ = false;
-    bool stopping_ = false;
+    struct state;
+
+    std::shared_ptr<state> state_; // shared with the thread, which may be stuck in a write when the log ends
     std::thread thread_;
 };
 
--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -173,6 +173,7 @@
     std::function<void(std::vector<endpoint_change>)> endpoints_;
     std::function<void(bool reachable)> registry_; // on each loss and return
     std::function<void(std::string bytes)> relay_; // what gateways that do not read should get
+    std::function<void(const error&)> skipped_;    // a record that cannot be used
 };
 
 // Follows the operator's configuration and the registry of endpoints.
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -192,6 +192,7 @@
     if (std::exchange(reading_, true)) {
         return;
     }
+    asked_at_ = steady_now_ms();
     port_->read_report([this](result<engine::report> outcome) {
         reading_ = false;
         take_report(std::move(outcome));
@@ -203,6 +204,8 @@
     if (ok(outcome)) {
         failures_ = 0;
         reachable_ = true;
+        measures_.observe_ms("tamarack_report_ms", "From asking the engine for its report to having it", {},
+                             double(now - asked_at_));
         engine::report& report = value(outcome);
         const auto named = engine_ids_.find(report.incarnation_);
         if (named != engine_ids_.end()) {
@@ -244,6 +247,10 @@
     }
     port_->give(*order, [this, order = *order](engine::order_answer answer) {
         book_.answered(answer, steady_now_ms());
+        measures_.count("tamarack_orders_total", "Orders to the engine by their answer",
+                        {{"order", order.load_ ? "load" : "unload"},
+                         {"item", order.adapter_.empty() ? "model" : "adapter"},
+                         {"answer", std::string(to_string(answer))}});
         events_.write({event_kind::order,
                        "agent",
                        order.load_ ? "load" : "unload",
--- a/src/engine_agent/agent.hpp
+++ b/src/engine_agent/agent.hpp
@@ -71,6 +71,7 @@
     bool reachable_ = false;
     bool reading_ = false;
     int failures_ = 0;
+    time_ms asked_at_ = 0;
     pushed_state pushed_;
     time_ms pushed_at_ = 0;
 };
--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -193,7 +193,7 @@
         // The engine accepts one of two orders with the same count, so giving it again settles it.
         order = doubtful_;
     } else {
-        order = next_adapter_order(now);
+        order = next_adapter_order();
         if (!order) {
             order = next_placement_order();
         }
@@ -203,7 +203,7 @@
 }
 
 // An engine that carries out another order refuses those about adapters as well.
-std::optional<engine::order> order_book::next_adapter_order(time_ms) {
+std::optional<engine::order> order_book::next_adapter_order() {
     if (report_->busy_) {
         return std::nullopt;
     }
--- a/src/engine_agent/order_book.hpp
+++ b/src/engine_agent/order_book.hpp
@@ -68,7 +68,7 @@
     };
 
     engine::order make(bool load, std::string_view model, std::string_view adapter) const;
-    std::optional<engine::order> next_adapter_order(time_ms now);
+    std::optional<engine::order> next_adapter_order();
     std::optional<engine::order> evict_adapter();
     std::optional<engine::order> next_placement_order();
     double used_mb() const;
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -66,6 +66,9 @@
         take_endpoints(changes);
     };
     handlers.registry_ = [this](bool reachable) { note_registry(reachable); };
+    handlers.skipped_ = [this](const error& why) {
+        events_.write({event_kind::belief, "gateway", "record_skipped", {}, {{"why", to_string(why)}}});
+    };
     handlers.relay_ = [this](std::string bytes) { traffic_.relay_store(std::move(bytes)); };
     source_ = (*registry<fleet::fleet_source_factory>::instance().find(settings.platform_))(
         context_, settings.store_, std::move(handlers));
--- a/src/gateway/endpoint.cpp
+++ b/src/gateway/endpoint.cpp
@@ -34,7 +34,7 @@
     record_ = record;
 }
 
-bool endpoint::takes_work(time_ms) const {
+bool endpoint::takes_work() const {
     return !gone_ && !record_.leaving_ && !(engine_.known_ && engine_.leaving_);
 }
 
--- a/src/gateway/endpoint.hpp
+++ b/src/gateway/endpoint.hpp
@@ -51,10 +51,10 @@
     const fleet::endpoint_record& record() const { return record_; }
 
     // Whether new requests may go there.
-    bool takes_work(time_ms now) const;
+    bool takes_work() const;
 
-    // Whether the engine's agent fell silent, as when its machine stands still. Agents report less often to many
-    // gateways.
+    // Whether the engine's agent fell silent, as when its machine stands still. Agents report less often to
+    // many gateways.
     bool report_overdue(time_ms now, int gateways) const;
 
     // The models that it holds, by the newest source.
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -54,7 +54,7 @@
     return retries_.try_emplace(service, retry_limits_).first->second;
 }
 
-void fleet_state::note_first_event(endpoint& at, time_ms took_ms, time_ms) {
+void fleet_state::note_first_event(endpoint& at, time_ms took_ms) {
     double& mean = mean_first_event_ms_[at.record().service_];
     const double sample = double(std::max<time_ms>(1, took_ms));
     mean = mean == 0 ? sample : mean + service_share * (sample - mean);
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -39,7 +39,7 @@
     dispatch::engine_pace& pace(const std::string& service) { return paces_[service]; }
 
     // Mean time to the first event of a service, for judging its endpoints.
-    void note_first_event(endpoint& at, time_ms took_ms, time_ms now);
+    void note_first_event(endpoint& at, time_ms took_ms);
 
     // A request held its place in a batch for so long.
     void note_slot(const std::string& service, time_ms held_ms);
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -10,8 +10,8 @@
 
 constexpr std::size_t most_unwritten_bytes = 256 * 1024; // to a client that reads slowly
 constexpr time_ms least_useful_ms = 30;                  // left, for another sending to make sense
-constexpr time_ms silence_ms = 1'100;    // in a stream; clients give up after two seconds or more
-constexpr time_ms busy_return_ms = 300;  // until a full endpoint has room
+constexpr time_ms silence_ms = 1'100;   // in a stream; clients give up after two seconds or more
+constexpr time_ms busy_return_ms = 300; // until a full endpoint has room
 constexpr int status_ok = 200;
 constexpr int first_failure_status = 300;
 constexpr int first_server_error = 500;
@@ -73,8 +73,8 @@
                                       {{"kind", "stream"}}, double(now - arrived_at_));
     }
     if (sending_) {
-        if (now - sending_->began_at_ >= 0 && !sending_->first_event_seen()) {
-            context_.fleet_.note_first_event(sending_->at(), now - sending_->began_at_, now);
+        if (!sending_->first_event_seen()) {
+            context_.fleet_.note_first_event(sending_->at(), now - sending_->began_at_);
         }
         sending_->first_event();
     }
@@ -104,8 +104,8 @@
 
 bool request_flow::can_go_on_elsewhere() const {
     const time_ms now = steady_now_ms();
-    return endpoint_lost(sending_->at(), now, context_.fleet_.gateways()) && maybe_runs_ + 1 < route_->max_attempts_ &&
-           left_ms(now) > least_useful_ms &&
+    return endpoint_lost(sending_->at(), now, context_.fleet_.gateways()) &&
+           maybe_runs_ + 1 < route_->max_attempts_ && left_ms(now) > least_useful_ms &&
            context_.fleet_.retries(service_->name_).available(now, context_.fleet_.gateways()) &&
            !usable_endpoints().empty();
 }
@@ -224,6 +224,8 @@
                              {"budget_left", facts.budget_left_},
                              {"left_ms", left_ms(now)},
                              {"outcome", dispatch::to_string(step)}}});
+    context_.measures_.count("tamarack_sends_total", "Sendings to endpoints by how they ended",
+                             {{"end", std::string(dispatch::to_string(end))}});
     switch (step) {
     case dispatch::next_step::deliver:
         deliver(answer);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -96,12 +96,11 @@
 }
 
 std::vector<std::shared_ptr<endpoint>> request_flow::usable_endpoints() const {
-    const time_ms now = steady_now_ms();
     std::vector<std::shared_ptr<endpoint>> usable;
     for (const auto& one : context_.fleet_.endpoints_of(service_->name_)) {
         const bool holds =
             !service_->engine_ || facts_.model_.empty() || one->find_model(facts_.model_) != nullptr;
-        if (one->takes_work(now) && holds && !tried_.contains(one->record().id_)) {
+        if (one->takes_work() && holds && !tried_.contains(one->record().id_)) {
             usable.push_back(one);
         }
     }
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -5,10 +5,17 @@
 #include <log4cxx/patternlayout.h>
 #include <nlohmann/json.hpp>
 
+#include <condition_variable>
+#include <mutex>
+
 namespace tamarack {
 
 namespace {
 
+constexpr std::array<std::string_view, event_kind_count> left_out_names = {
+    "process_lines", "dependency_lines", "belief_lines", "admission_lines",
+    "sending_lines", "ending_lines",     "order_lines"};
+
 constexpr std::size_t max_text_bytes = 200;              // of one field
 constexpr std::size_t max_queued_bytes = 512 * 1024;     // of lines that nobody has read yet
 constexpr std::chrono::milliseconds write_interval{250}; // batches lines into few writes
@@ -87,8 +94,28 @@
     return std::exchange(left_out_, {});
 }
 
+struct event_log::state {
+    state(std::string process, event_rate rate, sink write)
+        : process_(std::move(process)), sink_(std::move(write)), limiter_(rate) {}
+
+    void run();
+    std::string left_out_line();
+
+    const std::string process_;
+    const sink sink_;
+    std::mutex mutex_;
+    std::condition_variable wakeup_;
+    std::condition_variable idle_;
+    event_limiter limiter_;
+    std::string queued_;
+    std::int64_t overflowed_ = 0;
+    bool writing_ = false;
+    bool stopping_ = false;
+};
+
 event_log::event_log(std::string process, event_rate rate, sink write)
-    : process_(std::move(process)), sink_(std::move(write)), limiter_(rate), thread_([this] { run(); }) {}
+    : state_(std::make_shared<state>(std::move(process), rate, std::move(write))),
+      thread_([shared = state_] { shared->run(); }) {}
 
 event_log::~event_log() {
     constexpr std::chrono::milliseconds last_write{200};
@@ -97,24 +124,24 @@
 
 void event_log::write(const event& one) {
     const time_ms now = steady_now_ms();
-    const std::lock_guard lock(mutex_);
-    if (stopping_ || !limiter_.allow(one.kind_, now)) {
+    const std::lock_guard lock(state_->mutex_);
+    if (state_->stopping_ || !state_->limiter_.allow(one.kind_, now)) {
         return;
     }
-    if (queued_.size() > max_queued_bytes) {
-        ++overflowed_;
+    if (state_->queued_.size() > max_queued_bytes) {
+        ++state_->overflowed_;
         return;
     }
-    queued_ += to_json_line(one, process_, now);
-    queued_ += '\n';
+    state_->queued_ += to_json_line(one, state_->process_, now);
+    state_->queued_ += '\n';
 }
 
-std::string event_log::left_out_line() {
+std::string event_log::state::left_out_line() {
     event report{event_kind::process, "log", "lines_left_out", {}, {}};
     const auto left_out = limiter_.take_left_out();
     for (std::size_t kind = 0; kind < event_kind_count; ++kind) {
         if (left_out[kind] > 0) {
-            report.fields_.emplace_back(to_string(event_kind(kind)), left_out[kind]);
+            report.fields_.emplace_back(left_out_names[kind], left_out[kind]);
         }
     }
     if (overflowed_ > 0) {
@@ -123,7 +150,7 @@
     return report.fields_.empty() ? std::string() : to_json_line(report, process_, steady_now_ms()) + "\n";
 }
 
-void event_log::run() {
+void event_log::state::run() {
     std::unique_lock lock(mutex_);
     while (true) {
         wakeup_.wait_for(lock, write_interval, [this] { return stopping_; });
@@ -145,22 +172,20 @@
 }
 
 void event_log::stop(std::chrono::milliseconds limit) {
-    {
-        std::unique_lock lock(mutex_);
-        if (!thread_.joinable()) {
-            return;
-        }
-        stopping_ = true;
-        wakeup_.notify_all();
-        idle_.wait_for(lock, limit, [this] { return queued_.empty() && !writing_; });
-        if (writing_) {
-            // The reader of the output is stuck; the process must end all the same.
-            lock.unlock();
-            thread_.detach();
-            return;
-        }
+    if (!thread_.joinable()) {
+        return;
+    }
+    std::unique_lock lock(state_->mutex_);
+    state_->stopping_ = true;
+    state_->wakeup_.notify_all();
+    const bool written =
+        state_->idle_.wait_for(lock, limit, [this] { return state_->queued_.empty() && !state_->writing_; });
+    lock.unlock();
+    if (written) {
+        thread_.join();
+    } else {
+        thread_.detach(); // the reader of the output is stuck; the process must end all the same
     }
-    thread_.join();
 }
 
 event_log::sink standard_output_sink() {
