--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::size_t most_unwritten_bytes = 256 * 1024; // to a client that reads slowly
 constexpr time_ms least_useful_ms = 30;                  // left, for another sending to make sense
-constexpr time_ms silence_ms = 1'100;   // in a stream; clients give up after two seconds or more
+constexpr time_ms silence_ms = 1'100;   // of an engine; clients give up after two seconds or more
 constexpr time_ms busy_return_ms = 300; // until a full endpoint has room
 constexpr int status_ok = 200;
 constexpr int first_failure_status = 300;
@@ -79,13 +79,14 @@
         sending_->first_event();
     }
     last_event_at_ = now;
-    if (route_->resumable_) {
+    if (route_->repeatable()) {
         arm_pause_watch();
     }
 }
 
-// A stream that falls silent goes on elsewhere if its engine is not heard of either. Where it cannot, or
-// where the engine is only slow, silence is no reason to end it.
+// A request whose engine falls silent goes on elsewhere if the engine's agent is not heard of either, before
+// its client leaves: a machine that stands still cannot be told that nobody waits any more. Where it cannot,
+// or where the engine is only slow, silence is no reason to end it.
 void request_flow::arm_pause_watch() {
     pause_.expires_after(std::chrono::milliseconds(silence_ms));
     pause_.async_wait([self = shared_from_this()](boost::system::error_code cancelled) {
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -299,6 +299,9 @@
         exchange::events{[self](http::response_parser& answer) { self->take_progress(answer); },
                          [self](exchange_end end) { self->take_end(end); }});
     exchange_->start();
+    if (route_->repeatable()) {
+        arm_pause_watch();
+    }
 }
 
 } // namespace tamarack::gateway
