--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-constexpr time_ms silence_ms = 1'800;   // several digests; the gateway counts as gone then
-constexpr time_ms listening_ms = 1'200; // after a start, until the digests of the others have come in
+constexpr time_ms silence_ms = 1'800; // several digests; the gateway counts as gone then
+constexpr time_ms listening_ms =
+    5'200; // after a start: a window of the weight store's rate that is not known
 
 } // namespace
 
