--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -1,5 +1,7 @@
 #include "engine_agent/agent.hpp"
 
+#include "net/socket_options.hpp"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -15,7 +17,6 @@
 constexpr int failures_until_down = 2;      // reports in a row
 constexpr time_ms least_push_ms = 100;      // between statuses to the gateways
 constexpr time_ms push_ms_per_gateway = 10; // bounds the statuses that one agent sends a second
-constexpr int accept_backlog = 256;
 
 } // namespace
 
@@ -57,19 +58,11 @@
 }
 
 result<done> agent::listen() {
-    boost::system::error_code failed;
-    acceptor_.open(settings_.listen_.protocol(), failed);
-    acceptor_.set_option(asio::socket_base::reuse_address(true), failed);
-    acceptor_.bind(settings_.listen_, failed);
-    if (!failed) {
-        acceptor_.listen(accept_backlog, failed);
-    }
-    if (failed) {
-        return error{error_kind::unavailable, "cannot listen for gateways: " + failed.message(),
-                     "check the address \"listen\" in the settings"};
+    const result<done> listening = net::listen_on(acceptor_, settings_.listen_, "gateways");
+    if (ok(listening)) {
+        accept();
     }
-    accept();
-    return done{};
+    return listening;
 }
 
 void agent::accept() {
@@ -147,7 +140,7 @@
     from.wants_.erase(found);
 }
 
-// The gateway whose placements are taken: the one with the least id that is linked.
+// The gateway that should plan: the one with the least id that is linked. Logged beside who did.
 std::string agent::planner() const {
     std::string least;
     for (const auto& one : gateways_) {
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -1,5 +1,7 @@
 #include "gateway/traffic.hpp"
 
+#include "net/socket_options.hpp"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -16,7 +18,6 @@
 constexpr time_ms configuration_patience_ms = 1'000; // for a version to reach all gateways by itself
 constexpr std::int64_t ticks_per_report = 4;         // one line a second about what the planner sees
 constexpr time_ms introduction_ms = 2'500;           // after a start, in which digests go out at each tick
-constexpr int accept_backlog = 1'024;
 constexpr double ms_per_s = 1'000;
 
 dispatch::retry_limits retry_limits(const gateway_settings& settings) {
@@ -62,19 +63,11 @@
 }
 
 result<done> traffic::listen() {
-    boost::system::error_code failed;
-    acceptor_.open(settings_.listen_.protocol(), failed);
-    acceptor_.set_option(asio::socket_base::reuse_address(true), failed);
-    acceptor_.bind(settings_.listen_, failed);
-    if (!failed) {
-        acceptor_.listen(accept_backlog, failed);
-    }
-    if (failed) {
-        return error{error_kind::unavailable, "cannot listen for clients: " + failed.message(),
-                     "check the address \"listen\" in the settings"};
+    const result<done> listening = net::listen_on(acceptor_, settings_.listen_, "clients");
+    if (ok(listening)) {
+        accept();
     }
-    accept();
-    return done{};
+    return listening;
 }
 
 void traffic::run() {
--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -21,4 +21,22 @@
     ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof(limit_ms));
 }
 
+result<done> listen_on(boost::asio::ip::tcp::acceptor& acceptor, const boost::asio::ip::tcp::endpoint& local,
+                       std::string_view whom) {
+    constexpr int backlog = 1'024;
+    boost::system::error_code failed;
+    acceptor.open(local.protocol(), failed);
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true), failed);
+    acceptor.bind(local, failed);
+    if (!failed) {
+        acceptor.listen(backlog, failed);
+    }
+    if (failed) {
+        return error{error_kind::unavailable,
+                     "cannot listen for " + std::string(whom) + ": " + failed.message(),
+                     "check the address \"listen\" in the settings"};
+    }
+    return done{};
+}
+
 } // namespace tamarack::net
--- a/src/net/socket_options.hpp
+++ b/src/net/socket_options.hpp
@@ -1,6 +1,8 @@
 // Options of TCP sockets that the programs share.
 #pragma once
 
+#include "tamarack/kernel.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 
 namespace tamarack::net {
@@ -9,4 +11,8 @@
 // silent path is noticed. `limit_ms` is the time after which the connection is given up.
 void watch_for_silence(boost::asio::ip::tcp::socket& socket, int limit_ms);
 
+// Binds the acceptor and listens. Fails with `unavailable`; `whom` names who connects there, for the message.
+result<done> listen_on(boost::asio::ip::tcp::acceptor& acceptor, const boost::asio::ip::tcp::endpoint& local,
+                       std::string_view whom);
+
 } // namespace tamarack::net
