Leave the placement alone until the fleet is known; hand planning over only to gateways that know the recent loads

And a restarted gateway with the least id planned at once without knowing the loads from the weight store of the last window, so it gave none for 5.2 s. Change: until all engines had the time to report, only models that are asked for are loaded. Gateways tell their uptime; one that has settled plans, and a restarted one takes over with a margin longer than two digests.

--- a/include/tamarack/provisioning.hpp
+++ b/include/tamarack/provisioning.hpp
@@ -39,6 +39,10 @@
     std::span<const engine_state> engines_;
     const std::map<std::string, model_need, std::less<>>* needs_ = nullptr;
     bool store_load_allowed_ = true; // by the pacer
+
+    // Whether all engines have had the time to report. Until then a model that seems to have no copy may well
+    // have one, so only models that are asked for are loaded.
+    bool fleet_known_ = true;
 };
 
 // The next order, if any is worth giving: the model with the most work beyond what its copies carry goes
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -7,8 +7,11 @@
 namespace {
 
 constexpr time_ms silence_ms = 1'800; // several digests; the gateway counts as gone then
-constexpr time_ms listening_ms =
-    5'200; // after a start: a window of the weight store's rate that is not known
+
+// After it has settled, a gateway with a lesser id takes over. The one that plans stops first, by more than
+// the time between two digests.
+constexpr time_ms stop_planning_ms = 1'200;
+constexpr time_ms start_planning_ms = 2'000;
 
 } // namespace
 
@@ -22,6 +25,7 @@
     }
     peer& one = peers_[digest.from];
     one.heard_at_ = now;
+    one.started_at_ = now - digest.uptime_ms;
     one.version_ = digest.configuration_version;
     one.store_reachable_ = digest.store_reachable;
     one.demand_.clear();
@@ -35,13 +39,16 @@
                                  [&](const auto& entry) { return alive(entry.second, now); }));
 }
 
-bool peers::settled(time_ms now, time_ms started_at) {
-    return now - started_at >= listening_ms;
-}
-
-bool peers::plans_here(time_ms now) const {
-    return std::none_of(peers_.begin(), peers_.end(),
-                        [&](const auto& entry) { return alive(entry.second, now) && entry.first < own_id_; });
+bool peers::plans_here(time_ms now, bool plans_already) const {
+    const time_ms own_margin = plans_already ? 0 : start_planning_ms;
+    const time_ms peer_margin = plans_already ? stop_planning_ms : 0;
+    const bool settled_here = now - started_at_ >= settling_ms + own_margin;
+    return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        const auto& [id, one] = entry;
+        const bool settled_there = now - one.started_at_ >= settling_ms + peer_margin;
+        const bool goes_first = settled_there == settled_here ? id < own_id_ : settled_there;
+        return alive(one, now) && goes_first;
+    });
 }
 
 std::map<std::string, provisioning::model_need, std::less<>>
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -10,20 +10,25 @@
 // Gateways that read the store for all; one may fail unnoticed.
 inline constexpr int store_readers = 2;
 
+// After a start: the window of the weight store's rate, in which an earlier planner may have given orders
+// that nobody has reported since.
+inline constexpr time_ms settling_ms = 5'200;
+
 class peers {
 public:
-    explicit peers(std::string own_id) : own_id_(std::move(own_id)) {}
+    peers(std::string own_id, time_ms started_at) : own_id_(std::move(own_id)), started_at_(started_at) {}
 
     void take(const links::gateway_digest& digest, time_ms now);
 
     // Gateways in service, this one included.
     int count(time_ms now) const;
 
-    // The gateway with the least id plans.
-    bool plans_here(time_ms now) const;
+    // Whether this gateway plans: the one with the least id among those that have settled, or among all while
+    // none has. `plans_already` keeps two from planning at once while one hands over to the other.
+    bool plans_here(time_ms now, bool plans_already) const;
 
-    // Whether a gateway that started at `started_at` has had the time to hear of the others.
-    static bool settled(time_ms now, time_ms started_at);
+    // Whether this gateway has run for long enough to know all recent loads from the weight store.
+    bool settled(time_ms now) const { return now - started_at_ >= settling_ms; }
 
     // This gateway's place among those that read the store; the first `store_readers` read for all.
     int reader_rank(bool reachable_here, time_ms now) const;
@@ -38,6 +43,7 @@
 private:
     struct peer {
         time_ms heard_at_ = 0;
+        time_ms started_at_ = 0; // by this gateway's clock
         std::int64_t version_ = -1;
         bool store_reachable_ = false;
         std::map<std::string, demand_meter::level> demand_;
@@ -46,6 +52,7 @@
     bool alive(const peer& one, time_ms now) const;
 
     std::string own_id_;
+    time_ms started_at_;
     std::map<std::string, peer> peers_;
 };
 
--- a/src/gateway/planner.cpp
+++ b/src/gateway/planner.cpp
@@ -90,6 +90,7 @@
             facts.spec_ = service.spec_;
             facts.engines_ = engines;
             facts.needs_ = &snapshot.needs_;
+            facts.fleet_known_ = snapshot.settled_;
             facts.store_load_allowed_ =
                 snapshot.settled_ && provisioning::store_load_allowed(
                                          starts, service.spec_->store_loads_per_s_, load_window_s_, now);
--- a/src/gateway/planner.hpp
+++ b/src/gateway/planner.hpp
@@ -22,8 +22,8 @@
     std::vector<service_snapshot> services_;
     std::map<std::string, provisioning::model_need, std::less<>> needs_;
 
-    // Whether the other gateways have been heard. Until then several may plan, so none loads from the weight
-    // store, whose rate they share.
+    // Whether the other gateways and all engines have been heard. Until then several may plan, so none loads
+    // from the weight store, whose rate they share.
     bool settled_ = true;
 };
 
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -31,7 +31,7 @@
     : settings_(settings), incarnation_(new_incarnation()), measures_(measures), events_(events),
       handlers_(std::move(handlers)), context_(1), work_(context_.get_executor()), acceptor_(context_),
       tick_timer_(context_), fleet_(context_.get_executor(), std::move(names), retry_limits(settings)),
-      peers_(settings.id_),
+      peers_(settings.id_, steady_now_ms()),
       agents_(fleet_, settings.id_, incarnation_, std::uint16_t(settings.agent_port_), events,
               {[this](const links::gateway_digest& digest) { peers_.take(digest, steady_now_ms()); },
                [this](const links::configuration_relay& relay) {
@@ -164,7 +164,7 @@
                        {{"gateways", peers_.count(now)}}});
         handlers_.reads_store_(reads, rank == 0);
     }
-    const bool plans = peers_.plans_here(now) && !leaving_;
+    const bool plans = peers_.plans_here(now, planned_) && !leaving_;
     if (plans != planned_) {
         planned_ = plans;
         events_.write({event_kind::belief,
@@ -195,6 +195,7 @@
     links::gateway_digest digest;
     digest.from = settings_.id_;
     digest.incarnation = incarnation_;
+    digest.uptime_ms = now - started_at_;
     digest.configuration_version = fleet_.current() ? fleet_.current()->configuration_->version_ : -1;
     digest.store_reachable = store_reachable_;
     for (const auto& [model, level] : fleet_.demand_.levels(now)) {
@@ -227,7 +228,7 @@
 
 std::shared_ptr<const fleet_snapshot> traffic::snapshot(time_ms now) const {
     auto all = std::make_shared<fleet_snapshot>();
-    all->settled_ = peers::settled(now, started_at_);
+    all->settled_ = peers_.settled(now);
     all->needs_ = peers_.needs(fleet_.demand_.levels(now), now);
     const auto& configuration = fleet_.current()->configuration_;
     for (const fleet::service_spec& service : configuration->services_) {
--- a/src/links/link_generated.h
+++ b/src/links/link_generated.h
@@ -1307,7 +1307,7 @@
   typedef GatewayDigest TableType;
   std::string from{};
   uint64_t incarnation = 0;
-  int64_t age_ms = 0;
+  int64_t uptime_ms = 0;
   int64_t configuration_version = 0;
   bool store_reachable = false;
   std::vector<std::unique_ptr<tamarack::links::fbs::ModelDemandT>> demand{};
@@ -1324,7 +1324,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FROM = 4,
     VT_INCARNATION = 6,
-    VT_AGE_MS = 8,
+    VT_UPTIME_MS = 8,
     VT_CONFIGURATION_VERSION = 10,
     VT_STORE_REACHABLE = 12,
     VT_DEMAND = 14
@@ -1335,8 +1335,8 @@
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
-  int64_t age_ms() const {
-    return GetField<int64_t>(VT_AGE_MS, 0);
+  int64_t uptime_ms() const {
+    return GetField<int64_t>(VT_UPTIME_MS, 0);
   }
   int64_t configuration_version() const {
     return GetField<int64_t>(VT_CONFIGURATION_VERSION, 0);
@@ -1352,7 +1352,7 @@
            VerifyOffset(verifier, VT_FROM) &&
            verifier.VerifyString(from()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
-           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_UPTIME_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_STORE_REACHABLE, 1) &&
            VerifyOffset(verifier, VT_DEMAND) &&
@@ -1375,8 +1375,8 @@
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(GatewayDigest::VT_INCARNATION, incarnation, 0);
   }
-  void add_age_ms(int64_t age_ms) {
-    fbb_.AddElement<int64_t>(GatewayDigest::VT_AGE_MS, age_ms, 0);
+  void add_uptime_ms(int64_t uptime_ms) {
+    fbb_.AddElement<int64_t>(GatewayDigest::VT_UPTIME_MS, uptime_ms, 0);
   }
   void add_configuration_version(int64_t configuration_version) {
     fbb_.AddElement<int64_t>(GatewayDigest::VT_CONFIGURATION_VERSION, configuration_version, 0);
@@ -1402,13 +1402,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> from = 0,
     uint64_t incarnation = 0,
-    int64_t age_ms = 0,
+    int64_t uptime_ms = 0,
     int64_t configuration_version = 0,
     bool store_reachable = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>>> demand = 0) {
   GatewayDigestBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
-  builder_.add_age_ms(age_ms);
+  builder_.add_uptime_ms(uptime_ms);
   builder_.add_incarnation(incarnation);
   builder_.add_demand(demand);
   builder_.add_from(from);
@@ -1425,7 +1425,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *from = nullptr,
     uint64_t incarnation = 0,
-    int64_t age_ms = 0,
+    int64_t uptime_ms = 0,
     int64_t configuration_version = 0,
     bool store_reachable = false,
     const std::vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>> *demand = nullptr) {
@@ -1435,7 +1435,7 @@
       _fbb,
       from__,
       incarnation,
-      age_ms,
+      uptime_ms,
       configuration_version,
       store_reachable,
       demand__);
@@ -2091,7 +2091,7 @@
 inline GatewayDigestT::GatewayDigestT(const GatewayDigestT &o)
       : from(o.from),
         incarnation(o.incarnation),
-        age_ms(o.age_ms),
+        uptime_ms(o.uptime_ms),
         configuration_version(o.configuration_version),
         store_reachable(o.store_reachable) {
   demand.reserve(o.demand.size());
@@ -2101,7 +2101,7 @@
 inline GatewayDigestT &GatewayDigestT::operator=(GatewayDigestT o) FLATBUFFERS_NOEXCEPT {
   std::swap(from, o.from);
   std::swap(incarnation, o.incarnation);
-  std::swap(age_ms, o.age_ms);
+  std::swap(uptime_ms, o.uptime_ms);
   std::swap(configuration_version, o.configuration_version);
   std::swap(store_reachable, o.store_reachable);
   std::swap(demand, o.demand);
@@ -2119,7 +2119,7 @@
   (void)_resolver;
   { auto _e = from(); if (_e) _o->from = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
-  { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = uptime_ms(); _o->uptime_ms = _e; }
   { auto _e = configuration_version(); _o->configuration_version = _e; }
   { auto _e = store_reachable(); _o->store_reachable = _e; }
   { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<tamarack::links::fbs::ModelDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
@@ -2135,7 +2135,7 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GatewayDigestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _from = _o->from.empty() ? 0 : _fbb.CreateString(_o->from);
   auto _incarnation = _o->incarnation;
-  auto _age_ms = _o->age_ms;
+  auto _uptime_ms = _o->uptime_ms;
   auto _configuration_version = _o->configuration_version;
   auto _store_reachable = _o->store_reachable;
   auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateModelDemand(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
@@ -2143,7 +2143,7 @@
       _fbb,
       _from,
       _incarnation,
-      _age_ms,
+      _uptime_ms,
       _configuration_version,
       _store_reachable,
       _demand);
--- a/src/provisioning/plan.cpp
+++ b/src/provisioning/plan.cpp
@@ -177,7 +177,8 @@
     std::vector<const model_standing*> wanted;
     const double busy_work = busy_share * facts.spec_->slots_;
     for (const auto& [name, standing] : all) {
-        if (standing.copies_ == 0 || standing.unmet(busy_work) > 0) {
+        const bool unreachable = standing.copies_ == 0 && (facts.fleet_known_ || standing.in_demand());
+        if (unreachable || standing.unmet(busy_work) > 0) {
             wanted.push_back(&standing);
         }
     }
--- a/tests/direct/gateway_test.cpp
+++ b/tests/direct/gateway_test.cpp
@@ -57,9 +57,10 @@
     http::parse_fault fault_;
 };
 
-links::gateway_digest make_digest(const char* from, bool store = true) {
+links::gateway_digest make_digest(const char* from, bool store = true, time_ms uptime = 60'000) {
     links::gateway_digest digest;
     digest.from = from;
+    digest.uptime_ms = uptime;
     digest.store_reachable = store;
     return digest;
 }
@@ -215,17 +216,61 @@
 }
 
 TEST_CASE("peers_least_id_in_service_plans_and_the_next_takes_over_when_it_is_silent") {
-    peers known("b");
-    CHECK_FALSE(peers::settled(1'000, 500)); // listens first
-    known.take(make_digest("a"), 2'000);
-    CHECK_FALSE(known.plans_here(2'100));
-    CHECK(known.count(2'100) == 2);
-    CHECK(known.plans_here(6'000));
-    CHECK(known.count(6'000) == 1);
+    peers known("b", 0);
+    CHECK_FALSE(known.settled(1'000));
+    known.take(make_digest("a"), 62'000);
+    CHECK_FALSE(known.plans_here(62'100, false));
+    CHECK(known.count(62'100) == 2);
+    CHECK(known.plans_here(66'000, false));
+    CHECK(known.count(66'000) == 1);
+}
+
+TEST_CASE("peers_planner_restarted_leaves_planning_to_one_that_knows_the_recent_loads") {
+    peers restarted("a", 100'000);
+    restarted.take(make_digest("b"), 100'300);
+    CHECK_FALSE(restarted.plans_here(100'300, true));
+    peers settled("b", 0);
+    settled.take(make_digest("a", true, 300), 100'300);
+    CHECK(settled.plans_here(100'300, false));
+}
+
+TEST_CASE("peers_planning_handed_over_is_never_in_two_hands_and_soon_in_one") {
+    constexpr time_ms digest_interval = 500;
+    for (time_ms phase = 0; phase < digest_interval; phase += 50) {
+        peers first("a", 100'000);
+        peers second("b", 0);
+        bool first_plans = true;
+        bool second_plans = true;
+        time_ms idle = 0;
+        for (time_ms now = 100'000; now < 112'000; now += 50) {
+            if (now % digest_interval == phase) {
+                second.take(make_digest("a", true, now - 100'000), now);
+                first.take(make_digest("b", true, now), now);
+            }
+            first_plans = first.plans_here(now, first_plans);
+            second_plans = second.plans_here(now, second_plans);
+            if (now > 101'000) { // both have heard of each other
+                CHECK_FALSE((first_plans && second_plans));
+                idle += first_plans || second_plans ? 0 : 50;
+            }
+        }
+        CHECK(first_plans);
+        CHECK(idle <= 1'000);
+    }
+}
+
+TEST_CASE("peers_all_started_at_once_the_least_id_plans_all_the_while") {
+    peers first("a", 1'000);
+    bool plans = true;
+    for (time_ms now = 1'000; now < 12'000; now += 100) {
+        first.take(make_digest("b", true, now - 990), now); // started a moment before
+        plans = first.plans_here(now, plans);
+        CHECK(plans);
+    }
 }
 
 TEST_CASE("peers_two_that_reach_the_store_read_it_for_all") {
-    peers known("c");
+    peers known("c", 0);
     known.take(make_digest("a", false), 1'000);
     known.take(make_digest("b"), 1'000);
     CHECK(known.reader_rank(true, 1'100) == 1);
--- a/tests/direct/provisioning_test.cpp
+++ b/tests/direct/provisioning_test.cpp
@@ -18,6 +18,7 @@
     std::vector<engine_state> engines_;
     std::map<std::string, model_need, std::less<>> needs_;
     bool store_allowed_ = true;
+    bool fleet_known_ = true;
 
     plan_fixture() {
         spec_.slots_ = 32;
@@ -45,7 +46,7 @@
     }
 
     std::optional<placement_step> next() const {
-        return next_placement({&spec_, engines_, &needs_, store_allowed_});
+        return next_placement({&spec_, engines_, &needs_, store_allowed_, fleet_known_});
     }
 
     // Carries steps out at once until there are none; returns how many there were.
@@ -160,6 +161,21 @@
     CHECK_FALSE(step->from_store_);
 }
 
+TEST_CASE("placement_few_engines_known_after_a_start_leaves_copies_of_busy_models_alone") {
+    plan_fixture start;
+    for (const char* model : {"busy", "rare-1", "rare-2", "rare-3"}) {
+        start.add_model(model);
+    }
+    start.add_engine("e1", {"busy", "rare-1"}).nearby_.insert({"rare-2", "rare-3"});
+    start.add_engine("e2", {"busy"}).nearby_.insert({"rare-2", "rare-3"});
+    start.fleet_known_ = false; // the holders of the other two have not registered yet
+    CHECK_FALSE(start.next());
+    start.needs_["rare-2"] = {0, 1};
+    const auto step = start.next();
+    REQUIRE(step);
+    CHECK(step->load_ == "rare-2");
+}
+
 TEST_CASE("plan_any_demand_memory_is_never_overcommitted_and_steps_come_to_an_end") {
     CHECK(rc::check([] {
         plan_fixture plan;
