--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -103,7 +103,11 @@
         pins_.clear();
     }
     if (doubtful_ && given.accepted_ > doubtful_->expected_accepted_) {
-        doubtful_.reset(); // it was carried out, or can no longer be
+        // It was carried out, or can no longer be.
+        if (loads_from_store(*doubtful_)) {
+            store_loads_.push_back(now);
+        }
+        doubtful_.reset();
     }
     report_ = given;
     const auto resident = [this](const std::string& key) {
@@ -258,6 +262,10 @@
     return make(true, placement_->load_, "");
 }
 
+bool order_book::loads_from_store(const engine::order& order) const {
+    return order.load_ && order.adapter_.empty() && report_ && !report_->nearby_.contains(order.model_);
+}
+
 void order_book::answered(engine::order_answer answer, time_ms now) {
     const std::optional<engine::order> order = std::exchange(given_, std::nullopt);
     if (!order) {
@@ -266,9 +274,7 @@
     switch (answer) {
     case engine::order_answer::accepted:
     case engine::order_answer::done: {
-        const bool from_store =
-            order->load_ && order->adapter_.empty() && report_ && !report_->nearby_.contains(order->model_);
-        if (from_store && answer == engine::order_answer::accepted) {
+        if (loads_from_store(*order) && answer == engine::order_answer::accepted) {
             store_loads_.push_back(now);
         }
         doubtful_.reset();
--- a/src/engine_agent/order_book.hpp
+++ b/src/engine_agent/order_book.hpp
@@ -71,6 +71,7 @@
     std::optional<engine::order> next_adapter_order();
     std::optional<engine::order> evict_adapter();
     std::optional<engine::order> next_placement_order();
+    bool loads_from_store(const engine::order& order) const;
     double used_mb() const;
     int adapters_held() const;
     int adapter_slots() const;
--- a/src/provisioning/plan.cpp
+++ b/src/provisioning/plan.cpp
@@ -117,8 +117,10 @@
             break;
         }
         const bool idle = victim->work_per_copy(victim->copies_ - 1) <= victim_ratio * wanted_after;
+        // A model without a copy does not take one whose requests would then fill the others.
+        const bool spare = victim->work_per_copy(victim->copies_ - 1) <= facts.spec_->slots_;
         const bool missing = wanted.copies_ == 0 && wanted.in_demand();
-        if (!idle && !missing) {
+        if (!idle && !(missing && spare)) {
             return std::nullopt;
         }
         drop.push_back(victim->spec_->name_);
@@ -135,10 +137,23 @@
     double cost_ = 0;
 };
 
-double load_cost(const engine_state& engine, const placement_step& step) {
+// Requests that a copy which is dropped most likely serves: the engine waits for them before it drops it.
+double drop_wait(const placement_step& step, const standings& all) {
+    constexpr double most_requests = 4; // the wait ends with the longest of them, so more add little
+    double requests = 0;
+    for (const std::string& model : step.drop_) {
+        const model_standing& dropped = all.find(model)->second;
+        requests += std::min(most_requests, dropped.work_per_copy(dropped.copies_));
+    }
+    return requests;
+}
+
+double load_cost(const engine_state& engine, const placement_step& step, const standings& all) {
     constexpr double store_load = 10; // against one request in the engine's batch
     constexpr double unload = 4;
-    return (step.from_store_ ? store_load : 0) + unload * double(step.drop_.size()) + engine.running_;
+    constexpr double unload_wait = 6; // for each request that the dropped copy serves
+    return (step.from_store_ ? store_load : 0) + unload * double(step.drop_.size()) +
+           unload_wait * drop_wait(step, all) + engine.running_;
 }
 
 std::optional<placement_step> place(const model_standing& wanted, const standings& all,
@@ -159,7 +174,7 @@
             continue;
         }
         placement_step step{engine.id_, wanted.spec_->name_, std::move(*drop), !nearby};
-        const double cost = load_cost(engine, step);
+        const double cost = load_cost(engine, step, all);
         if (!best || cost < best->cost_) {
             best = placement_choice{std::move(step), cost};
         }
--- a/tests/direct/order_book_test.cpp
+++ b/tests/direct/order_book_test.cpp
@@ -136,6 +136,20 @@
     CHECK(again->expected_accepted_ == first->expected_accepted_);
 }
 
+TEST_CASE_FIXTURE(order_fixture,
+                  "orders_load_carried_out_without_an_answer_counts_against_the_weight_store") {
+    book_.take_placement(make_placement("second", {}), now_);
+    REQUIRE(book_.next(now_));
+    book_.answered(engine::order_answer::unknown, now_);
+    CHECK(book_.store_loads().empty());
+    report_.accepted_ = 1;
+    report_.busy_ = true;
+    book_.take_report(report_, now_ + 300);
+    CHECK(book_.store_loads().size() == 1);
+    book_.take_report(report_, now_ + 600);
+    CHECK(book_.store_loads().size() == 1);
+}
+
 TEST_CASE_FIXTURE(order_fixture, "adapter_in_use_is_never_told_to_make_way") {
     hold_adapters(8);
     for (int adapter = 0; adapter < 8; ++adapter) {
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -247,6 +247,27 @@
     }
 }
 
+TEST_CASE("engine_port_order_without_answer_is_given_up_in_time_to_repeat_it_for_a_waiting_request") {
+    constexpr time_ms adapter_limit_ms = 1'200; // in which an adapter must become resident
+    fake_endpoint engine("i-1");
+    engine.set_manners({manner::silent});
+    boost::asio::io_context context;
+    const auto port =
+        (*registry<engine::port_factory>::instance().find("log-store"))(context, engine.address());
+    engine::order one;
+    one.model_ = "m";
+    one.engine_ = "i-1";
+    std::optional<engine::order_answer> answer;
+    const time_ms began = steady_now_ms();
+    port->give(one, [&](engine::order_answer given) {
+        answer = given;
+        context.stop();
+    });
+    context.run();
+    CHECK(answer == engine::order_answer::unknown);
+    CHECK(steady_now_ms() - began < adapter_limit_ms / 2);
+}
+
 TEST_CASE_FIXTURE(gateway_process, "direct_path_faults_of_an_endpoint_table_of_answers") {
     start_ready();
     const fault_case cases[] = {
--- a/tests/direct/provisioning_test.cpp
+++ b/tests/direct/provisioning_test.cpp
@@ -161,6 +161,38 @@
     CHECK_FALSE(step->from_store_);
 }
 
+TEST_CASE("placement_rising_model_replaces_a_copy_that_serves_nobody_before_one_that_serves_many") {
+    plan_fixture rise;
+    for (const char* model : {"rising", "served", "idle", "last-1", "last-2", "last-3", "last-4"}) {
+        rise.add_model(model);
+    }
+    rise.add_engine("e1", {"rising", "served", "idle"}).available_ = false;
+    rise.add_engine("e2", {"served", "last-1", "last-2"});
+    rise.add_engine("e3", {"idle", "last-3", "last-4"}).running_ = 6; // of the other two models
+    rise.needs_ = {{"rising", {60, 0}}, {"served", {9, 0}}};
+    const auto step = rise.next();
+    REQUIRE(step);
+    CHECK(step->load_ == "rising");
+    CHECK(step->engine_ == "e3");
+}
+
+TEST_CASE("placement_rare_models_lost_in_a_crash_do_not_take_the_last_copies_of_an_overloaded_one") {
+    plan_fixture crash;
+    for (const char* model : {"hot", "rare-1", "rare-2", "rare-3", "light"}) {
+        crash.add_model(model);
+    }
+    crash.add_engine("e1", {"hot", "rare-1", "light"});
+    crash.add_engine("e2", {"hot", "rare-2", "light"}).nearby_.insert("rare-3");
+    crash.needs_ = {
+        {"hot", {90, 0}}, {"rare-1", {1, 0}}, {"rare-2", {1, 0}}, {"rare-3", {1, 2}}, {"light", {5, 0}}};
+    const auto step = crash.next();
+    REQUIRE(step);
+    CHECK(step->load_ == "rare-3");
+    CHECK(step->drop_ == std::vector<std::string>{"light"});
+    crash.needs_["light"] = {80, 0};
+    CHECK_FALSE(crash.next());
+}
+
 TEST_CASE("placement_few_engines_known_after_a_start_leaves_copies_of_busy_models_alone") {
     plan_fixture start;
     for (const char* model : {"busy", "rare-1", "rare-2", "rare-3"}) {
