Soak the real programs under faults from outside; keep to the adapter places of each engine

The soak (tests/soak, tamarack-soak): gateways and agents as processes, stand-ins of store and endpoints, a loopback proxy on each connection, faults drawn by a seed, and a referee for the promises. Found at once (seeds 2 and 3): an agent assumed eight adapter places until the first placement told their number, and overcommitted engines with four. A want now tells the room that the engine has beside its models; without it nothing is ordered. Also: a kept client sent a second Host header.

--- a/include/tamarack/provisioning.hpp
+++ b/include/tamarack/provisioning.hpp
@@ -50,4 +50,8 @@
 // it is not in demand and the engine has its weights at hand.
 std::optional<placement_step> next_placement(const plan_facts& facts);
 
+// How many adapters, of the largest size, an engine has places and memory for beside the models that it
+// holds.
+int adapters_that_fit(const fleet::engine_spec& spec, std::span<const fleet::held_model> models);
+
 } // namespace tamarack::provisioning
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -108,6 +108,7 @@
         const std::uint64_t number = next_want_++;
         from->wants_[wanted.number] = number;
         wants_[number] = {from->link_, wanted.number};
+        book_.set_most_adapters(wanted.most_adapters);
         book_.want_adapter(number, wanted.model, wanted.adapter, steady_now_ms());
         answer_wants(book_.answer_wants(steady_now_ms()));
         give_next();
--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -12,7 +12,6 @@
 constexpr time_ms going_limit_ms = 10'000;    // for the requests that use an unloaded adapter to end
 constexpr time_ms conflict_pause_ms = 30;     // before an order is given again that met another one
 constexpr time_ms store_load_memory_ms = 20'000;
-constexpr int default_adapter_slots = 8; // until a placement has told the number
 
 std::string key_of(std::string_view model, std::string_view adapter) {
     return std::string(model) + "/" + std::string(adapter);
@@ -62,10 +61,6 @@
     return int(held.size());
 }
 
-int order_book::adapter_slots() const {
-    return sizes_ ? sizes_->adapter_slots_ : default_adapter_slots;
-}
-
 bool order_book::adapter_coming(const std::string& key) const {
     return report_->coming_.contains(key) || coming_.contains(key);
 }
@@ -208,7 +203,7 @@
 
 // An engine that carries out another order refuses those about adapters as well.
 std::optional<engine::order> order_book::next_adapter_order() {
-    if (report_->busy_) {
+    if (report_->busy_ || most_adapters_ == 0) {
         return std::nullopt;
     }
     for (const want& one : wants_) {
@@ -216,7 +211,7 @@
         if (has_adapter(one.model_, one.adapter_) || adapter_coming(key) || going_.contains(key)) {
             continue;
         }
-        if (adapters_held() < adapter_slots()) {
+        if (adapters_held() < most_adapters_) {
             return make(true, one.model_, one.adapter_);
         }
         return evict_adapter();
--- a/src/engine_agent/order_book.hpp
+++ b/src/engine_agent/order_book.hpp
@@ -36,6 +36,9 @@
     // A new placement replaces one that has not begun.
     void take_placement(placement wanted, time_ms now);
 
+    // Adapters that the engine has places and memory for; none until told.
+    void set_most_adapters(int count) { most_adapters_ = count; }
+
     // Numbers of wants are the caller's. An adapter that was answered as ready stays until its release.
     void want_adapter(std::uint64_t want, std::string_view model, std::string_view adapter, time_ms now);
     void release_adapter(std::uint64_t want);
@@ -74,7 +77,6 @@
     bool loads_from_store(const engine::order& order) const;
     double used_mb() const;
     int adapters_held() const;
-    int adapter_slots() const;
     bool adapter_coming(const std::string& key) const;
     bool evictable(const std::string& key) const;
     const fleet::held_model* find_model(std::string_view name) const;
@@ -84,6 +86,7 @@
     std::optional<engine::report> report_;
     std::optional<placement> placement_;
     std::optional<placement> sizes_; // of the last placement; sizes outlive it
+    int most_adapters_ = 0;
     std::vector<want> wants_;
     std::map<std::string, time_ms, std::less<>> last_wanted_; // by "model/adapter"
     std::map<std::string, time_ms, std::less<>> going_;       // adapters whose unload was accepted
--- a/src/gateway/agent_links.cpp
+++ b/src/gateway/agent_links.cpp
@@ -1,5 +1,7 @@
 #include "gateway/agent_links.hpp"
 
+#include "tamarack/provisioning.hpp"
+
 namespace tamarack::gateway {
 
 namespace asio = boost::asio;
@@ -211,6 +213,16 @@
     }
 }
 
+// Adapters that an engine has room for beside its models; 0 if its service is not known.
+int agent_links::most_adapters(const endpoint& at) const {
+    const fleet::service_spec* service =
+        fleet_.current() == nullptr ? nullptr
+                                    : fleet_.current()->configuration_->find_service(at.record().service_);
+    return service == nullptr || !service->engine_
+               ? 0
+               : provisioning::adapters_that_fit(*service->engine_, at.models());
+}
+
 std::uint64_t agent_links::want_adapter(endpoint& at, const std::string& model, const std::string& adapter,
                                         std::function<void(bool ready)> done) {
     const std::uint64_t number = next_want_++;
@@ -228,6 +240,7 @@
     wanted.number = number;
     wanted.model = model;
     wanted.adapter = adapter;
+    wanted.most_adapters = most_adapters(at);
     found->second->link_->send(links::make_frame(wanted));
     return number;
 }
--- a/src/gateway/agent_links.hpp
+++ b/src/gateway/agent_links.hpp
@@ -45,6 +45,7 @@
     void take_frame(agent& one, const links::frame& received);
     void take_status(agent& one, const links::engine_status& status);
     void take_adapter_state(const links::adapter_state& state);
+    int most_adapters(const endpoint& at) const;
     void expire_wants(time_ms now);
 
     struct want {
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -264,16 +264,18 @@
         for (const auto& [model, need] : seen.needs_) {
             int copies = 0;
             int loading = 0;
+            int near = 0; // could hold it soon without the weight store
             for (const engine_snapshot& engine : service.engines_) {
                 const auto& models = engine.state_.models_;
                 copies +=
                     engine.state_.serving_ && std::find(models.begin(), models.end(), model) != models.end();
                 loading += engine.state_.loading_ == model;
+                near += engine.state_.serving_ && engine.state_.nearby_.contains(model);
             }
             lines.emplace_back(-need.work_, model + " work " + std::to_string(std::lround(need.work_)) +
                                                 " copies " + std::to_string(copies) + "+" +
-                                                std::to_string(loading) + " waiting " +
-                                                std::to_string(need.waiting_));
+                                                std::to_string(loading) + " near " + std::to_string(near) +
+                                                " waiting " + std::to_string(need.waiting_));
         }
         std::sort(lines.begin(), lines.end());
         event report{event_kind::belief, "planner", "demand", {}, {}};
--- a/src/http/kept_client.cpp
+++ b/src/http/kept_client.cpp
@@ -37,8 +37,10 @@
       timer_(executor) {}
 
 void kept_client::call(request outgoing, std::chrono::milliseconds limit, answer_handler done) {
-    outgoing.headers_.push_back(
-        {"Host", remote_.address().to_string() + ":" + std::to_string(remote_.port())});
+    if (!outgoing.find("Host")) {
+        outgoing.headers_.push_back(
+            {"Host", remote_.address().to_string() + ":" + std::to_string(remote_.port())});
+    }
     calls_.push_back({encode(outgoing), limit, std::move(done)});
     if (!busy_) {
         begin_next();
--- a/src/http/kept_client.hpp
+++ b/src/http/kept_client.hpp
@@ -20,8 +20,9 @@
     kept_client(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint remote,
                 std::chrono::milliseconds connect_limit);
 
-    // Queues a call. The answer comes with any status; failures are `unreachable` if no byte was sent, else
-    // `interrupted` or `timeout`, after which the connection is not used again.
+    // Queues a call; the server's address is the host if the call names none. The answer comes with any
+    // status; failures are `unreachable` if no byte was sent, else `interrupted` or `timeout`, after which
+    // the connection is not used again.
     void call(request outgoing, std::chrono::milliseconds limit, answer_handler done);
 
     // Forgets queued calls and closes the connection; no handler is called any more.
--- a/src/links/link_generated.h
+++ b/src/links/link_generated.h
@@ -781,6 +781,7 @@
   uint64_t number = 0;
   std::string model{};
   std::string adapter{};
+  int32_t most_adapters = 0;
 };
 
 struct AdapterWanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -790,7 +791,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
     VT_MODEL = 6,
-    VT_ADAPTER = 8
+    VT_ADAPTER = 8,
+    VT_MOST_ADAPTERS = 10
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -801,6 +803,9 @@
   const flatbuffers::String *adapter() const {
     return GetPointer<const flatbuffers::String *>(VT_ADAPTER);
   }
+  int32_t most_adapters() const {
+    return GetField<int32_t>(VT_MOST_ADAPTERS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -808,6 +813,7 @@
            verifier.VerifyString(model()) &&
            VerifyOffset(verifier, VT_ADAPTER) &&
            verifier.VerifyString(adapter()) &&
+           VerifyField<int32_t>(verifier, VT_MOST_ADAPTERS, 4) &&
            verifier.EndTable();
   }
   AdapterWantedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -828,6 +834,9 @@
   void add_adapter(flatbuffers::Offset<flatbuffers::String> adapter) {
     fbb_.AddOffset(AdapterWanted::VT_ADAPTER, adapter);
   }
+  void add_most_adapters(int32_t most_adapters) {
+    fbb_.AddElement<int32_t>(AdapterWanted::VT_MOST_ADAPTERS, most_adapters, 0);
+  }
   explicit AdapterWantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -843,9 +852,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
     flatbuffers::Offset<flatbuffers::String> model = 0,
-    flatbuffers::Offset<flatbuffers::String> adapter = 0) {
+    flatbuffers::Offset<flatbuffers::String> adapter = 0,
+    int32_t most_adapters = 0) {
   AdapterWantedBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_most_adapters(most_adapters);
   builder_.add_adapter(adapter);
   builder_.add_model(model);
   return builder_.Finish();
@@ -860,14 +871,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
     const char *model = nullptr,
-    const char *adapter = nullptr) {
+    const char *adapter = nullptr,
+    int32_t most_adapters = 0) {
   auto model__ = model ? _fbb.CreateString(model) : 0;
   auto adapter__ = adapter ? _fbb.CreateString(adapter) : 0;
   return tamarack::links::fbs::CreateAdapterWanted(
       _fbb,
       number,
       model__,
-      adapter__);
+      adapter__,
+      most_adapters);
 }
 
 flatbuffers::Offset<AdapterWanted> CreateAdapterWanted(flatbuffers::FlatBufferBuilder &_fbb, const AdapterWantedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1925,6 +1938,7 @@
   { auto _e = number(); _o->number = _e; }
   { auto _e = model(); if (_e) _o->model = _e->str(); }
   { auto _e = adapter(); if (_e) _o->adapter = _e->str(); }
+  { auto _e = most_adapters(); _o->most_adapters = _e; }
 }
 
 inline flatbuffers::Offset<AdapterWanted> AdapterWanted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdapterWantedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1938,11 +1952,13 @@
   auto _number = _o->number;
   auto _model = _o->model.empty() ? 0 : _fbb.CreateString(_o->model);
   auto _adapter = _o->adapter.empty() ? 0 : _fbb.CreateString(_o->adapter);
+  auto _most_adapters = _o->most_adapters;
   return tamarack::links::fbs::CreateAdapterWanted(
       _fbb,
       _number,
       _model,
-      _adapter);
+      _adapter,
+      _most_adapters);
 }
 
 inline AdapterStateT *AdapterState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/provisioning/plan.cpp
+++ b/src/provisioning/plan.cpp
@@ -10,7 +10,7 @@
 constexpr double busy_share = 0.12;
 
 // A victim's copies may become at most this busy, relative to those of the model that is loaded.
-constexpr double victim_ratio = 0.5;
+constexpr double victim_ratio = 0.75;
 
 // Requests in service at once below which a model counts as unused.
 constexpr double idle_work = 0.3;
--- a/tests/direct/order_book_test.cpp
+++ b/tests/direct/order_book_test.cpp
@@ -19,6 +19,7 @@
         report_.incarnation_ = 77;
         report_.models_ = {{"base", {}}};
         book_.take_report(report_, now_);
+        book_.set_most_adapters(8);
     }
 
     void hold_adapters(int count) {
@@ -150,6 +151,20 @@
     CHECK(book_.store_loads().size() == 1);
 }
 
+TEST_CASE_FIXTURE(order_fixture,
+                  "adapter_wanted_before_any_placement_keeps_to_the_room_that_the_engine_has") {
+    hold_adapters(4);
+    book_.want_adapter(1, "base", "new", now_);
+    book_.set_most_adapters(4);
+    const auto order = book_.next(now_);
+    REQUIRE(order);
+    CHECK_FALSE(order->load_); // one makes way first
+    order_book fresh("agent-2");
+    fresh.take_report(report_, now_);
+    fresh.want_adapter(1, "base", "new", now_);
+    CHECK_FALSE(fresh.next(now_)); // nobody has told the room yet
+}
+
 TEST_CASE_FIXTURE(order_fixture, "adapter_in_use_is_never_told_to_make_way") {
     hold_adapters(8);
     for (int adapter = 0; adapter < 8; ++adapter) {
--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -95,6 +95,9 @@
     } else if (present == fault::expired && reads) {
         answer = http::json_response(410, "{\"first\":1}");
     } else {
+        if (reads) {
+            co_await wait_for_record(call);
+        }
         answer = reads ? read(call) : newest(call);
     }
     if (present == fault::truncated && answer.body_.size() > 3) {
@@ -103,6 +106,26 @@
     co_await current.reply(std::move(answer));
 }
 
+// Holds a read until there is a record for it, for as long as it asks.
+http::awaitable<void> fake_store::wait_for_record(const http::request& call) {
+    constexpr std::chrono::milliseconds look{5};
+    const auto until =
+        std::chrono::steady_clock::now() +
+        std::chrono::milliseconds(std::stoul(std::string(call.query("wait_ms").value_or("0"))));
+    const std::size_t from = std::stoul(std::string(call.query("from").value_or("0")));
+    const std::string topic(call.query("topic").value_or(""));
+    boost::asio::steady_timer timer(context_);
+    while (std::chrono::steady_clock::now() < until && end_of(topic) <= from) {
+        timer.expires_after(look);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+}
+
+std::size_t fake_store::end_of(const std::string& topic) {
+    const std::lock_guard lock(mutex_);
+    return topics_[topic].size();
+}
+
 http::response fake_store::newest(const http::request& call) {
     const std::lock_guard lock(mutex_);
     const auto& records = topics_[std::string(call.query("topic").value_or(""))];
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -38,6 +38,8 @@
     };
 
     boost::asio::awaitable<void> handle(http::exchange& current);
+    boost::asio::awaitable<void> wait_for_record(const http::request& call);
+    std::size_t end_of(const std::string& topic);
     http::response newest(const http::request& call);
     http::response read(const http::request& call);
 
--- a/tests/direct/provisioning_test.cpp
+++ b/tests/direct/provisioning_test.cpp
@@ -193,6 +193,19 @@
     CHECK_FALSE(crash.next());
 }
 
+TEST_CASE("adapters_that_fit_are_bounded_by_places_and_by_the_memory_beside_the_models") {
+    plan_fixture engine;
+    engine.add_model("m");
+    engine.spec_.models_[0].adapters_ = 5;
+    engine.spec_.models_[0].adapter_mb_ = 4'000;
+    const std::vector<fleet::held_model> none;
+    const std::vector<fleet::held_model> three(3, fleet::held_model{"m", {}});
+    const std::vector<fleet::held_model> unknown = {{"other", {}}};
+    CHECK(adapters_that_fit(engine.spec_, none) == engine.spec_.adapter_slots_);
+    CHECK(adapters_that_fit(engine.spec_, three) == 2); // 10 GB are left
+    CHECK(adapters_that_fit(engine.spec_, unknown) == 0);
+}
+
 TEST_CASE("placement_few_engines_known_after_a_start_leaves_copies_of_busy_models_alone") {
     plan_fixture start;
     for (const char* model : {"busy", "rare-1", "rare-2", "rare-3"}) {
--- /dev/null
+++ b/tests/process/soak_test.cpp
@@ -0,0 +1,45 @@
+#include "soak/soak.hpp"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <unistd.h>
+
+namespace tamarack::soak {
+
+namespace {
+
+struct soak_fixture {
+    soak_settings settings_;
+
+    soak_fixture() {
+        settings_.duration_ms_ = 6'000;
+        settings_.requests_per_s_ = 40;
+        settings_.folder_ =
+            (std::filesystem::temp_directory_path() / ("tamarack-soak-" + std::to_string(::getpid())))
+                .string();
+    }
+    ~soak_fixture() { std::filesystem::remove_all(settings_.folder_); }
+
+    void check(std::uint64_t seed) {
+        settings_.seed_ = seed;
+        const soak_outcome outcome = run_soak(settings_);
+        CAPTURE(outcome.faults_);
+        CHECK(outcome.broken_promises_ == std::vector<std::string>());
+        CHECK(outcome.recovered_after_ms_ >= 0);
+        CHECK(outcome.served_ > 0);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(soak_fixture, "soak_short_seeded_run_keeps_the_promises") {
+    check(1);
+}
+
+// More adapters were ordered than an engine has places, before any placement had told their number.
+TEST_CASE_FIXTURE(soak_fixture, "soak_seed_2_adapter_places_are_kept") {
+    check(2);
+}
+
+} // namespace tamarack::soak
--- /dev/null
+++ b/tests/soak/clients.cpp
@@ -0,0 +1,139 @@
+#include "soak/clients.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace tamarack::soak {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr time_ms deadline_ms = 2'500;
+constexpr std::chrono::milliseconds patience{4'000}; // beyond the deadline, so that a late answer is seen
+constexpr std::chrono::milliseconds connect_limit{1'000};
+
+received_answer judge_plain(const std::string& id, const result<http::response>& outcome) {
+    received_answer seen;
+    if (!ok(outcome)) {
+        return seen;
+    }
+    const http::response& answer = value(outcome);
+    seen.status_ = answer.status_;
+    seen.genuine_ = answer.body_ == plain_answer(id) && answer.find("Tamarackbeam-Server-Stamp").has_value();
+    return seen;
+}
+
+// Whether the text is the whole stream of the request.
+bool whole_stream(const std::string& id, const std::string& text) {
+    std::string expected;
+    for (int number = 1; number <= event_count(id); ++number) {
+        expected += event_text(id, number);
+    }
+    return text == expected;
+}
+
+} // namespace
+
+clients::clients(asio::io_context& context, fleet& parts, referee& judge, std::uint64_t seed)
+    : context_(context), fleet_(parts), judge_(judge), random_(seed), seed_(seed),
+      idle_(parts.gateways().size()) {}
+
+void clients::start(double requests_per_s) {
+    asio::co_spawn(context_, send_all(requests_per_s), asio::detached);
+}
+
+awaitable<void> clients::send_all(double requests_per_s) {
+    constexpr double us_per_s = 1'000'000;
+    asio::steady_timer timer(context_);
+    while (!stopped_) {
+        const std::size_t gateway = random_() % fleet_.gateways().size();
+        http::request outgoing = make_request();
+        const bool plain =
+            outgoing.target_.starts_with("/lookup") || outgoing.target_.starts_with("/booking");
+        sent_request sent;
+        sent.id_ = std::string(*outgoing.find("Tamarackbeam-Request-Id"));
+        sent.gateway_ = fleet_.gateways()[gateway].process_.name_;
+        sent.repeatable_ = outgoing.target_.starts_with("/lookup") || outgoing.target_.starts_with("/chat");
+        sent.sent_at_ = steady_now_ms();
+        sent.limit_ms_ = deadline_ms;
+        judge_.sent(sent);
+        ++open_;
+        if (plain) {
+            call_plain(gateway, std::move(outgoing));
+        } else {
+            asio::co_spawn(context_, call_stream(gateway, std::move(outgoing)), asio::detached);
+        }
+        timer.expires_after(std::chrono::microseconds(std::int64_t(us_per_s / requests_per_s)));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+http::request clients::make_request() {
+    constexpr std::uint64_t kinds = 4;
+    const char* names[kinds] = {"lookup", "booking", "chat", "quote"};
+    const char* name = names[random_() % kinds];
+    const std::string id = std::to_string(seed_) + "-" + std::to_string(next_id_++);
+    const bool plain = std::string_view(name) == "lookup" || std::string_view(name) == "booking";
+    http::request outgoing{std::string_view(name) == "lookup" ? "GET" : "POST",
+                           std::string("/") + name + "/x",
+                           {{"Host", "soak.example"},
+                            {"Tamarackbeam-Request-Id", id},
+                            {"Tamarackbeam-Deadline-Ms", std::to_string(deadline_ms)}},
+                           std::string_view(name) == "lookup" ? "" : "body"};
+    if (!plain) {
+        // Some models get most of the requests, and one request in four wants an adapter.
+        const auto model = std::min(random_() % model_count, random_() % model_count);
+        std::string named = "m" + std::to_string(model);
+        if (random_() % 4 == 0) {
+            named += "/a" + std::to_string(1 + random_() % adapters_per_model);
+        }
+        outgoing.headers_.push_back({"Tamarackbeam-Model", named});
+        outgoing.headers_.push_back({"Tamarackbeam-Token-Usage", "200,100"});
+    }
+    return outgoing;
+}
+
+void clients::call_plain(std::size_t gateway, http::request outgoing) {
+    const std::string id(*outgoing.find("Tamarackbeam-Request-Id"));
+    auto& idle = idle_[gateway];
+    if (idle.empty()) {
+        idle.push_back(std::make_shared<http::kept_client>(
+            context_.get_executor(), fleet_.gateways()[gateway].clients_->address(), connect_limit));
+    }
+    const auto client = idle.back();
+    idle.pop_back();
+    client->call(std::move(outgoing), patience, [this, id, gateway, client](result<http::response> outcome) {
+        --open_;
+        idle_[gateway].push_back(client);
+        judge_.answered(id, judge_plain(id, outcome), steady_now_ms());
+    });
+}
+
+awaitable<void> clients::call_stream(std::size_t gateway, http::request outgoing) {
+    const std::string id(*outgoing.find("Tamarackbeam-Request-Id"));
+    const asio::ip::tcp::endpoint remote = fleet_.gateways()[gateway].clients_->address();
+    const http::call_limits limits{connect_limit, patience};
+    auto opened = co_await http::open(remote, std::move(outgoing), limits);
+    received_answer seen;
+    std::string text;
+    bool ended = false;
+    if (ok(opened)) {
+        seen.status_ = value(opened)->status();
+        while (!ended) {
+            auto part = co_await value(opened)->read();
+            ended = !ok(part) || value(part).empty();
+            seen.complete_ = ok(part);
+            if (ok(part)) {
+                text += value(part);
+            }
+        }
+    }
+    seen.gapless_ = whole_stream(id, text);
+    --open_;
+    judge_.answered(id, seen, steady_now_ms());
+}
+
+} // namespace tamarack::soak
--- /dev/null
+++ b/tests/soak/clients.hpp
@@ -0,0 +1,36 @@
+// Clients of a soak: requests of all kinds at a steady rate, on new and on kept connections.
+#pragma once
+
+#include "http/kept_client.hpp"
+#include "soak/fleet.hpp"
+
+namespace tamarack::soak {
+
+class clients {
+public:
+    clients(boost::asio::io_context& context, fleet& parts, referee& judge, std::uint64_t seed);
+
+    // Sends requests until told to stop.
+    void start(double requests_per_s);
+    void stop() { stopped_ = true; }
+
+    int open() const { return open_; }
+
+private:
+    boost::asio::awaitable<void> send_all(double requests_per_s);
+    boost::asio::awaitable<void> call_stream(std::size_t gateway, http::request outgoing);
+    void call_plain(std::size_t gateway, http::request outgoing);
+    http::request make_request();
+
+    boost::asio::io_context& context_;
+    fleet& fleet_;
+    referee& judge_;
+    std::mt19937_64 random_;
+    std::uint64_t seed_;
+    std::vector<std::vector<std::shared_ptr<http::kept_client>>> idle_; // connections by gateway
+    std::uint64_t next_id_ = 1;
+    int open_ = 0;
+    bool stopped_ = false;
+};
+
+} // namespace tamarack::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,54 @@
+// Soaks the programs with one seed after the other and prints which promises broke.
+#include "soak/soak.hpp"
+
+#include <gflags/gflags.h>
+
+#include <filesystem>
+#include <iostream>
+
+DEFINE_uint64(seed, 1, "first seed");
+DEFINE_int32(seeds, 1, "how many seeds, one after the other");
+DEFINE_double(seconds, 10, "duration of the faults in each soak");
+DEFINE_double(rate, 60, "requests a second");
+DEFINE_int32(gateways, 3, "gateways");
+DEFINE_int32(engines, 4, "model engines, each with an agent");
+DEFINE_string(folder, "", "where the logs of failed soaks stay; a temporary folder if empty");
+
+int main(int argc, char** argv) {
+    using namespace tamarack::soak;
+    gflags::SetUsageMessage("tamarack-soak [--seed N] [--seeds N] [--seconds S]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::filesystem::path base = FLAGS_folder.empty()
+                                           ? std::filesystem::temp_directory_path() / "tamarack-soak"
+                                           : std::filesystem::path(FLAGS_folder);
+    int failed = 0;
+    for (int number = 0; number < FLAGS_seeds; ++number) {
+        soak_settings settings;
+        settings.seed_ = FLAGS_seed + std::uint64_t(number);
+        constexpr double ms_per_s = 1'000;
+        settings.duration_ms_ = tamarack::time_ms(FLAGS_seconds * ms_per_s);
+        settings.requests_per_s_ = FLAGS_rate;
+        settings.gateways_ = FLAGS_gateways;
+        settings.engines_ = FLAGS_engines;
+        settings.folder_ = (base / ("seed-" + std::to_string(settings.seed_))).string();
+        std::filesystem::remove_all(settings.folder_);
+        const soak_outcome outcome = run_soak(settings);
+        const bool whole = outcome.broken_promises_.empty() && outcome.recovered_after_ms_ >= 0;
+        failed += whole ? 0 : 1;
+        std::cout << "seed " << settings.seed_ << (whole ? " kept" : " BROKEN") << ", " << outcome.requests_
+                  << " requests, " << outcome.served_ << " served, " << outcome.faults_.size()
+                  << " faults, recovered after " << outcome.recovered_after_ms_ << " ms" << std::endl;
+        if (whole) {
+            std::filesystem::remove_all(settings.folder_);
+            continue;
+        }
+        for (const std::string& fault : outcome.faults_) {
+            std::cout << "  " << fault << '\n';
+        }
+        for (const std::string& promise : outcome.broken_promises_) {
+            std::cout << "  broken: " << promise << '\n';
+        }
+        std::cout << "  logs: " << settings.folder_ << std::endl;
+    }
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/referee.cpp
@@ -0,0 +1,142 @@
+#include "soak/referee.hpp"
+
+#include <algorithm>
+
+namespace tamarack::soak {
+
+namespace {
+
+// Statuses that promise that the request has not run and never will.
+bool promises_not_run(int status) {
+    constexpr int statuses[] = {408, 421, 429, 503};
+    return std::find(std::begin(statuses), std::end(statuses), status) != std::end(statuses);
+}
+
+} // namespace
+
+void referee::disturb(const std::string& part, time_ms from, time_ms until) {
+    disturbances_.push_back({part, from, until});
+}
+
+// Whether the part was disturbed in a span or too shortly before it.
+bool referee::disturbed(const std::string& part, time_ms from, time_ms until) const {
+    return std::any_of(disturbances_.begin(), disturbances_.end(), [&](const span& one) {
+        return (one.part_ == part || one.part_ == "all") && one.from_ <= until &&
+               from <= one.until_ + bounds_.stable_ms_;
+    });
+}
+
+void referee::sent(const sent_request& one) {
+    requests_[one.id_].sent_ = one;
+}
+
+void referee::ran(const std::string& id, const std::string& engine, time_ms now) {
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) {
+        broken("an engine ran a request that no client sent: " + id);
+        return;
+    }
+    request& one = found->second;
+    one.runs_.push_back(engine);
+    if (!one.sent_.repeatable_ && one.runs_.size() > 1) {
+        broken("a request that must not run twice did: " + id);
+    }
+    if (!one.sent_.repeatable_ && one.refused_) {
+        broken("a request ran after it was said not to have run: " + id);
+    }
+    if (one.sent_.repeatable_ && int(one.runs_.size()) > bounds_.most_attempts_) {
+        broken("a request ran at too many engines: " + id);
+    }
+    const auto leaving = leaving_since_.find(engine);
+    if (leaving != leaving_since_.end() && now > leaving->second + bounds_.drain_ms_ &&
+        !disturbed(one.sent_.gateway_, leaving->second, now) && !disturbed(engine, leaving->second, now) &&
+        !disturbed("store", leaving->second, now)) {
+        broken("a leaving engine got a request " + std::to_string(now - leaving->second) +
+               " ms later: " + id);
+    }
+}
+
+void referee::answered(const std::string& id, const received_answer& answer, time_ms now) {
+    constexpr int success = 200;
+    request& one = requests_[id];
+    one.final_ = true;
+    if (promises_not_run(answer.status_)) {
+        one.refused_ = true;
+        if (!one.sent_.repeatable_ && !one.runs_.empty()) {
+            broken("a request was said not to have run, though it had: " + id);
+        }
+    }
+    if (answer.status_ == success && answer.complete_) {
+        if (!answer.genuine_) {
+            broken("a success is not what the engine made: " + id);
+        }
+        if (!answer.gapless_) {
+            broken("a stream has a gap or a repeat: " + id);
+        }
+        one.served_ = answer.genuine_ && answer.gapless_;
+        served_ += one.served_ ? 1 : 0;
+    }
+    const time_ms due = one.sent_.sent_at_ + one.sent_.limit_ms_ + bounds_.late_answer_ms_;
+    if (now > due && !disturbed(one.sent_.gateway_, one.sent_.sent_at_, now)) {
+        broken("a final answer came " + std::to_string(now - due) + " ms too late: " + id);
+    }
+}
+
+void referee::check_unanswered(time_ms now) {
+    for (auto& [id, one] : requests_) {
+        const time_ms due = one.sent_.sent_at_ + one.sent_.limit_ms_ + bounds_.late_answer_ms_;
+        if (!one.final_ && now > due) {
+            one.final_ = true;
+            if (!disturbed(one.sent_.gateway_, one.sent_.sent_at_, now)) {
+                broken("a request got no final answer: " + id);
+            }
+        }
+    }
+}
+
+void referee::ordered(const std::string& engine, std::int64_t incarnation, const std::string& holder,
+                      std::int64_t token) {
+    engine_orders& known = orders_[engine];
+    if (known.incarnation_ == incarnation && known.holder_ != holder) {
+        broken("an engine took orders of two holders: " + engine);
+    }
+    if (known.incarnation_ == incarnation && token < known.token_) {
+        broken("the fencing token fell at " + engine);
+    }
+    known = {incarnation, holder, token};
+}
+
+void referee::holds(const std::string& engine, double used_mb, double capacity_mb, int adapters,
+                    int adapter_slots) {
+    if (used_mb > capacity_mb) {
+        broken("the memory of " + engine + " is overcommitted");
+    }
+    if (adapters > adapter_slots) {
+        broken("the adapter slots of " + engine + " are overcommitted");
+    }
+}
+
+void referee::loads_from_store(time_ms now) {
+    store_loads_.push_back(now);
+    while (store_loads_.front() <= now - bounds_.load_window_ms_) {
+        store_loads_.pop_front();
+    }
+    if (int(store_loads_.size()) > bounds_.loads_in_window_ &&
+        !disturbed("links", now - bounds_.load_window_ms_, now)) {
+        broken(std::to_string(store_loads_.size()) + " loads from the weight store began in one window");
+    }
+}
+
+double referee::served_share(time_ms from, time_ms until) const {
+    int sent = 0;
+    int served = 0;
+    for (const auto& [id, one] : requests_) {
+        if (one.sent_.sent_at_ >= from && one.sent_.sent_at_ < until) {
+            ++sent;
+            served += one.served_ ? 1 : 0;
+        }
+    }
+    return sent == 0 ? 1 : double(served) / sent;
+}
+
+} // namespace tamarack::soak
--- /dev/null
+++ b/tests/soak/referee.hpp
@@ -0,0 +1,112 @@
+// Judges a soak by what clients and engines see. Pure: observations and the time go in, broken promises come
+// out.
+#pragma once
+
+#include "tamarack/kernel.hpp"
+
+#include <deque>
+
+namespace tamarack::soak {
+
+// Bounds of the promises, in ms.
+struct promises {
+    time_ms drain_ms_ = 2'000;       // until a leaving engine gets no more requests
+    time_ms stable_ms_ = 3'000;      // after a disturbance, until bounds hold again
+    time_ms late_answer_ms_ = 500;   // after a request's time, until it must have its final answer
+    time_ms load_window_ms_ = 5'000; // of the weight store's rate
+    int loads_in_window_ = 14;       // rate of 2 a second, a tenth over, and three
+    int most_attempts_ = 2;          // engines that may run one repeatable request
+    time_ms cancel_ms_ = 500;        // until a run ends whose client has left
+};
+
+// What a client knows of its request.
+struct sent_request {
+    std::string id_;
+    std::string gateway_;
+    bool repeatable_ = false;
+    time_ms sent_at_ = 0;
+    time_ms limit_ms_ = 0; // until the client wants a final answer
+};
+
+// What a client received.
+struct received_answer {
+    int status_ = 0;       // 0 if the connection ended without one
+    bool complete_ = true; // the answer ended as its framing says
+    bool genuine_ = true;  // a success bears an engine's stamp and the body that it made
+    bool gapless_ = true;  // the events of a stream follow each other
+};
+
+class referee {
+public:
+    explicit referee(promises bounds = {}) : bounds_(bounds) {}
+
+    // A part of the system is disturbed in this span: a gateway or an endpoint by its name, "store", "links"
+    // for any connection, or "all". Its bounds do not hold then.
+    void disturb(const std::string& part, time_ms from, time_ms until);
+
+    void sent(const sent_request& one);
+    void answered(const std::string& id, const received_answer& answer, time_ms now);
+
+    // An engine began to work on a request.
+    void ran(const std::string& id, const std::string& engine, time_ms now);
+
+    // An engine accepted an order. `holder` and `token` are as the order named them.
+    void ordered(const std::string& engine, std::int64_t incarnation, const std::string& holder,
+                 std::int64_t token);
+    void holds(const std::string& engine, double used_mb, double capacity_mb, int adapters,
+               int adapter_slots);
+    void loads_from_store(time_ms now);
+
+    // The registry accepted that the engine leaves.
+    void leaves(const std::string& engine, time_ms now) { leaving_since_.try_emplace(engine, now); }
+    void returned(const std::string& engine) { leaving_since_.erase(engine); }
+
+    // A process ended by itself.
+    void ended(const std::string& process) { broken("a process ended by itself: " + process); }
+
+    // A process that was told to stop still ran after its grace time.
+    void overstayed(const std::string& process) { broken("a process did not stop in time: " + process); }
+
+    // Requests without a final answer whose time is over.
+    void check_unanswered(time_ms now);
+
+    const std::vector<std::string>& broken_promises() const { return broken_; }
+    int requests() const { return int(requests_.size()); }
+    int served() const { return served_; }
+
+    // Shares of the requests sent in a span that were served; 1 if there were none.
+    double served_share(time_ms from, time_ms until) const;
+
+private:
+    struct request {
+        sent_request sent_;
+        std::vector<std::string> runs_; // engines
+        bool refused_ = false;
+        bool served_ = false;
+        bool final_ = false;
+    };
+    struct span {
+        std::string part_;
+        time_ms from_ = 0;
+        time_ms until_ = 0;
+    };
+    struct engine_orders {
+        std::int64_t incarnation_ = 0;
+        std::string holder_;
+        std::int64_t token_ = 0;
+    };
+
+    void broken(std::string what) { broken_.push_back(std::move(what)); }
+    bool disturbed(const std::string& part, time_ms from, time_ms until) const;
+
+    promises bounds_;
+    std::map<std::string, request> requests_;
+    std::map<std::string, engine_orders> orders_;
+    std::map<std::string, time_ms> leaving_since_;
+    std::deque<time_ms> store_loads_;
+    std::vector<span> disturbances_;
+    std::vector<std::string> broken_;
+    int served_ = 0;
+};
+
+} // namespace tamarack::soak
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,360 @@
+#include "soak/soak.hpp"
+
+#include "soak/clients.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <functional>
+
+namespace tamarack::soak {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr time_ms warm_up_ms = 3'000; // for the fleet to be ready and to know itself
+constexpr time_ms recovery_limit_ms = 12'000;
+constexpr time_ms recovery_look_ms = 1'000; // span of requests that must be served
+constexpr double recovered_share = 0.9;     // of them
+constexpr time_ms heartbeat_ms = 1'200;
+constexpr time_ms watch_ms = 100;
+constexpr time_ms last_answers_ms = 4'000; // after the last request
+constexpr time_ms stop_limit_ms = 5'500;   // for a process that was told to stop: its grace and a margin
+
+// One soak while it runs. Everything happens on one thread.
+class soak_run {
+public:
+    explicit soak_run(const soak_settings& settings)
+        : settings_(settings), random_(settings.seed_),
+          fleet_(context_, judge_, settings.folder_, settings.seed_,
+                 {settings.gateways_, settings.engines_, 2}),
+          clients_(context_, fleet_, judge_, settings.seed_) {}
+
+    soak_outcome run() {
+        asio::co_spawn(context_, script(), asio::detached);
+        asio::co_spawn(context_, keep_registered(), asio::detached);
+        asio::co_spawn(context_, watch(), asio::detached);
+        context_.run();
+        outcome_.broken_promises_ = judge_.broken_promises();
+        outcome_.requests_ = judge_.requests();
+        outcome_.served_ = judge_.served();
+        return outcome_;
+    }
+
+private:
+    using fault = awaitable<void> (soak_run::*)();
+
+    awaitable<void> pause(time_ms duration) {
+        asio::steady_timer timer(context_, std::chrono::milliseconds(duration));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    time_ms between(time_ms least, time_ms most) {
+        return std::uniform_int_distribution<time_ms>(least, most)(random_);
+    }
+
+    template <typename Item>
+    Item& any(std::vector<Item>& items) {
+        return items[random_() % items.size()];
+    }
+
+    endpoint_place& any_engine() { return fleet_.endpoints()[random_() % std::size_t(settings_.engines_)]; }
+
+    void note(const std::string& what) {
+        outcome_.faults_.push_back(std::to_string(steady_now_ms() - started_at_) + " ms: " + what);
+    }
+
+    // Notes a fault of a part that lasts for a while from now.
+    void begin(const std::string& what, const std::string& part, time_ms duration) {
+        note(what + " " + part + " for " + std::to_string(duration) + " ms");
+        judge_.disturb(part, steady_now_ms(), steady_now_ms() + duration);
+    }
+
+    awaitable<void> script() {
+        started_at_ = steady_now_ms();
+        fleet_.start_all();
+        co_await pause(warm_up_ms);
+        judge_.disturb("all", started_at_, started_at_ + warm_up_ms);
+        clients_.start(settings_.requests_per_s_);
+        const time_ms until = steady_now_ms() + settings_.duration_ms_;
+        while (steady_now_ms() < until) {
+            static constexpr fault faults[] = {
+                &soak_run::kill_gateway, &soak_run::kill_agent,      &soak_run::pause_gateway,
+                &soak_run::pause_agent,  &soak_run::stop_gateway,    &soak_run::hang_up,
+                &soak_run::harm_clients, &soak_run::harm_store_link, &soak_run::harm_requests,
+                &soak_run::harm_links,   &soak_run::harm_reports,    &soak_run::fault_store,
+                &soak_run::fault_engine, &soak_run::crash_engine,    &soak_run::leave,
+                &soak_run::configure,    &soak_run::kill_all};
+            ++active_;
+            asio::co_spawn(context_, run_fault(faults[random_() % std::size(faults)]), asio::detached);
+            co_await pause(between(100, 900));
+        }
+        while (active_ > 0) {
+            co_await pause(watch_ms);
+        }
+        co_await recover();
+        clients_.stop();
+        co_await pause(last_answers_ms);
+        judge_.check_unanswered(steady_now_ms());
+        ended_ = true;
+        co_await pause(heartbeat_ms); // the other loops see it
+        context_.stop();
+    }
+
+    awaitable<void> run_fault(fault one) {
+        co_await (this->*one)();
+        --active_;
+    }
+
+    awaitable<void> recover() {
+        const time_ms from = steady_now_ms();
+        while (steady_now_ms() < from + recovery_limit_ms) {
+            co_await pause(2 * recovery_look_ms);
+            const time_ms now = steady_now_ms();
+            if (judge_.served_share(now - 2 * recovery_look_ms, now - recovery_look_ms) >= recovered_share) {
+                outcome_.recovered_after_ms_ = now - from;
+                co_return;
+            }
+        }
+    }
+
+    awaitable<void> keep_registered() {
+        while (!ended_) {
+            fleet_.heartbeat();
+            co_await pause(heartbeat_ms);
+        }
+    }
+
+    awaitable<void> watch() {
+        while (!ended_) {
+            fleet_.watch(judge_);
+            judge_.check_unanswered(steady_now_ms());
+            co_await pause(watch_ms);
+        }
+    }
+
+    // Ends a process from outside and starts it again.
+    awaitable<void> kill(fleet_process& one, const std::string& part) {
+        if (!one.expected_ || one.paused_) {
+            co_return;
+        }
+        const time_ms down = between(100, 1'500);
+        begin("kill", part, down + warm_up_ms);
+        one.expected_ = false;
+        one.process_.kill();
+        co_await pause(down);
+        one.start();
+        co_await pause(warm_up_ms);
+    }
+
+    awaitable<void> kill_gateway() {
+        fleet_process& one = any(fleet_.gateways()).process_;
+        co_await kill(one, one.name_);
+    }
+
+    awaitable<void> kill_agent() {
+        endpoint_place& one = any_engine();
+        co_await kill(one.agent_, one.engine_->id());
+    }
+
+    awaitable<void> kill_all() {
+        const time_ms down = between(100, 800);
+        begin("kill all", "all", down + warm_up_ms);
+        std::vector<fleet_process*> killed;
+        for (fleet_process* one : fleet_.processes()) {
+            if (one->expected_ && !one->paused_) {
+                one->expected_ = false;
+                one->process_.kill();
+                killed.push_back(one);
+            }
+        }
+        co_await pause(down);
+        for (fleet_process* one : killed) {
+            one->start();
+        }
+        co_await pause(warm_up_ms);
+    }
+
+    awaitable<void> stand_still(fleet_process& one, const std::string& part) {
+        if (!one.expected_ || one.paused_) {
+            co_return;
+        }
+        const time_ms duration = between(100, 2'500);
+        begin("pause", part, duration);
+        one.paused_ = true;
+        one.process_.signal(SIGSTOP);
+        co_await pause(duration);
+        one.process_.signal(SIGCONT);
+        one.paused_ = false;
+    }
+
+    awaitable<void> pause_gateway() {
+        fleet_process& one = any(fleet_.gateways()).process_;
+        co_await stand_still(one, one.name_);
+    }
+
+    awaitable<void> pause_agent() {
+        endpoint_place& one = any_engine();
+        co_await stand_still(one.agent_, one.engine_->id());
+    }
+
+    awaitable<void> stop_gateway() {
+        fleet_process& one = any(fleet_.gateways()).process_;
+        if (!one.expected_ || one.paused_) {
+            co_return;
+        }
+        begin("stop", one.name_, stop_limit_ms + warm_up_ms);
+        one.expected_ = false;
+        one.process_.signal(SIGTERM);
+        const time_ms until = steady_now_ms() + stop_limit_ms;
+        while (one.process_.running() && steady_now_ms() < until) {
+            co_await pause(watch_ms);
+        }
+        if (one.process_.running()) {
+            judge_.overstayed(one.name_);
+            one.process_.kill();
+        }
+        one.start();
+        co_await pause(warm_up_ms);
+    }
+
+    awaitable<void> hang_up() {
+        const auto all = fleet_.processes();
+        fleet_process& one = *all[random_() % all.size()];
+        if (one.expected_) {
+            note("hang up " + one.name_);
+            one.process_.signal(SIGHUP);
+        }
+        co_return;
+    }
+
+    awaitable<void> harm_proxy(faulty_proxy& proxy, const std::string& part) {
+        static constexpr harm harms[] = {harm::none, harm::delay, harm::silence, harm::silent_back,
+                                         harm::refuse};
+        static constexpr const char* names[] = {"reset connections of", "delay", "silence",
+                                                "silence answers of", "refuse connections of"};
+        const std::size_t which = random_() % std::size(harms);
+        const time_ms duration = between(200, 2'500);
+        begin(names[which], part, duration);
+        judge_.disturb("links", steady_now_ms(), steady_now_ms() + duration);
+        proxy.set(harms[which], std::chrono::milliseconds(between(20, 400)));
+        if (harms[which] == harm::none || harms[which] == harm::refuse) {
+            proxy.reset_all();
+        }
+        co_await pause(duration);
+        proxy.set(harm::none);
+    }
+
+    awaitable<void> harm_clients() {
+        gateway_place& one = any(fleet_.gateways());
+        co_await harm_proxy(*one.clients_, one.process_.name_);
+    }
+
+    awaitable<void> harm_store_link() {
+        gateway_place& one = any(fleet_.gateways());
+        co_await harm_proxy(*one.store_, one.process_.name_);
+    }
+
+    awaitable<void> harm_requests() {
+        endpoint_place& one = any(fleet_.endpoints());
+        co_await harm_proxy(*one.requests_, one.engine_->id());
+    }
+
+    awaitable<void> harm_links() {
+        endpoint_place& one = any_engine();
+        co_await harm_proxy(*one.agent_links_, one.engine_->id());
+    }
+
+    awaitable<void> harm_reports() {
+        endpoint_place& one = any_engine();
+        co_await harm_proxy(*one.agent_engine_, one.engine_->id());
+    }
+
+    awaitable<void> fault_store() {
+        using kind = direct::fake_store::fault;
+        static constexpr kind kinds[] = {kind::busy, kind::limited, kind::expired, kind::silent,
+                                         kind::truncated};
+        const time_ms duration = between(300, 4'000);
+        begin("fault of the", "store", duration);
+        judge_.disturb("links", steady_now_ms(), steady_now_ms() + duration);
+        fleet_.store().set_fault(kinds[random_() % std::size(kinds)]);
+        co_await pause(duration);
+        fleet_.store().set_fault(kind::none);
+    }
+
+    awaitable<void> fault_engine() {
+        endpoint_place& one = any(fleet_.endpoints());
+        const time_ms duration = between(500, 3'000);
+        begin("failures of", one.engine_->id(), duration);
+        engine_faults faults;
+        double* shares[] = {&faults.failing_, &faults.lost_, &faults.late_orders_};
+        *shares[random_() % std::size(shares)] = 0.4;
+        one.engine_->set_faults(faults);
+        co_await pause(duration);
+        one.engine_->set_faults({});
+    }
+
+    awaitable<void> crash_engine() {
+        endpoint_place& one = any(fleet_.endpoints());
+        const time_ms down = between(100, 1'500);
+        begin("crash of", one.engine_->id(), down);
+        const auto proxies = {one.requests_.get(), one.agent_engine_.get()};
+        for (faulty_proxy* proxy : proxies) {
+            if (proxy != nullptr) {
+                proxy->set(harm::refuse);
+                proxy->reset_all();
+            }
+        }
+        one.engine_->restart();
+        co_await pause(down);
+        for (faulty_proxy* proxy : proxies) {
+            if (proxy != nullptr) {
+                proxy->set(harm::none);
+            }
+        }
+    }
+
+    // An endpoint leaves as planned and comes back as another start.
+    awaitable<void> leave() {
+        endpoint_place& one = any(fleet_.endpoints());
+        if (one.leaving_) {
+            co_return;
+        }
+        note("leaving of " + one.engine_->id());
+        one.leaving_ = true;
+        fleet_.heartbeat();
+        judge_.leaves(one.engine_->id(), steady_now_ms());
+        co_await pause(between(2'500, 4'000));
+        one.engine_->restart();
+        judge_.returned(one.engine_->id());
+        one.leaving_ = false;
+    }
+
+    awaitable<void> configure() {
+        note("configuration");
+        fleet_.put_configuration();
+        co_return;
+    }
+
+    soak_settings settings_;
+    asio::io_context context_{1};
+    std::mt19937_64 random_;
+    referee judge_;
+    fleet fleet_;
+    clients clients_;
+    soak_outcome outcome_;
+    time_ms started_at_ = 0;
+    int active_ = 0;
+    bool ended_ = false;
+};
+
+} // namespace
+
+soak_outcome run_soak(const soak_settings& settings) {
+    return soak_run(settings).run();
+}
+
+} // namespace tamarack::soak
--- /dev/null
+++ b/tests/soak/soak.hpp
@@ -0,0 +1,29 @@
+// A randomized soak of the real programs: faults in series and overlapping, while clients keep sending.
+#pragma once
+
+#include "soak/referee.hpp"
+
+namespace tamarack::soak {
+
+struct soak_settings {
+    std::uint64_t seed_ = 1;
+    time_ms duration_ms_ = 10'000; // of the faults
+    double requests_per_s_ = 60;
+    int gateways_ = 3;
+    int engines_ = 4;
+    std::string folder_; // for settings and logs
+};
+
+struct soak_outcome {
+    std::vector<std::string> broken_promises_;
+    std::vector<std::string> faults_; // with their times, in order
+    int requests_ = 0;
+    int served_ = 0;
+    time_ms recovered_after_ms_ =
+        -1; // from the last fault until requests are served again; negative if never
+};
+
+// Runs one soak to its end. Takes the duration, the recovery and some seconds for the end.
+soak_outcome run_soak(const soak_settings& settings);
+
+} // namespace tamarack::soak
--- a/tools/harness/process.cpp
+++ b/tools/harness/process.cpp
@@ -13,11 +13,14 @@
 namespace {
 
 [[noreturn]] void become(const std::string& program, const std::vector<std::string>& arguments, int output,
-                         const std::string& log_file) {
+                         const std::string& log_file, bool output_to_log) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(output, STDOUT_FILENO);
     const int log = ::open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     ::dup2(log, STDERR_FILENO);
+    if (output_to_log) {
+        ::dup2(log, STDOUT_FILENO);
+    }
     std::vector<char*> argv{const_cast<char*>(program.c_str())};
     for (const std::string& argument : arguments) {
         argv.push_back(const_cast<char*>(argument.c_str()));
@@ -29,15 +32,15 @@
 
 } // namespace
 
-process::process(const std::string& program, std::vector<std::string> arguments,
-                 const std::string& log_file) {
+process::process(const std::string& program, std::vector<std::string> arguments, const std::string& log_file,
+                 bool output_to_log) {
     int ends[2];
     if (::pipe2(ends, O_CLOEXEC) != 0) {
         return;
     }
     pid_ = ::fork();
     if (pid_ == 0) {
-        become(program, arguments, ends[1], log_file);
+        become(program, arguments, ends[1], log_file, output_to_log);
     }
     ::close(ends[1]);
     output_ = ends[0];
--- a/tools/harness/process.hpp
+++ b/tools/harness/process.hpp
@@ -14,8 +14,10 @@
 public:
     process() = default;
 
-    // Starts a program; its standard error goes to `log_file`.
-    process(const std::string& program, std::vector<std::string> arguments, const std::string& log_file);
+    // Starts a program; its standard error goes to `log_file`, and its standard output too if
+    // `output_to_log`.
+    process(const std::string& program, std::vector<std::string> arguments, const std::string& log_file,
+            bool output_to_log = false);
     ~process();
     process(process&& other) noexcept;
     process& operator=(process&& other) noexcept;
