Let requests that can be in time pass late ones of their rank

Change: engines are told an urgency of two steps for each rank, in time and late; ranks keep their order. What goes ahead is taken from what waits, and a late request is admitted only into what in-time ones leave.

--- a/include/tamarack/dispatch.hpp
+++ b/include/tamarack/dispatch.hpp
@@ -127,6 +127,15 @@
 // so its client is told to return; a client that did return is taken as long as it still waits.
 bool should_admit(const admission_facts& facts);
 
+// Order in which engines admit requests, 0 first: by rank and, within a rank, those that can still be in time
+// before those that cannot. A late answer comes no later for letting one pass that is in time, as long as
+// there is room.
+int urgency(int rank, bool late);
+
+// Expected wait of a late request, in ms, where in-time requests fill `load` (0 to 1 and above) of the places
+// that serve its model: it gets what they leave.
+double late_wait_ms(double wait_ms, double load);
+
 // Which endpoints fail or went silent, learned from the outcome of sends.
 class endpoint_health {
 public:
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -10,10 +10,11 @@
 constexpr double learning_share = 0.08; // weight of one more sample of an endpoint
 constexpr double service_share = 0.02;  // the same for its service
 constexpr double most_slowness = 20;
-constexpr double slot_share = 0.03;   // weight of one more sample of the time in a batch
-constexpr double usual_share = 0.97;  // of a route's longest deadline; shorter ones have been used up in part
-constexpr double rank_memory = 0.995; // counts of ranks halve with each 140 requests
-constexpr time_ms planning_ms = 600;  // until a missing model is ordered
+constexpr double slot_share = 0.03;  // weight of one more sample of the time in a batch
+constexpr double usual_share = 0.97; // of a route's longest deadline; shorter ones have been used up in part
+constexpr double arrival_memory = 0.995; // counts of arrivals halve with each 140 requests
+constexpr double arrival_weight = 2;     // of the arrivals, against requests that wait
+constexpr time_ms planning_ms = 600;     // until a missing model is ordered
 
 } // namespace
 
@@ -73,27 +74,43 @@
     return double(deadline_ms) < usual_share * double(longest);
 }
 
-void fleet_state::note_rank(const std::string& service, int rank) {
-    auto& counts = requests_by_rank_[service];
+void fleet_state::note_arrival(const std::string& service, int urgency) {
+    auto& counts = arrivals_[service];
     for (auto& [other, count] : counts) {
-        count *= rank_memory;
+        count *= arrival_memory;
     }
-    counts[rank] += 1;
+    counts[urgency] += 1;
 }
 
-// The engine takes requests of the same rank in order, so those count as well.
-double fleet_state::share_ahead(const std::string& service, int rank) const {
-    const auto found = requests_by_rank_.find(service);
-    if (found == requests_by_rank_.end()) {
-        return 1;
+void fleet_state::note_waiting(const std::string& service, int urgency, int change) {
+    waiting_[service][urgency] += change;
+}
+
+// The engine takes requests of the same urgency in order, so those count as well. What waits there of other
+// gateways is taken to be of the same kinds as what waits of this one, or as what arrives while little does.
+double fleet_state::share_ahead(const std::string& service, int urgency) const {
+    const auto sum = [urgency](const auto& counts, double& ahead, double& all) {
+        for (const auto& [other, count] : counts) {
+            all += double(count);
+            ahead += other <= urgency ? double(count) : 0;
+        }
+    };
+    double arrived_ahead = 0;
+    double arrived = 0;
+    if (const auto found = arrivals_.find(service); found != arrivals_.end()) {
+        sum(found->second, arrived_ahead, arrived);
     }
-    double all = 0;
-    double ahead = 0;
-    for (const auto& [other, count] : found->second) {
-        all += count;
-        ahead += other <= rank ? count : 0;
+    double ahead = arrived > 0 ? arrival_weight * arrived_ahead / arrived : arrival_weight;
+    double all = arrival_weight;
+    if (const auto found = waiting_.find(service); found != waiting_.end()) {
+        sum(found->second, ahead, all);
     }
-    return all > 0 ? ahead / all : 1;
+    return ahead / all;
+}
+
+double fleet_state::load_of(std::string_view model, int copies, int slots) const {
+    const auto found = needs_.find(model);
+    return found == needs_.end() ? 0 : found->second.work_ / std::max(1, copies * slots);
 }
 
 time_ms fleet_state::model_wait_ms(std::string_view service, std::string_view model) const {
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -4,6 +4,7 @@
 #include "gateway/demand.hpp"
 #include "gateway/endpoint.hpp"
 #include "tamarack/gateway.hpp"
+#include "tamarack/provisioning.hpp"
 
 #include <random>
 
@@ -47,9 +48,20 @@
     // Notes a request's deadline. Returns whether it is shorter than usual for the route, as after a refusal.
     bool note_deadline(const std::string& route, time_ms deadline_ms);
 
-    // Counts requests by rank, and tells which share of a service's requests goes before one of this rank.
-    void note_rank(const std::string& service, int rank);
-    double share_ahead(const std::string& service, int rank) const;
+    // Counts arrivals by urgency, and sendings of this gateway that wait at the service's engines.
+    void note_arrival(const std::string& service, int urgency);
+    void note_waiting(const std::string& service, int urgency, int change);
+
+    // Which share of the requests that wait at a service's engines goes before one of this urgency.
+    double share_ahead(const std::string& service, int urgency) const;
+
+    // Demand over all gateways, as last told.
+    void set_needs(std::map<std::string, provisioning::model_need, std::less<>> needs) {
+        needs_ = std::move(needs);
+    }
+
+    // Part of the places on `copies` engines that the demand for a model fills.
+    double load_of(std::string_view model, int copies, int slots) const;
 
     // Time until an engine is expected to hold the model, in ms.
     time_ms model_wait_ms(std::string_view service, std::string_view model) const;
@@ -71,8 +83,10 @@
     std::map<std::string, dispatch::retry_window> retries_;
     std::map<std::string, dispatch::engine_pace> paces_;
     std::map<std::string, double> mean_first_event_ms_;
-    std::map<std::string, time_ms> longest_deadline_ms_;            // by route
-    std::map<std::string, std::map<int, double>> requests_by_rank_; // by service; fading counts
+    std::map<std::string, time_ms> longest_deadline_ms_;    // by route
+    std::map<std::string, std::map<int, double>> arrivals_; // by service and urgency; fading counts
+    std::map<std::string, std::map<int, int>> waiting_;     // the same; sendings without a first event
+    std::map<std::string, provisioning::model_need, std::less<>> needs_;
     std::mt19937_64 random_;
     int gateways_;
 };
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -18,12 +18,14 @@
 constexpr double busy_adapter_ms = 1'500;        // an engine that carries out another order comes first
 constexpr int status_not_found = 404;
 constexpr int status_bad_request = 400;
-constexpr int least_urgent = 9;
 
 } // namespace
 
-open_sending::open_sending(std::shared_ptr<endpoint> at, double prompt_tokens)
-    : began_at_(steady_now_ms()), at_(std::move(at)), unread_tokens_(prompt_tokens) {
+open_sending::open_sending(fleet_state& fleet, std::shared_ptr<endpoint> at, double prompt_tokens,
+                           int urgency)
+    : began_at_(steady_now_ms()), fleet_(fleet), at_(std::move(at)), unread_tokens_(prompt_tokens),
+      urgency_(urgency) {
+    fleet_.note_waiting(at_->record().service_, urgency_, 1);
     ++at_->open_;
     ++at_->begun_since_report_;
     at_->unread_tokens_ += unread_tokens_;
@@ -36,6 +38,9 @@
 }
 
 void open_sending::first_event() {
+    if (first_event_at_ == 0) {
+        fleet_.note_waiting(at_->record().service_, urgency_, -1);
+    }
     first_event_at_ = first_event_at_ > 0 ? first_event_at_ : steady_now_ms();
     at_->unread_tokens_ = std::max(0.0, at_->unread_tokens_ - std::exchange(unread_tokens_, 0));
 }
@@ -53,7 +58,7 @@
     const time_ms deadline = facts_.deadline_ms_.value_or(default_timeout_ms);
     until_ = arrived_at_ + std::min(deadline, route_->timeout_ms_);
     returned_ = context_.fleet_.note_deadline(route_->name_, deadline);
-    context_.fleet_.note_rank(service_->name_, route_->rank_);
+    context_.fleet_.note_arrival(service_->name_, urgency(arrived_at_));
     if (facts_.last_event_id_) {
         splitter_.set_last_id(*facts_.last_event_id_);
     }
@@ -113,7 +118,7 @@
     option.same_data_centre_ = true;
     option.slots_ = one.record().slots_;
     option.running_ = std::max(one.open_, one.engine_.running_ + one.begun_since_report_);
-    option.queued_ = one.engine_.queued_ * context_.fleet_.share_ahead(service_->name_, route_->rank_);
+    option.queued_ = one.engine_.queued_ * context_.fleet_.share_ahead(service_->name_, urgency(now));
     option.unread_tokens_ = one.unread_tokens_;
     option.memory_use_ = one.engine_.kv_total_ > 0 ? one.engine_.kv_used_ / one.engine_.kv_total_ : 0;
     option.slowness_ = std::max(1.0, one.slowness_);
@@ -164,8 +169,13 @@
     const std::uint64_t tie_break =
         facts_.adapter_.empty() ? context_.fleet_.random() : hash64(facts_.model_ + "/" + facts_.adapter_);
     const auto chosen = dispatch::choose_endpoint(options, facts_.prompt_tokens_, pace, tie_break);
-    const auto expected =
-        time_ms(dispatch::expected_first_event_ms(options[*chosen], facts_.prompt_tokens_, pace));
+    double wait = dispatch::expected_first_event_ms(options[*chosen], facts_.prompt_tokens_, pace);
+    if (service_->engine_ && is_late(now)) {
+        const int slots = service_->engine_->slots_;
+        wait =
+            dispatch::late_wait_ms(wait, context_.fleet_.load_of(facts_.model_, int(usable.size()), slots));
+    }
+    const auto expected = time_ms(wait);
     const bool in_service = maybe_runs_ > 0; // has been admitted before
     if (!in_service && !dispatch::should_admit(admission_facts(expected, now))) {
         note_refusal(*usable[*chosen], options[*chosen], expected, now);
@@ -279,7 +289,7 @@
     forward_facts forward;
     forward.left_ms_ = left_ms(now);
     forward.endpoint_ = target->record().id_;
-    forward.priority_ = service_->engine_ ? std::clamp(route_->rank_, 0, least_urgent) : -1;
+    forward.priority_ = service_->engine_ ? urgency(now) : -1;
     if (stream_begun_) {
         forward.last_event_id_ = splitter_.last_id();
     }
@@ -292,7 +302,7 @@
     request.max_connections_ = service_->max_connections_;
     request.gateways_ = context_.fleet_.gateways();
     splitter_.restart();
-    sending_ = std::make_unique<open_sending>(target, facts_.prompt_tokens_);
+    sending_ = std::make_unique<open_sending>(context_.fleet_, target, facts_.prompt_tokens_, urgency(now));
     const auto self = shared_from_this();
     exchange_ = std::make_shared<exchange>(
         context_.fleet_.executor_, target, std::move(request),
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -27,7 +27,7 @@
 // Counts a sending at its endpoint for as long as it lives.
 class open_sending {
 public:
-    open_sending(std::shared_ptr<endpoint> at, double prompt_tokens);
+    open_sending(fleet_state& fleet, std::shared_ptr<endpoint> at, double prompt_tokens, int urgency);
     ~open_sending();
 
     // The prompt has been read.
@@ -39,8 +39,10 @@
     const time_ms began_at_;
 
 private:
+    fleet_state& fleet_;
     std::shared_ptr<endpoint> at_;
     double unread_tokens_;
+    int urgency_;
     time_ms first_event_at_ = 0;
 };
 
@@ -90,6 +92,12 @@
     void arm_pause_watch();
     bool can_go_on_elsewhere() const;
 
+    // Whether the first event cannot come in time any more.
+    bool is_late(time_ms now) const {
+        return !stream_begun_ && (returned_ || now - arrived_at_ > route_->objective_ms_);
+    }
+    int urgency(time_ms now) const { return dispatch::urgency(route_->rank_, is_late(now)); }
+
     bool is_stream() const { return route_->repeat_ == fleet::repeat_rule::stream; }
     time_ms left_ms(time_ms now) const { return until_ - now; }
     bool may_run_again() const;
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -153,6 +153,7 @@
         send_digest(now);
     }
     relay_configuration(now);
+    fleet_.set_needs(peers_.needs(fleet_.demand_.levels(now), now));
     const int rank = std::min(peers_.reader_rank(store_reachable_, now), store_readers);
     if (rank != reader_rank_) {
         reader_rank_ = rank;
--- a/tests/direct/dispatch_test.cpp
+++ b/tests/direct/dispatch_test.cpp
@@ -170,4 +170,82 @@
     CHECK_FALSE(health.suspected(1'951));
 }
 
+TEST_CASE("urgency_orders_by_rank_first_and_lets_requests_that_can_be_in_time_pass_late_ones") {
+    CHECK(urgency(0, false) < urgency(0, true));
+    CHECK(urgency(0, true) < urgency(1, false));
+    CHECK(urgency(1, false) < urgency(1, true));
+    CHECK(urgency(50, true) <= 9);
+    CHECK(urgency(50, false) < urgency(50, true));
+}
+
+namespace {
+
+struct rush_result {
+    int in_time_ = 0;
+    int served_ = 0;
+};
+
+// One engine that serves a request in each step, while three arrive in two steps. Who is refused returns
+// once.
+rush_result play_rush(bool late_ones_yield) {
+    constexpr time_ms step_ms = 50;
+    constexpr time_ms objective_ms = 300;
+    constexpr time_ms patience_ms = 2'400;
+    constexpr time_ms deadline_ms = 12'000;
+    constexpr int steps = 1'000;
+    struct waiting {
+        time_ms arrived_at_ = 0;
+        int urgency_ = 0;
+    };
+    std::vector<waiting> queue;
+    std::multimap<time_ms, time_ms> returns; // by time; when they arrived first
+    rush_result result;
+    const auto offer = [&](time_ms now, time_ms arrived_at, bool returned) {
+        const int own = late_ones_yield ? urgency(1, returned) : urgency(1, false);
+        const auto ahead = std::count_if(queue.begin(), queue.end(),
+                                         [own](const waiting& one) { return one.urgency_ <= own; });
+        double wait = double(ahead * step_ms);
+        if (returned && late_ones_yield) {
+            wait = late_wait_ms(wait, 1.5);
+        }
+        admission_facts facts{time_ms(wait), objective_ms, patience_ms, arrived_at + deadline_ms - now,
+                              returned};
+        if (should_admit(facts)) {
+            queue.push_back({arrived_at, own});
+        } else if (!returned) {
+            returns.emplace(now + 1'000, arrived_at);
+        }
+    };
+    for (int step = 0; step < steps; ++step) {
+        const time_ms now = step * step_ms;
+        for (int arrival = 0; arrival < 1 + step % 2; ++arrival) {
+            offer(now, now, false);
+        }
+        while (!returns.empty() && returns.begin()->first <= now) {
+            offer(now, returns.begin()->second, true);
+            returns.erase(returns.begin());
+        }
+        const auto next =
+            std::min_element(queue.begin(), queue.end(), [](const waiting& left, const waiting& right) {
+                return left.urgency_ < right.urgency_;
+            });
+        if (next != queue.end()) {
+            ++result.served_;
+            result.in_time_ += now - next->arrived_at_ <= objective_ms ? 1 : 0;
+            queue.erase(next);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("rush_half_more_than_an_engine_serves_most_answers_are_in_time_when_late_ones_yield") {
+    const rush_result in_order = play_rush(false);
+    const rush_result yielding = play_rush(true);
+    CHECK(yielding.served_ >= in_order.served_ * 95 / 100);
+    CHECK(yielding.in_time_ >= yielding.served_ * 9 / 10);
+    CHECK(yielding.in_time_ > in_order.in_time_ * 3 / 2);
+}
+
 } // namespace tamarack::dispatch
