--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -46,17 +46,28 @@
                        {{"error", to_string(failure(metrics_listening))}}});
     }
     events_.write({event_kind::process, "agent", "started", {}, {{"port", int(settings_.listen_.port())}}});
-    signals_.async_wait([this](boost::system::error_code failed, int number) {
-        if (!failed && number != SIGHUP) {
-            context_.stop();
-        }
-    });
+    watch_signals();
     read_report();
     context_.run();
     events_.write({event_kind::process, "agent", "stopped", {}, {}});
     return 0;
 }
 
+void agent::watch_signals() {
+    signals_.async_wait([this](boost::system::error_code failed, int number) {
+        if (failed) {
+            return;
+        }
+        if (number != SIGHUP) {
+            context_.stop();
+            return;
+        }
+        events_.write(
+            {event_kind::process, "agent", "settings_kept", {}, {{"outcome", "in force at the next start"}}});
+        watch_signals();
+    });
+}
+
 result<done> agent::listen() {
     const result<done> listening = net::listen_on(acceptor_, settings_.listen_, "gateways");
     if (ok(listening)) {
--- a/src/engine_agent/agent.hpp
+++ b/src/engine_agent/agent.hpp
@@ -36,6 +36,7 @@
     };
 
     result<done> listen();
+    void watch_signals();
     void accept();
     void take_frame(const std::shared_ptr<gateway>& from, const links::frame& received);
     void release(gateway& from, std::uint64_t theirs);
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -3,11 +3,13 @@
 
 #include <gflags/gflags.h>
 
+#include <csignal>
 #include <iostream>
 
 DEFINE_string(settings, "", "path of the JSON settings file");
 
 int main(int argc, char** argv) {
+    std::signal(SIGHUP, SIG_IGN); // ends the process by default, and may come before it is watched
     gflags::SetUsageMessage("tamarack-gateway --settings=FILE\n"
                             "Exit codes: 0 stopped in order, 1 could not listen, 2 wrong settings.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -247,6 +247,108 @@
     }
 }
 
+namespace {
+
+// Two sources on one store, each of which takes what the other relays.
+struct relaying_sources {
+    struct side {
+        std::unique_ptr<fleet::fleet_source> source_;
+        std::set<std::string> endpoints_;
+    };
+
+    fake_store store_;
+    fake_endpoint endpoint_{"i-1"};
+    boost::asio::io_context context_;
+    side first_;
+    side second_;
+
+    relaying_sources() {
+        store_.put("keyed.op", "config", configuration_text(3));
+        store_.put("keyed.servers", "i-1", endpoint_text(endpoint_));
+        connect(first_, second_);
+        connect(second_, first_);
+        first_.source_->start();
+        second_.source_->start();
+    }
+
+    void connect(side& one, side& other) {
+        fleet::fleet_events handlers;
+        handlers.configuration_ = [](auto, const auto&) {};
+        handlers.endpoints_ = [&one](const std::vector<fleet::endpoint_change>& changes) {
+            for (const fleet::endpoint_change& change : changes) {
+                if (const auto* record = std::get_if<fleet::endpoint_record>(&change)) {
+                    one.endpoints_.insert(record->id_);
+                } else {
+                    one.endpoints_.erase(std::get<fleet::endpoint_removed>(change).id_);
+                }
+            }
+        };
+        handlers.registry_ = [](bool) {};
+        handlers.relay_ = [&other](const std::string& bytes) { other.source_->take_relayed(bytes); };
+        handlers.skipped_ = [](const error&) {};
+        one.source_ = (*registry<fleet::fleet_source_factory>::instance().find("log-store"))(
+            context_, store_.address(), std::move(handlers));
+    }
+
+    template <typename Condition>
+    bool eventually(Condition condition) {
+        const time_ms until = steady_now_ms() + 8'000;
+        while (!condition() && steady_now_ms() < until) {
+            context_.run_for(std::chrono::milliseconds(20));
+        }
+        return condition();
+    }
+
+    static void set_roles(side& reader, side& listener) {
+        reader.source_->set_reads(true, true);
+        listener.source_->set_reads(false, false);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(relaying_sources,
+                  "sources_reader_changes_while_an_endpoint_is_away_both_learn_of_its_return") {
+    const auto known = [this](const std::string& id) {
+        return first_.endpoints_.contains(id) && second_.endpoints_.contains(id);
+    };
+    REQUIRE(eventually([&] { return known("i-1"); }));
+    // A heartbeat that the later reader has read; the entry after it shows when.
+    set_roles(second_, first_);
+    store_.put("keyed.servers", "i-1", endpoint_text(endpoint_));
+    store_.put("keyed.servers", "i-2", endpoint_text(endpoint_));
+    REQUIRE(eventually([&] { return known("i-2"); }));
+    set_roles(first_, second_);
+    store_.drop("keyed.servers", "i-1");
+    REQUIRE(eventually(
+        [&] { return !first_.endpoints_.contains("i-1") && !second_.endpoints_.contains("i-1"); }));
+    set_roles(second_, first_);
+    store_.put("keyed.servers", "i-1", endpoint_text(endpoint_));
+    CHECK(eventually([&] { return known("i-1"); }));
+}
+
+TEST_CASE("agent_process_told_to_read_its_settings_twice_still_stops_when_told_to") {
+    const std::string folder =
+        (std::filesystem::temp_directory_path() / ("tamarack-agent-" + std::to_string(::getpid()))).string();
+    std::filesystem::create_directories(folder);
+    const std::string local = "127.0.0.1:";
+    const nlohmann::json settings = {{"id", "agent-1"},
+                                     {"listen", local + std::to_string(free_port())},
+                                     {"metrics", local + std::to_string(free_port())},
+                                     {"engine", local + std::to_string(free_port())}};
+    const std::string path = folder + "/settings.json";
+    std::ofstream(path) << settings.dump();
+    harness::process agent("build/release/tamarack-engine-agent", {"--settings=" + path}, folder + "/log");
+    REQUIRE(agent.read_line().find("started") != std::string::npos);
+    agent.signal(SIGHUP);
+    REQUIRE(agent.read_line().find("settings_kept") != std::string::npos);
+    agent.signal(SIGHUP);
+    REQUIRE(agent.read_line().find("settings_kept") != std::string::npos);
+    agent.signal(SIGTERM);
+    CHECK(gateway_process::eventually([&] { return !agent.running(); }));
+    std::filesystem::remove_all(folder);
+}
+
 TEST_CASE("engine_port_order_without_answer_is_given_up_in_time_to_repeat_it_for_a_waiting_request") {
     constexpr time_ms adapter_limit_ms = 1'200; // in which an adapter must become resident
     fake_endpoint engine("i-1");
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <fstream>
+#include <unistd.h>
 
 namespace tamarack::soak {
 
@@ -27,10 +28,19 @@
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
-// A port that nobody listens on at the moment.
-std::uint16_t free_port(const tcp::endpoint& wanted) {
+// A port that nobody has, below those that connections take, so that it stays free while its process is down.
+std::uint16_t free_port(std::uint32_t host) {
+    constexpr std::uint16_t first = 20'000;
+    constexpr std::uint16_t count = 12'000;
+    static std::uint16_t next = std::uint16_t(::getpid() * 97 % count);
     asio::io_context context;
-    return tcp::acceptor(context, wanted).local_endpoint().port();
+    tcp::acceptor acceptor(context, tcp::v4());
+    boost::system::error_code taken;
+    do {
+        next = std::uint16_t((next + 1) % count);
+        acceptor.bind(at(host, std::uint16_t(first + next)), taken);
+    } while (taken);
+    return std::uint16_t(first + next);
 }
 
 std::string model_name(int number) {
@@ -81,7 +91,7 @@
              fleet_size size)
     : context_(context), folder_(std::move(folder)) {
     std::filesystem::create_directories(folder_);
-    agent_port_ = free_port(at(first_endpoint_host, 0));
+    agent_port_ = free_port(first_endpoint_host);
     put_configuration();
     for (int number = 0; number < size.engines_ + size.plain_endpoints_; ++number) {
         add_endpoint(number, number < size.engines_, judge, seed * 101 + std::uint64_t(number));
@@ -89,7 +99,7 @@
     std::vector<std::string> seeds;
     std::vector<std::uint16_t> seed_ports;
     for (int number = 0; number < size.gateways_; ++number) {
-        seed_ports.push_back(free_port(local(0)));
+        seed_ports.push_back(free_port(1));
         seeds.push_back(text_of(local(seed_ports.back())));
     }
     for (int number = 0; number < size.gateways_; ++number) {
@@ -122,14 +132,14 @@
     place.engine_ = std::make_unique<engine_stand_in>(context_, judge, name, seed, std::move(models));
     place.requests_ = std::make_unique<faulty_proxy>(context_, at(host, 0), local(place.engine_->port()));
     if (has_models) {
-        const std::uint16_t agent_own_port = free_port(local(0));
+        const std::uint16_t agent_own_port = free_port(1);
         place.agent_engine_ =
             std::make_unique<faulty_proxy>(context_, local(0), local(place.engine_->port()));
         place.agent_links_ =
             std::make_unique<faulty_proxy>(context_, at(host, agent_port_), local(agent_own_port));
         const json settings = {{"id", "agent-" + std::to_string(number)},
                                {"listen", text_of(local(agent_own_port))},
-                               {"metrics", text_of(local(free_port(local(0))))},
+                               {"metrics", text_of(local(free_port(1)))},
                                {"engine", text_of(place.agent_engine_->address())}};
         place.agent_.name_ = "agent-" + std::to_string(number);
         place.agent_.program_ = "build/release/tamarack-engine-agent";
@@ -141,8 +151,8 @@
 
 void fleet::add_gateway(int number, const std::vector<std::string>& seeds, std::uint16_t seed_port) {
     gateway_place place;
-    place.client_port_ = free_port(local(0));
-    place.admin_port_ = free_port(local(0));
+    place.client_port_ = free_port(1);
+    place.admin_port_ = free_port(1);
     place.clients_ = std::make_unique<faulty_proxy>(context_, local(0), local(place.client_port_));
     place.store_ = std::make_unique<faulty_proxy>(context_, local(0), store_.address());
     fleet_process& process = place.process_;
@@ -151,7 +161,7 @@
                            {"data_centre", "z1"},
                            {"listen", text_of(local(place.client_port_))},
                            {"admin", text_of(local(place.admin_port_))},
-                           {"metrics", text_of(local(free_port(local(0))))},
+                           {"metrics", text_of(local(free_port(1)))},
                            {"store", text_of(place.store_->address())},
                            {"peers", text_of(local(seed_port))},
                            {"seeds", seeds},
