Tell refused clients when the next copy is there; refuse late requests a little later

Change: the time to return is that of the first load under way, where that is later; late requests count on three tenths of the places in place of one tenth.

--- a/src/dispatch/urgency.cpp
+++ b/src/dispatch/urgency.cpp
@@ -11,7 +11,7 @@
 }
 
 double late_wait_ms(double wait_ms, double load) {
-    constexpr double least_room = 0.1; // some places become free in any case
+    constexpr double least_room = 0.3; // some places become free in any case
     return wait_ms / std::max(least_room, 1 - load);
 }
 
--- a/src/gateway/agent_links.cpp
+++ b/src/gateway/agent_links.cpp
@@ -190,7 +190,10 @@
     view.kv_used_ = double(status.kv_used);
     view.kv_total_ = double(status.kv_total);
     view.busy_ = status.busy;
-    view.loading_ = status.loading;
+    if (view.loading_ != status.loading) {
+        view.loading_ = status.loading;
+        view.loading_since_ = now;
+    }
     view.at_ = now;
     at.begun_since_report_ = 0;
     if (has_models) {
--- a/src/gateway/endpoint.hpp
+++ b/src/gateway/endpoint.hpp
@@ -36,6 +36,7 @@
     double kv_total_ = 0;
     bool busy_ = false;
     std::string loading_;
+    time_ms loading_since_ = 0; // by the first report of it
     std::vector<fleet::held_model> models_;
     std::set<std::string, std::less<>> nearby_;
     std::vector<time_ms> store_loads_; // starts of loads from the weight store
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -15,6 +15,7 @@
 constexpr double arrival_memory = 0.995; // counts of arrivals halve with each 140 requests
 constexpr double arrival_weight = 2;     // of the arrivals, against requests that wait
 constexpr time_ms planning_ms = 600;     // until a missing model is ordered
+constexpr time_ms least_load_ms = 100;   // left of a load that takes longer than expected
 
 } // namespace
 
@@ -113,19 +114,36 @@
     return found == needs_.end() ? 0 : found->second.work_ / std::max(1, copies * slots);
 }
 
-time_ms fleet_state::model_wait_ms(std::string_view service, std::string_view model) const {
+const fleet::model_spec* fleet_state::find_model(std::string_view service, std::string_view model) const {
     const fleet::service_spec* spec =
         current_ == nullptr ? nullptr : current_->configuration_->find_service(service);
-    const fleet::model_spec* known =
-        spec == nullptr || !spec->engine_ ? nullptr : spec->engine_->find_model(model);
+    return spec == nullptr || !spec->engine_ ? nullptr : spec->engine_->find_model(model);
+}
+
+std::optional<time_ms> fleet_state::next_copy_ms(std::string_view service, std::string_view model,
+                                                 time_ms now) const {
+    const fleet::model_spec* known = find_model(service, model);
+    std::optional<time_ms> soonest;
+    for (const auto& one : endpoints_of(service)) {
+        const engine_view& engine = one->engine_;
+        if (known == nullptr || !engine.known_ || !engine.reachable_ || engine.loading_ != model) {
+            continue;
+        }
+        const time_ms takes = engine.nearby_.contains(model) ? known->disk_load_ms_ : known->store_load_ms_;
+        const time_ms left = std::max(least_load_ms, takes - (now - engine.loading_since_));
+        soonest = std::min(soonest.value_or(left), left);
+    }
+    return soonest;
+}
+
+time_ms fleet_state::model_wait_ms(std::string_view service, std::string_view model, time_ms now) const {
+    const fleet::model_spec* known = find_model(service, model);
     if (known == nullptr) {
         return 0;
     }
     time_ms wait = planning_ms + known->store_load_ms_;
+    wait = std::min(wait, next_copy_ms(service, model, now).value_or(wait));
     for (const auto& one : endpoints_of(service)) {
-        if (one->engine_.loading_ == model) {
-            wait = std::min(wait, known->store_load_ms_);
-        }
         // An engine that has not reported yet, as after a restart of everything, most likely has it on its
         // disk.
         if (one->engine_.nearby_.contains(model) || !one->engine_.known_) {
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -64,7 +64,10 @@
     double load_of(std::string_view model, int copies, int slots) const;
 
     // Time until an engine is expected to hold the model, in ms.
-    time_ms model_wait_ms(std::string_view service, std::string_view model) const;
+    time_ms model_wait_ms(std::string_view service, std::string_view model, time_ms now) const;
+
+    // Time until the first of the loads of a model that are under way has ended; nothing if there are none.
+    std::optional<time_ms> next_copy_ms(std::string_view service, std::string_view model, time_ms now) const;
 
     int gateways() const { return gateways_; }
     void set_gateways(int count) { gateways_ = count; }
@@ -76,6 +79,8 @@
     demand_meter demand_;
 
 private:
+    const fleet::model_spec* find_model(std::string_view service, std::string_view model) const;
+
     dispatch::retry_limits retry_limits_;
     std::shared_ptr<const configured> current_;
     std::map<std::string, std::shared_ptr<endpoint>, std::less<>> endpoints_;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -179,7 +179,9 @@
     const bool in_service = maybe_runs_ > 0; // has been admitted before
     if (!in_service && !dispatch::should_admit(admission_facts(expected, now))) {
         note_refusal(*usable[*chosen], options[*chosen], expected, now);
-        refuse("too_busy", expected);
+        // More copies under way make room when they are there.
+        const auto next_copy = context_.fleet_.next_copy_ms(service_->name_, facts_.model_, now);
+        refuse("too_busy", std::max(expected, next_copy.value_or(0)));
         return;
     }
     prepare(usable[*chosen]);
@@ -217,7 +219,7 @@
 // No engine holds the model: waits for one if that can still be in time, and refuses otherwise.
 void request_flow::hold_for_model() {
     const time_ms now = steady_now_ms();
-    const time_ms wait = context_.fleet_.model_wait_ms(service_->name_, facts_.model_);
+    const time_ms wait = context_.fleet_.model_wait_ms(service_->name_, facts_.model_, now);
     if (!holding_) {
         holding_ = true;
         context_.fleet_.demand_.note_waiting(facts_.model_, 1);
--- a/tests/direct/gateway_test.cpp
+++ b/tests/direct/gateway_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/demand.hpp"
 #include "gateway/event_splitter.hpp"
+#include "gateway/fleet_state.hpp"
 #include "gateway/head_rewrite.hpp"
 #include "gateway/peers.hpp"
 #include "gateway/planner.hpp"
@@ -215,6 +216,53 @@
     CHECK(meter.levels(60'000).at("n").waiting_ == 1);
 }
 
+namespace {
+
+struct loading_fixture {
+    boost::asio::io_context context_;
+    fleet_state fleet_{context_.get_executor(), header_names(), dispatch::retry_limits()};
+
+    loading_fixture() {
+        auto configuration = std::make_shared<fleet::configuration>();
+        configuration->version_ = 1;
+        fleet::service_spec service;
+        service.name_ = "engines";
+        service.engine_ = fleet::engine_spec();
+        fleet::model_spec model;
+        model.name_ = "m";
+        model.store_load_ms_ = 5'000;
+        model.disk_load_ms_ = 1'000;
+        service.engine_->models_.push_back(model);
+        configuration->services_.push_back(service);
+        fleet_.take_configuration(std::make_shared<const configured>(configuration));
+        std::map<std::string, fleet::endpoint_record, std::less<>> records;
+        for (const char* id : {"e1", "e2"}) {
+            records[id].id_ = id;
+            records[id].service_ = "engines";
+        }
+        fleet_.take_endpoints(records);
+    }
+
+    void load(const std::string& engine, time_ms since) {
+        engine_view& view = fleet_.endpoints().find(engine)->second->engine_;
+        view.known_ = view.reachable_ = true;
+        view.loading_ = "m";
+        view.loading_since_ = since;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(loading_fixture, "copies_under_way_the_first_to_end_tells_when_there_is_room") {
+    CHECK_FALSE(fleet_.next_copy_ms("engines", "m", 10'000));
+    load("e1", 8'000);
+    load("e2", 9'500);
+    CHECK(fleet_.next_copy_ms("engines", "m", 10'000) == 3'000);
+    CHECK(fleet_.model_wait_ms("engines", "m", 10'000) <= 3'000);
+    CHECK(*fleet_.next_copy_ms("engines", "m", 20'000) > 0); // longer than expected
+    CHECK_FALSE(fleet_.next_copy_ms("engines", "other", 10'000));
+}
+
 TEST_CASE("peers_least_id_in_service_plans_and_the_next_takes_over_when_it_is_silent") {
     peers known("b", 0);
     CHECK_FALSE(known.settled(1'000));
