--- a/include/tamarack/dispatch.hpp
+++ b/include/tamarack/dispatch.hpp
@@ -128,8 +128,8 @@
 bool should_admit(const admission_facts& facts);
 
 // Order in which engines admit requests, 0 first: by rank and, within a rank, those that can still be in time
-// before those that cannot. A late answer comes no later for letting one pass that is in time, as long as
-// there is room.
+// before those that cannot. A late answer loses little by more delay, while one that is in time would be
+// lost.
 int urgency(int rank, bool late);
 
 // Expected wait of a late request, in ms, where in-time requests fill `load` (0 to 1 and above) of the places
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -152,7 +152,8 @@
     from.wants_.erase(found);
 }
 
-// The gateway that should plan: the one with the least id that is linked. Logged beside who did.
+// The gateway that plans as a rule: the one with the least id that is linked. Another one does while it
+// settles after a start. Logged beside who did.
 std::string agent::planner() const {
     std::string least;
     for (const auto& one : gateways_) {
