Read the change as a newcomer: one start for both programs, one way to listen, no inputs that nothing reads

The programs of the direct path share their start (observe/program.hpp); the seed exchange listens by net::listen_on; the choice of an endpoint loses two inputs that were never set; what engines admit by is called urgency where it is sent; agents no longer log a planner that they cannot know; the tests of the gateway's process stand in a file of their own, none changed. No change of behaviour.

--- a/include/tamarack/dispatch.hpp
+++ b/include/tamarack/dispatch.hpp
@@ -83,12 +83,10 @@
 // An endpoint as a choice for one request, as this gateway sees it.
 struct option {
     std::string_view id_;
-    bool same_data_centre_ = false;
     int slots_ = 1;
     double running_ = 0;         // requests in its batch: reported, plus sent and less ended since
     double queued_ = 0;          // requests that wait there, as reported
     double unread_tokens_ = 0;   // prompts that this gateway sent and that have no first event yet
-    double kept_tokens_ = 0;     // of this request's prompt, likely in its cache
     double memory_use_ = 0;      // share of its KV cache that cannot yield
     double slowness_ = 1;        // its time to the first event against its peers, 1 or more
     double failure_rate_ = 0;    // recent share of failed sends
--- a/src/dispatch/choose.cpp
+++ b/src/dispatch/choose.cpp
@@ -6,13 +6,12 @@
 
 namespace {
 
-constexpr double other_data_centre_ms = 3.0; // a round trip between neighbouring data centres
-constexpr double running_ms = 0.35;          // growth of the wait with each request in the batch
-constexpr double full_memory_ms = 400.0;     // preemption is likely in a full KV cache
-constexpr double memory_limit = 0.85;        // share of the KV cache above which it counts as full
-constexpr double failure_ms = 3'000.0;       // for an endpoint that fails every request
-constexpr double suspicion_ms = 60'000.0;    // an endpoint that does not answer comes last
-constexpr double near_tie_ms = 4.0;          // differences below this are noise
+constexpr double running_ms = 0.35;       // growth of the wait with each request in the batch
+constexpr double full_memory_ms = 400.0;  // preemption is likely in a full KV cache
+constexpr double memory_limit = 0.85;     // share of the KV cache above which it counts as full
+constexpr double failure_ms = 3'000.0;    // for an endpoint that fails every request
+constexpr double suspicion_ms = 60'000.0; // an endpoint that does not answer comes last
+constexpr double near_tie_ms = 4.0;       // differences below this are noise
 
 constexpr double honoured_share = 1.0 / 3.0; // clients honour a return within this share of what is left
 constexpr time_ms earliest_return_ms = 50;
@@ -21,9 +20,8 @@
 } // namespace
 
 double expected_first_event_ms(const option& choice, double prompt_tokens, const engine_pace& pace) {
-    const double unread = choice.unread_tokens_ + std::max(0.0, prompt_tokens - choice.kept_tokens_);
-    double expected = choice.same_data_centre_ ? 0.0 : other_data_centre_ms;
-    expected += unread * pace.ms_per_prompt_token_ * choice.slowness_;
+    const double unread = choice.unread_tokens_ + prompt_tokens;
+    double expected = unread * pace.ms_per_prompt_token_ * choice.slowness_;
     expected += std::min(choice.running_, double(choice.slots_)) * running_ms * choice.slowness_;
     // A place in a full batch becomes free each time one of its requests ends.
     const double ahead = choice.queued_ + std::max(0.0, choice.running_ - choice.slots_);
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -152,18 +152,6 @@
     from.wants_.erase(found);
 }
 
-// The gateway that plans as a rule: the one with the least id that is linked. Another one does while it
-// settles after a start. Logged beside who did.
-std::string agent::planner() const {
-    std::string least;
-    for (const auto& one : gateways_) {
-        if (!one->id_.empty() && (least.empty() || one->id_ < least)) {
-            least = one->id_;
-        }
-    }
-    return least;
-}
-
 void agent::take_placement(const links::placement_order& order) {
     placement wanted;
     wanted.load_ = order.load;
@@ -178,7 +166,7 @@
                    "agent",
                    "placement_taken",
                    {},
-                   {{"planner", order.planner}, {"load", order.load}, {"expected_planner", planner()}}});
+                   {{"planner", order.planner}, {"load", order.load}}});
     book_.take_placement(std::move(wanted), steady_now_ms());
     push_status();
     give_next();
--- a/src/engine_agent/agent.hpp
+++ b/src/engine_agent/agent.hpp
@@ -42,7 +42,6 @@
     void release(gateway& from, std::uint64_t theirs);
     void take_placement(const links::placement_order& order);
     void relay(const gateway& from, const links::frame& received);
-    std::string planner() const;
 
     void read_report();
     void take_report(result<engine::report> outcome);
--- a/src/engine_agent/main.cpp
+++ b/src/engine_agent/main.cpp
@@ -1,26 +1,12 @@
 // tamarack-engine-agent: stands beside one engine and is the only process that gives it orders.
 #include "engine_agent/agent.hpp"
-
-#include <gflags/gflags.h>
-
-#include <csignal>
-#include <iostream>
+#include "observe/program.hpp"
 
 DEFINE_string(settings, "", "path of the JSON settings file");
 
 int main(int argc, char** argv) {
-    std::signal(SIGHUP, SIG_IGN); // ends the process by default, and may come before it is watched
-    gflags::SetUsageMessage("tamarack-engine-agent --settings=FILE\n"
-                            "Exit codes: 0 stopped in order, 1 could not listen, 2 wrong settings.");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto settings = tamarack::load_engine_agent_settings(FLAGS_settings);
-    if (!tamarack::ok(settings)) {
-        std::cerr << to_string(tamarack::failure(settings)) << "\n";
-        return 2;
-    }
-    tamarack::start_logging("info");
-    tamarack::event_log events(tamarack::value(settings).id_, tamarack::event_rate(),
-                               tamarack::standard_output_sink());
-    tamarack::engine_agent::agent agent(tamarack::value(settings), events);
-    return agent.run();
+    return tamarack::run_program(argc, argv, "tamarack-engine-agent", tamarack::load_engine_agent_settings,
+                                 [](const auto& settings, tamarack::event_log& events) {
+                                     return tamarack::engine_agent::agent(settings, events).run();
+                                 });
 }
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -11,7 +11,7 @@
 
 class control {
 public:
-    // `settings_path` is read again when the file changes.
+    // `settings_path` is read again on SIGHUP, to tell whether the file is valid and what differs.
     control(const gateway_settings& settings, std::string settings_path, event_log& events);
 
     // Serves until told to stop. Returns the exit code of the process.
--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -119,8 +119,8 @@
     }
     bytes += names.deadline_ + ": " + std::to_string(std::max<time_ms>(1, facts.left_ms_)) + "\r\n";
     bytes += names.expected_endpoint_ + ": " + std::string(facts.endpoint_) + "\r\n";
-    if (facts.priority_ >= 0) {
-        bytes += names.priority_ + ": " + std::to_string(facts.priority_) + "\r\n";
+    if (facts.urgency_ >= 0) {
+        bytes += names.priority_ + ": " + std::to_string(facts.urgency_) + "\r\n";
     }
     if (facts.last_event_id_) {
         bytes += names.last_event_id_ + ": " + std::to_string(*facts.last_event_id_) + "\r\n";
--- a/src/gateway/head_rewrite.hpp
+++ b/src/gateway/head_rewrite.hpp
@@ -26,7 +26,7 @@
 struct forward_facts {
     time_ms left_ms_ = 0;
     std::string_view endpoint_;
-    int priority_ = -1;                         // below 0 for plain services
+    int urgency_ = -1;                          // below 0 for plain services
     std::optional<std::int64_t> last_event_id_; // instead of the client's
 };
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -115,7 +115,6 @@
 dispatch::option request_flow::make_option(const endpoint& one, time_ms now) const {
     dispatch::option option;
     option.id_ = one.record().id_;
-    option.same_data_centre_ = true;
     option.slots_ = one.record().slots_;
     option.running_ = std::max(one.open_, one.engine_.running_ + one.begun_since_report_);
     option.queued_ = one.engine_.queued_ * context_.fleet_.share_ahead(service_->name_, urgency(now));
@@ -291,7 +290,7 @@
     forward_facts forward;
     forward.left_ms_ = left_ms(now);
     forward.endpoint_ = target->record().id_;
-    forward.priority_ = service_->engine_ ? urgency(now) : -1;
+    forward.urgency_ = service_->engine_ ? urgency(now) : -1;
     if (stream_begun_) {
         forward.last_event_id_ = splitter_.last_id();
     }
--- a/src/gateway/seed_exchange.cpp
+++ b/src/gateway/seed_exchange.cpp
@@ -1,5 +1,7 @@
 #include "gateway/seed_exchange.hpp"
 
+#include "net/socket_options.hpp"
+
 namespace tamarack::gateway {
 
 namespace asio = boost::asio;
@@ -23,14 +25,13 @@
 void seed_exchange::start(std::function<bool()> knows) {
     knows_ = std::move(knows);
     if (listen_.port() != 0) {
-        boost::system::error_code failed;
-        acceptor_.open(listen_.protocol(), failed);
-        acceptor_.set_option(asio::socket_base::reuse_address(true), failed);
-        acceptor_.bind(listen_, failed);
-        acceptor_.listen(asio::socket_base::max_listen_connections, failed);
-        if (failed) {
-            events_.write(
-                {event_kind::process, "gateway", "peers_not_served", {}, {{"error", failed.message()}}});
+        const result<done> listening = net::listen_on(acceptor_, listen_, "gateways");
+        if (!ok(listening)) {
+            events_.write({event_kind::process,
+                           "gateway",
+                           "peers_not_served",
+                           {},
+                           {{"error", to_string(failure(listening))}}});
         } else {
             accept();
         }
--- /dev/null
+++ b/src/observe/program.hpp
@@ -0,0 +1,36 @@
+// What the programs of the direct path do before and after their work: flags, settings, logging, exit codes.
+#pragma once
+
+#include "tamarack/events.hpp"
+#include "tamarack/observe.hpp"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+
+DECLARE_string(settings);
+
+namespace tamarack {
+
+// Loads the settings that `--settings` names and runs `body` with them and an event log. `load` maps a path
+// to a result; the settings have an `id_`. Returns the exit code.
+template <typename Load, typename Body>
+int run_program(int argc, char** argv, const char* name, Load load, Body body) {
+    constexpr int wrong_settings = 2;
+    std::signal(SIGHUP, SIG_IGN); // ends the process by default, and may come before it is watched
+    gflags::SetUsageMessage(std::string(name) +
+                            " --settings=FILE\n"
+                            "Exit codes: 0 stopped in order, 1 could not listen, 2 wrong settings.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto settings = load(FLAGS_settings);
+    if (!ok(settings)) {
+        std::cerr << to_string(failure(settings)) << "\n";
+        return wrong_settings;
+    }
+    start_logging("info");
+    event_log events(value(settings).id_, event_rate(), standard_output_sink());
+    return body(value(settings), events);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/direct/direct_path_test.cpp
@@ -0,0 +1,194 @@
+#include "direct/gateway_process.hpp"
+
+namespace tamarack::direct {
+
+namespace {
+
+struct fault_case {
+    const char* name_;
+    manner manner_;
+    int lookup_;           // status for a request that may be repeated
+    int booking_;          // status for one that may not
+    std::size_t bookings_; // arrivals of the booking
+};
+
+} // namespace
+
+TEST_CASE("agent_process_told_to_read_its_settings_twice_still_stops_when_told_to") {
+    const std::string folder =
+        (std::filesystem::temp_directory_path() / ("tamarack-agent-" + std::to_string(::getpid()))).string();
+    std::filesystem::create_directories(folder);
+    const std::string local = "127.0.0.1:";
+    const nlohmann::json settings = {{"id", "agent-1"},
+                                     {"listen", local + std::to_string(free_port())},
+                                     {"metrics", local + std::to_string(free_port())},
+                                     {"engine", local + std::to_string(free_port())}};
+    const std::string path = folder + "/settings.json";
+    std::ofstream(path) << settings.dump();
+    harness::process agent("build/release/tamarack-engine-agent", {"--settings=" + path}, folder + "/log");
+    REQUIRE(agent.read_line().find("started") != std::string::npos);
+    agent.signal(SIGHUP);
+    REQUIRE(agent.read_line().find("settings_kept") != std::string::npos);
+    agent.signal(SIGHUP);
+    REQUIRE(agent.read_line().find("settings_kept") != std::string::npos);
+    agent.signal(SIGTERM);
+    CHECK(gateway_process::eventually([&] { return !agent.running(); }));
+    std::filesystem::remove_all(folder);
+}
+
+TEST_CASE_FIXTURE(gateway_process, "direct_path_faults_of_an_endpoint_table_of_answers") {
+    start_ready();
+    const fault_case cases[] = {
+        {"whole answer", manner::whole, 200, 200, 1},
+        {"late answer to another request first", manner::foreign_first, 200, 200, 1},
+        {"truncated answer", manner::truncated, 502, 502, 1},
+        {"connection reset", manner::reset, 502, 502, 1},
+        {"not run", manner::not_run, 503, 503, 2},
+        {"success without a stamp", manner::unstamped, 502, 502, 1},
+        {"stamped failure", manner::failing, 500, 500, 1},
+        {"bytes that are no answer", manner::garbage, 502, 502, 1},
+        {"silence until the deadline", manner::silent, 504, 504, 1},
+    };
+    for (const fault_case& one : cases) {
+        CAPTURE(one.name_);
+        both({one.manner_});
+        CHECK(status(request("lookup", "r-lookup")) == one.lookup_);
+        both({one.manner_});
+        CHECK(status(request("booking", "r-booking")) == one.booking_);
+        CHECK(arrivals() == one.bookings_);
+    }
+}
+
+TEST_CASE_FIXTURE(gateway_process,
+                  "direct_path_endpoint_without_sign_of_life_lookup_goes_on_in_half_a_clients_patience") {
+    constexpr time_ms patience_ms = 2'000;
+    start_ready();
+    first_.set_manners({manner::silent});
+    constexpr int most_lookups = 50;
+    for (int lookup = 0; lookup < most_lookups && first_.arrived().empty(); ++lookup) {
+        const time_ms began = steady_now_ms();
+        CHECK(status(request("lookup", "r-" + std::to_string(lookup))) == 200);
+        CHECK(steady_now_ms() - began < patience_ms / 2);
+    }
+    CHECK_FALSE(first_.arrived().empty());
+}
+
+TEST_CASE_FIXTURE(gateway_process, "direct_path_one_endpoint_breaks_lookup_goes_on_and_booking_does_not") {
+    start_ready();
+    first_.set_manners({manner::reset});
+    second_.set_manners({manner::whole});
+    int bookings_failed = 0;
+    for (int attempt = 0; attempt < 20; ++attempt) {
+        CHECK(status(request("lookup", "l-" + std::to_string(attempt))) == 200);
+        bookings_failed += status(request("booking", "b-" + std::to_string(attempt))) == 200 ? 0 : 1;
+    }
+    std::map<std::string, int> runs;
+    for (const fake_endpoint* endpoint : {&first_, &second_}) {
+        for (const std::string& arrived : endpoint->arrived()) {
+            const std::size_t at = arrived.find("Request-Id: b-");
+            if (at != std::string::npos) {
+                ++runs[arrived.substr(at, arrived.find('\r', at) - at)];
+            }
+        }
+    }
+    for (const auto& [id, count] : runs) {
+        CAPTURE(id);
+        CHECK(count == 1);
+    }
+    CHECK(bookings_failed < 20);
+}
+
+TEST_CASE_FIXTURE(gateway_process, "direct_path_resumable_stream_is_cut_client_gets_each_event_once") {
+    start_ready();
+    both({manner::cut_stream, manner::whole_stream});
+    // Whichever endpoint is first cuts; the other one must go on after the last whole event.
+    first_.set_manners({manner::cut_stream});
+    second_.set_manners({manner::cut_stream, manner::whole_stream});
+    std::string expected;
+    for (int id = 1; id <= 5; ++id) {
+        expected += "id: " + std::to_string(id) + "\ndata: word\n\n";
+    }
+    const auto answer = call(port_, request("chat", "s-1"));
+    const std::string got = ok(answer) ? value(answer).body_ : "interrupted";
+    // Two cuts use up both attempts: then the stream must end as incomplete, never as a shorter whole one.
+    CHECK((got == expected || got == "interrupted"));
+    both({manner::whole_stream});
+    const auto whole = call(port_, request("chat", "s-2"));
+    REQUIRE(ok(whole));
+    CHECK(value(whole).body_ == expected);
+}
+
+TEST_CASE_FIXTURE(gateway_process, "direct_path_stream_that_may_not_resume_is_cut_once_and_not_sent_again") {
+    start_ready();
+    both({manner::cut_stream});
+    CHECK_FALSE(ok(call(port_, request("quote", "s-1"))));
+    CHECK(arrivals() == 1);
+}
+
+TEST_CASE_FIXTURE(gateway_process, "direct_path_no_route_404_no_id_400_long_body_413_and_no_endpoint_503") {
+    start_ready();
+    CHECK(status(request("nowhere", "r-1")) == 404);
+    http::request unnamed = request("lookup", "r-2");
+    unnamed.headers_.erase(unnamed.headers_.begin() + 1);
+    CHECK(status(unnamed) == 400);
+    http::request longer = request("booking", "r-3");
+    longer.body_ = std::string(2'000, 'x');
+    CHECK(status(longer) == 413);
+    CHECK(arrivals() == 0);
+    store_.drop("keyed.servers", "i-1");
+    store_.drop("keyed.servers", "i-2");
+    CHECK(eventually([&] { return status(request("lookup", "r-4")) == 503; }));
+}
+
+TEST_CASE_FIXTURE(gateway_process,
+                  "direct_path_store_faults_configuration_stays_and_newer_one_comes_with_its_return") {
+    start_ready();
+    for (const auto fault : {fake_store::fault::busy, fake_store::fault::limited, fake_store::fault::silent,
+                             fake_store::fault::truncated, fake_store::fault::expired}) {
+        CAPTURE(int(fault));
+        store_.set_fault(fault);
+        const int calls = store_.calls();
+        REQUIRE(eventually([&] { return store_.calls() > calls + 1; }));
+        CHECK(status(request("lookup", "during")) == 200);
+    }
+    nlohmann::json next = nlohmann::json::parse(configuration_text(9));
+    next["routes"].erase(0);
+    store_.put("keyed.op", "config", next.dump());
+    store_.put("keyed.op", "config", configuration_text(5)); // older versions never return
+    store_.set_fault(fake_store::fault::none);
+    // The log holds version 5 last; a process that has seen 9 in between stays there, others take 5.
+    CHECK(eventually([&] { return ready(); }));
+    CHECK(status(request("booking", "after")) == 200);
+}
+
+TEST_CASE_FIXTURE(gateway_process, "direct_path_endpoint_leaves_it_gets_no_new_requests_within_the_bound") {
+    start_ready();
+    nlohmann::json leaving = nlohmann::json::parse(endpoint_text(first_, "draining"));
+    leaving["sequence"] = 2;
+    store_.put("keyed.servers", "i-1", leaving.dump());
+    REQUIRE(eventually([&] {
+        first_.set_manners({manner::whole});
+        for (int attempt = 0; attempt < 8; ++attempt) {
+            status(request("lookup", "probe"));
+        }
+        return first_.arrived().empty();
+    }));
+}
+
+TEST_CASE_FIXTURE(gateway_process, "direct_path_told_to_stop_turns_unready_and_exits_in_order") {
+    start_ready();
+    process_.signal(SIGTERM);
+    CHECK(eventually([&] { return !ready(); }));
+    CHECK(process_.wait() == 0);
+}
+
+TEST_CASE_FIXTURE(gateway_process, "direct_path_store_unknown_from_the_start_answers_503_and_is_not_ready") {
+    store_.set_fault(fake_store::fault::busy);
+    start();
+    REQUIRE(eventually([&] { return status(request("lookup", "early")) == 503; }));
+    CHECK_FALSE(ready());
+    store_.set_fault(fake_store::fault::none);
+    CHECK(eventually([&] { return ready(); }));
+}
+
+} // namespace tamarack::direct
--- a/tests/direct/dispatch_test.cpp
+++ b/tests/direct/dispatch_test.cpp
@@ -20,7 +20,6 @@
     one.id_ = id;
     one.slots_ = 32;
     one.running_ = running;
-    one.same_data_centre_ = true;
     return one;
 }
 
