Log what becomes of an endpoint's entry, and the age of the view at each choice

Callers' requests reached an endpoint that had left (DRAIN). The logs could not tell three hypotheses apart: no line said what a gateway believes of an endpoint, nor how old its view was when it chose one.

Each gateway now writes a line when an endpoint is listed, leaves, is removed, kept or expires, with the age of the view and whether it was relayed. send_ended and request_ended carry the age of the view, and two metrics show it. A relayed view counts from its arrival; its time on the way is not known yet. The endpoints are copied to the traffic thread only when one has changed.

--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -145,23 +145,43 @@
 // A change in the registry of endpoints.
 using endpoint_change = std::variant<endpoint_record, endpoint_removed>;
 
+// The id of the endpoint that changed.
+const std::string& endpoint_id(const endpoint_change& change);
+
+// How current the data of a fleet source is.
+struct freshness {
+    time_ms as_of_ = 0;    // changes that the platform acknowledged before this time are included
+    bool relayed_ = false; // the latest data came from another gateway
+};
+
 // Time after a registry outage within which endpoints whose entries expired register again. The platform
 // promises that this takes about two seconds.
 inline constexpr time_ms registry_return_grace_ms = 2'000;
 
+// What a change did to the directory.
+enum class directory_effect {
+    none,    // the change was older than the known entry, or concerned no known endpoint
+    renewed, // a heartbeat, or a change of what the endpoint holds
+    listed,  // an endpoint that was not known
+    leaving, // the endpoint says that it is shutting down
+    kept,    // the entry was removed from the registry; the endpoint is kept
+    removed,
+};
+
+std::string_view to_string(directory_effect effect);
+
 // The endpoints in service. Entries that are removed during a registry outage or the grace period after it
 // are kept until that period has passed, unless the endpoint was shutting down.
 class directory {
 public:
-    void apply(const endpoint_change& change, time_ms now);
+    directory_effect apply(const endpoint_change& change, time_ms now);
 
     // Mark the beginning and the end of a registry outage.
     void registry_lost(time_ms now);
     void registry_returned(time_ms now);
 
-    // Erases the removed entries that were kept, once the grace period has passed. Returns whether anything
-    // changed.
-    bool expire(time_ms now);
+    // Erases the removed entries that were kept, once the grace period has passed. Returns their ids.
+    std::vector<std::string> expire(time_ms now);
 
     const std::map<std::string, endpoint_record, std::less<>>& endpoints() const { return endpoints_; }
 
@@ -177,7 +197,10 @@
 // Callbacks of a fleet source. They run on the executor that the source was created with.
 struct fleet_events {
     std::function<void(std::shared_ptr<const configuration>, const std::string& encoded)> configuration_;
-    std::function<void(std::vector<endpoint_change>)> endpoints_;
+
+    // Changes in the registry. Also called without changes, when the data is known to be current.
+    std::function<void(std::vector<endpoint_change>, const freshness&)> endpoints_;
+
     std::function<void(bool reachable)> registry_; // the registry became reachable or unreachable
     std::function<void(std::string bytes)> relay_; // data for gateways that do not read the store
     std::function<void(const error&)> skipped_;    // a record could not be used
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -63,9 +63,8 @@
                                      const std::string& encoded) {
         apply_configuration(std::move(configuration), encoded);
     };
-    handlers.endpoints_ = [this](const std::vector<fleet::endpoint_change>& changes) {
-        apply_endpoints(changes);
-    };
+    handlers.endpoints_ = [this](const std::vector<fleet::endpoint_change>& changes,
+                                 const fleet::freshness& current) { apply_endpoints(changes, current); };
     handlers.registry_ = [this](bool reachable) { set_registry_reachable(reachable); };
     handlers.skipped_ = [this](const error& why) {
         events_.write({event_kind::fleet_view, "gateway", "record_skipped", {}, {{"why", to_string(why)}}});
@@ -119,16 +118,45 @@
                                encoded);
 }
 
-void control::apply_endpoints(const std::vector<fleet::endpoint_change>& changes) {
+void control::apply_endpoints(const std::vector<fleet::endpoint_change>& changes,
+                              const fleet::freshness& current) {
     const time_ms now = steady_now_ms();
+    registry_freshness_ = current;
     if (!std::exchange(endpoints_known_, true)) {
         traffic_.set_store_reachable(true);
     }
+    bool changed = false;
     for (const fleet::endpoint_change& change : changes) {
-        directory_.apply(change, now);
+        const fleet::directory_effect effect = directory_.apply(change, now);
+        changed = changed || effect != fleet::directory_effect::none;
+        if (effect != fleet::directory_effect::none && effect != fleet::directory_effect::renewed) {
+            log_endpoint(fleet::endpoint_id(change), fleet::to_string(effect));
+        }
+    }
+    changed = erase_expired() || changed;
+    if (changed) {
+        traffic_.set_endpoints(directory_.endpoints());
     }
-    directory_.expire(now);
-    traffic_.set_endpoints(directory_.endpoints());
+    traffic_.set_registry_freshness(registry_freshness_);
+}
+
+// Erases the endpoints whose grace period has ended. Returns whether there were any.
+bool control::erase_expired() {
+    const std::vector<std::string> expired = directory_.expire(steady_now_ms());
+    for (const std::string& id : expired) {
+        log_endpoint(id, "expired");
+    }
+    return !expired.empty();
+}
+
+void control::log_endpoint(std::string_view id, std::string_view decision) {
+    events_.write({event_kind::fleet_view,
+                   "gateway",
+                   "endpoint_" + std::string(decision),
+                   {},
+                   {{"endpoint", id},
+                    {"view_age_ms", steady_now_ms() - registry_freshness_.as_of_},
+                    {"relayed", registry_freshness_.relayed_}}});
 }
 
 void control::set_registry_reachable(bool reachable) {
@@ -148,7 +176,7 @@
 }
 
 void control::tick() {
-    if (directory_.expire(steady_now_ms())) {
+    if (erase_expired()) {
         traffic_.set_endpoints(directory_.endpoints());
     }
     tick_timer_.expires_after(tick_interval);
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -21,7 +21,9 @@
 private:
     void apply_configuration(std::shared_ptr<const fleet::configuration> configuration,
                              const std::string& encoded);
-    void apply_endpoints(const std::vector<fleet::endpoint_change>& changes);
+    void apply_endpoints(const std::vector<fleet::endpoint_change>& changes, const fleet::freshness& current);
+    bool erase_expired();
+    void log_endpoint(std::string_view id, std::string_view decision);
     void set_registry_reachable(bool reachable);
     void tick();
     void watch_signals();
@@ -42,6 +44,7 @@
     boost::asio::steady_timer shutdown_timer_;
     std::unique_ptr<fleet::fleet_source> source_;
     fleet::directory directory_;
+    fleet::freshness registry_freshness_;
     planner planner_;
     traffic traffic_;
     std::unique_ptr<seed_exchange> seed_exchange_;
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -34,6 +34,11 @@
     }
     const std::vector<std::shared_ptr<endpoint>>& endpoints_of(std::string_view service) const;
 
+    void set_registry_freshness(const fleet::freshness& current) { registry_freshness_ = current; }
+
+    // Time since the endpoints were known to be current; a choice of an endpoint rests on data this old.
+    time_ms view_age_ms(time_ms now) const { return now - registry_freshness_.as_of_; }
+
     // The retry budget of a service, shared by all its requests.
     dispatch::retry_window& retries(const std::string& service);
 
@@ -94,6 +99,7 @@
     std::shared_ptr<const indexed_configuration> current_;
     std::map<std::string, std::shared_ptr<endpoint>, std::less<>> endpoints_;
     std::map<std::string, std::vector<std::shared_ptr<endpoint>>, std::less<>> endpoints_by_service_;
+    fleet::freshness registry_freshness_;
     std::map<std::string, dispatch::retry_window> retries_;
     std::map<std::string, dispatch::engine_timing> timings_;
     std::map<std::string, double> mean_first_event_ms_;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -154,6 +154,7 @@
 
 void request_flow::try_next_endpoint() {
     const time_ms now = steady_now_ms();
+    view_age_ms_ = context_.fleet_.view_age_ms(now);
     const auto usable = usable_endpoints();
     if (usable.empty()) {
         const bool may_be_loaded = service_->engine_ && !metadata_.model_.empty() && tried_endpoints_.empty();
@@ -190,6 +191,9 @@
         refuse("too_busy", std::max(expected, next_copy.value_or(0)));
         return;
     }
+    context_.metrics_.observe_ms("tamarack_choice_view_age_ms",
+                                 "Age of the view of the endpoints from which one was chosen", {},
+                                 double(view_age_ms_));
     acquire_adapter_and_send(usable[*chosen]);
 }
 
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -233,6 +233,7 @@
                              {"end", dispatch::to_string(end)},
                              {"status", response.status_},
                              {"took_ms", now - attempt_->started_at_},
+                             {"view_age_ms", view_age_ms_},
                              {"may_run_again", facts.repeatable_},
                              {"other_endpoint", facts.other_endpoint_},
                              {"budget_left", facts.budget_left_},
@@ -362,6 +363,7 @@
                              {"arrivals", arrived_attempts_},
                              {"events", splitter_.event_count()},
                              {"took_ms", now - arrived_at_},
+                             {"view_age_ms", view_age_ms_},
                              {"status", status},
                              {"outcome", outcome}}});
     const std::string rank = route_ == nullptr ? "none" : std::to_string(route_->rank_);
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -123,6 +123,10 @@
     asio::post(context_, [this, records = std::move(records)] { fleet_.apply_endpoints(records); });
 }
 
+void traffic::set_registry_freshness(const fleet::freshness& current) {
+    asio::post(context_, [this, current] { fleet_.set_registry_freshness(current); });
+}
+
 void traffic::relay_store_reading(std::string bytes) {
     asio::post(context_, [this, bytes = std::move(bytes)] {
         links::store_relay relay;
@@ -158,6 +162,8 @@
         send_digest(now);
     }
     relay_configuration(now);
+    measures_.set("tamarack_registry_view_age_ms", "Age of the view of the endpoints", {},
+                  double(fleet_.view_age_ms(now)));
     fleet_.set_needs(peers_.total_needs(fleet_.demand_.levels(now), now));
     const int rank = std::min(peers_.reader_rank(store_reachable_, now), store_reader_count);
     if (rank != reader_rank_) {
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -45,6 +45,10 @@
 
     void set_configuration(std::shared_ptr<const indexed_configuration> configuration, std::string encoded);
     void set_endpoints(std::map<std::string, fleet::endpoint_record, std::less<>> records);
+
+    // To be called after `set_endpoints`, so that the endpoints are at least as current.
+    void set_registry_freshness(const fleet::freshness& current);
+
     void relay_store_reading(std::string bytes);
     void set_store_reachable(bool reachable) { store_reachable_ = reachable; }
     void send_orders(std::vector<planned_order> orders);
--- a/tests/direct/fleet_test.cpp
+++ b/tests/direct/fleet_test.cpp
@@ -83,6 +83,17 @@
     CHECK(choose_target(route, 0.5) == nullptr);
 }
 
+TEST_CASE_FIXTURE(directory_fixture, "directory_changes_each_effect_is_returned") {
+    endpoint_record leaving = record("e1", 1, 3);
+    leaving.leaving_ = true;
+    CHECK(directory_.apply(record("e1"), 10'000) == directory_effect::listed);
+    CHECK(directory_.apply(record("e1", 1, 2), 10'100) == directory_effect::renewed);
+    CHECK(directory_.apply(record("e1", 1, 1), 10'200) == directory_effect::none);
+    CHECK(directory_.apply(leaving, 10'300) == directory_effect::leaving);
+    CHECK(directory_.apply(endpoint_removed{"e1"}, 10'400) == directory_effect::removed);
+    CHECK(directory_.apply(endpoint_removed{"e1"}, 10'500) == directory_effect::none);
+}
+
 TEST_CASE_FIXTURE(directory_fixture, "directory_entry_removed_without_outage_is_erased_at_once") {
     directory_.apply(record("e1"), 10'000);
     directory_.apply(endpoint_removed{"e1"}, 10'001);
@@ -95,8 +106,8 @@
     directory_.registry_returned(15'000);
     directory_.apply(endpoint_removed{"e1"}, 15'100);
     CHECK(has("e1"));
-    CHECK_FALSE(directory_.expire(15'000 + registry_return_grace_ms - 1));
-    CHECK(directory_.expire(15'000 + registry_return_grace_ms));
+    CHECK(directory_.expire(15'000 + registry_return_grace_ms - 1).empty());
+    CHECK(directory_.expire(15'000 + registry_return_grace_ms) == std::vector<std::string>{"e1"});
     CHECK_FALSE(has("e1"));
 }
 
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -101,7 +101,8 @@
     void connect(side& receiver, side& other) {
         fleet::fleet_events handlers;
         handlers.configuration_ = [](auto, const auto&) {};
-        handlers.endpoints_ = [&receiver](const std::vector<fleet::endpoint_change>& changes) {
+        handlers.endpoints_ = [&receiver](const std::vector<fleet::endpoint_change>& changes,
+                                          const fleet::freshness&) {
             for (const fleet::endpoint_change& change : changes) {
                 if (const auto* record = std::get_if<fleet::endpoint_record>(&change)) {
                     receiver.endpoints_.insert(record->id_);
