--- a/tests/direct/gateway_process.hpp
+++ b/tests/direct/gateway_process.hpp
@@ -67,6 +67,7 @@
     fake_endpoint second_{"i-2"};
     std::uint16_t port_ = free_port();
     std::uint16_t admin_port_ = free_port();
+    std::uint16_t agent_port_ = 1;
     std::string folder_;
     harness::process process_;
 
@@ -96,11 +97,11 @@
                                          {"admin", local + std::to_string(admin_port_)},
                                          {"metrics", local + std::to_string(free_port())},
                                          {"store", local + std::to_string(store_.address().port())},
-                                         {"agent_port", 1}};
+                                         {"agent_port", agent_port_}};
         const std::string path = folder_ + "/settings.json";
         std::ofstream(path) << settings.dump();
-        process_ =
-            harness::process("build/release/tamarack-gateway", {"--settings=" + path}, folder_ + "/log");
+        process_ = harness::process("build/release/tamarack-gateway", {"--settings=" + path},
+                                    folder_ + "/log", true);
     }
 
     // Sends one request and waits for its response, with a time limit.
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -37,6 +37,7 @@
     void set_fault(fault new_fault) { fault_ = new_fault; }
     boost::asio::ip::tcp::endpoint address() const;
     int calls() const { return calls_; }
+    std::size_t record_count(const std::string& topic) { return end_of(topic); }
 
 private:
     struct record {
--- /dev/null
+++ b/tests/direct/registry_view_test.cpp
@@ -0,0 +1,109 @@
+// How a gateway's view of the registry follows relays of other gateways, with the gateway as a process.
+#include "direct/agent_stand_in.hpp"
+#include "direct/gateway_process.hpp"
+#include "platform/relay.hpp"
+
+namespace tamarack::direct {
+
+namespace {
+
+// A gateway process that leaves reading the store to two other gateways, which the test plays.
+struct relayed_gateway : gateway_process {
+    agent_stand_in agent_;
+    fake_endpoint engine_{"e-1"};
+    std::atomic<std::int64_t> registry_end_ = 0;
+    std::atomic<bool> stopping_ = false;
+    std::thread peers_;
+
+    relayed_gateway() {
+        store_.put("keyed.op", "config", configuration_with_engines(4));
+        store_.put("keyed.servers", "e-1", engine_text());
+        registry_end_ = std::int64_t(store_.record_count("keyed.servers"));
+        agent_port_ = agent_.port();
+    }
+
+    ~relayed_gateway() {
+        stopping_ = true;
+        if (peers_.joinable()) {
+            peers_.join();
+        }
+    }
+
+    // The gateway links to the agent of an engine, so the configuration and the registry need one.
+    static std::string configuration_with_engines(int version) {
+        nlohmann::json body = nlohmann::json::parse(configuration_text(version));
+        body["services"].push_back({{"name", "engines"},
+                                    {"health_path", "/h"},
+                                    {"max_connections", 100},
+                                    {"engine", {{"slots", 4}}}});
+        return body.dump();
+    }
+
+    std::string engine_text() const {
+        nlohmann::json body = nlohmann::json::parse(endpoint_text(engine_));
+        body["service"] = "engines";
+        return body.dump();
+    }
+
+    // Two other gateways with lower ids, which reach the store, send digests and relays until the end.
+    void start_peers() {
+        constexpr useconds_t interval_us = 300'000;
+        peers_ = std::thread([this] {
+            while (!stopping_) {
+                for (const char* id : {"gateway-0a", "gateway-0b"}) {
+                    links::gateway_digest digest;
+                    digest.from = id;
+                    digest.uptime_ms = 60'000;
+                    digest.configuration_version = 4;
+                    digest.store_reachable = true;
+                    agent_.send(links::make_frame(std::move(digest)));
+                }
+                relay({});
+                ::usleep(interval_us);
+            }
+        });
+    }
+
+    // Relays records that follow those relayed before.
+    void relay(std::vector<platform::keyed_record> records) {
+        const std::int64_t from = registry_end_;
+        registry_end_ += std::int64_t(records.size());
+        const std::string bytes = platform::encode_relay(
+            {"keyed.servers", {from, from + std::int64_t(records.size()), std::move(records), false}, -1});
+        links::store_relay message;
+        message.from = "gateway-0a";
+        message.bytes.assign(bytes.begin(), bytes.end());
+        agent_.send(links::make_frame(std::move(message)));
+    }
+
+    bool logged(const std::string& text) const {
+        std::ifstream file(folder_ + "/log");
+        return std::string(std::istreambuf_iterator<char>(file), {}).find(text) != std::string::npos;
+    }
+};
+
+} // namespace
+
+// DRAIN: a gateway that had lost the store once kept sending to endpoints whose entries others saw removed.
+TEST_CASE_FIXTURE(
+    relayed_gateway,
+    "gateway_lost_the_store_before_an_entry_is_removed_stops_sending_there_within_two_seconds") {
+    constexpr useconds_t limit_us = 2'000'000;
+    start_ready();
+    store_.set_fault(fake_store::fault::busy);
+    REQUIRE(eventually([&] { return logged("\"store_lost\""); }));
+    start_peers();
+    REQUIRE(eventually([&] { return logged("\"leaves_reading_to_others\""); }));
+    store_.set_fault(fake_store::fault::none);
+    store_.drop("keyed.servers", "i-2");
+    relay({{"i-2", std::nullopt}});
+    ::usleep(limit_us);
+    set_behaviours_of_both({behaviour::complete});
+    constexpr int lookups = 20;
+    for (int lookup = 0; lookup < lookups; ++lookup) {
+        CHECK(status(request("lookup", "r-" + std::to_string(lookup))) == 200);
+    }
+    CHECK(second_.received_requests().empty());
+}
+
+} // namespace tamarack::direct
