Judge an outage of the registry by the age of the data, not by own calls

Callers' requests reached an endpoint that had left (DRAIN), from a gateway that the store had turned away seconds before.

Cause: a gateway took the registry for lost when three of its calls failed, and for returned when one succeeded. It then left reading to others and made no call, so the outage never ended: every entry removed from then on was kept, as if its endpoint only had been unable to renew it. A belief about another process, held without its age.

Change: each reading, own or relayed, carries the time from which it is and since when the registry has been read without a gap. Both are joined, so a gap of this process that another's readings cover is none. An entry that is missing is kept only until the data is from two seconds after a gap. No state outlives the data: registry_lost and registry_returned are gone, and with them the loss and return that a relay pretended after a single failed call of its sender, which also told the others that this gateway reaches the store.

The directory's tests state the same times through the freshness of the data; each check has its counterpart.

--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <limits>
 #include <memory>
 #include <optional>
 #include <set>
@@ -148,12 +149,30 @@
 // The id of the endpoint that changed.
 const std::string& endpoint_id(const endpoint_change& change);
 
+// A time before all others, for what has never happened.
+inline constexpr time_ms never = std::numeric_limits<time_ms>::min() / 2;
+
 // How current the data of a fleet source is.
 struct freshness {
-    time_ms as_of_ = 0;    // changes that the platform acknowledged before this time are included
+    time_ms as_of_ = never; // changes that the platform acknowledged before this time are included
+
+    // Start of the period up to `as_of_` in which the platform was read without a longer gap than
+    // `max_reading_gap_ms`, by this process or by those that relayed to it.
+    time_ms continuous_since_ = never;
+
     bool relayed_ = false; // the latest data came from another gateway
 };
 
+// No entry expires for want of a registry that accepts heartbeats if the registry is out of service for this
+// time only: endpoints renew their entries each 1.2 s, and entries last for three times as long.
+inline constexpr time_ms max_reading_gap_ms = 2'000;
+
+// Age of the data in ms; -1 if there has been none.
+time_ms age_ms(const freshness& current, time_ms now);
+
+// Joins the freshness of data that was known with that of newly received data.
+freshness join(const freshness& known, const freshness& received);
+
 // Time after a registry outage within which endpoints whose entries expired register again. The platform
 // promises that this takes about two seconds.
 inline constexpr time_ms registry_return_grace_ms = 2'000;
@@ -170,28 +189,23 @@
 
 std::string_view to_string(directory_effect effect);
 
-// The endpoints in service. Entries that are removed during a registry outage or the grace period after it
-// are kept until that period has passed, unless the endpoint was shutting down.
+// The endpoints in service. If the registry was out of service, endpoints may have been unable to renew their
+// entries. Those that are then missing are kept until the registry has been read for the grace period after
+// its return, unless the endpoint was shutting down.
 class directory {
 public:
-    directory_effect apply(const endpoint_change& change, time_ms now);
+    // Applies a change, read with data of this freshness.
+    directory_effect apply(const endpoint_change& change, const freshness& current);
 
-    // Mark the beginning and the end of a registry outage.
-    void registry_lost(time_ms now);
-    void registry_returned(time_ms now);
-
-    // Erases the removed entries that were kept, once the grace period has passed. Returns their ids.
-    std::vector<std::string> expire(time_ms now);
+    // Erases the removed entries that were kept, if the data is from after the grace period. Returns their
+    // ids.
+    std::vector<std::string> expire(const freshness& current);
 
     const std::map<std::string, endpoint_record, std::less<>>& endpoints() const { return endpoints_; }
 
 private:
-    bool in_grace_period(time_ms now) const;
-
     std::map<std::string, endpoint_record, std::less<>> endpoints_;
     std::set<std::string> lapsed_; // entries removed from the registry but still kept
-    bool registry_unreachable_ = false;
-    time_ms registry_returned_at_ = -registry_return_grace_ms;
 };
 
 // Callbacks of a fleet source. They run on the executor that the source was created with.
@@ -201,7 +215,7 @@
     // Changes in the registry. Also called without changes, when the data is known to be current.
     std::function<void(std::vector<endpoint_change>, const freshness&)> endpoints_;
 
-    std::function<void(bool reachable)> registry_; // the registry became reachable or unreachable
+    std::function<void(bool reachable)> store_;    // this process reaches the store, or no longer does
     std::function<void(std::string bytes)> relay_; // data for gateways that do not read the store
     std::function<void(const error&)> skipped_;    // a record could not be used
 };
--- a/src/fleet/directory.cpp
+++ b/src/fleet/directory.cpp
@@ -1,5 +1,7 @@
 #include "tamarack/fleet.hpp"
 
+#include <algorithm>
+
 namespace tamarack::fleet {
 
 bool is_older(const endpoint_record& candidate, const endpoint_record& known) {
@@ -31,11 +33,29 @@
     return "unknown";
 }
 
-bool directory::in_grace_period(time_ms now) const {
-    return registry_unreachable_ || now < registry_returned_at_ + registry_return_grace_ms;
+time_ms age_ms(const freshness& current, time_ms now) {
+    return current.as_of_ == never ? -1 : now - current.as_of_;
+}
+
+freshness join(const freshness& known, const freshness& received) {
+    const freshness& later = received.as_of_ >= known.as_of_ ? received : known;
+    const freshness& earlier = received.as_of_ >= known.as_of_ ? known : received;
+    freshness joined = later;
+    if (later.continuous_since_ - earlier.as_of_ <= max_reading_gap_ms) {
+        joined.continuous_since_ = std::min(later.continuous_since_, earlier.continuous_since_);
+    }
+    return joined;
+}
+
+namespace {
+
+bool in_grace_period(const freshness& current) {
+    return current.as_of_ < current.continuous_since_ + registry_return_grace_ms;
 }
 
-directory_effect directory::apply(const endpoint_change& change, time_ms now) {
+} // namespace
+
+directory_effect directory::apply(const endpoint_change& change, const freshness& current) {
     if (const auto* record = std::get_if<endpoint_record>(&change)) {
         const auto known = endpoints_.find(record->id_);
         const bool listed = known == endpoints_.end() || lapsed_.contains(record->id_);
@@ -57,7 +77,7 @@
     }
     // The entry of an endpoint that was shutting down is erased. Any other endpoint may merely have been
     // unable to renew its entry.
-    if (in_grace_period(now) && !found->second.leaving_) {
+    if (in_grace_period(current) && !found->second.leaving_) {
         return lapsed_.insert(id).second ? directory_effect::kept : directory_effect::none;
     }
     lapsed_.erase(id);
@@ -65,17 +85,8 @@
     return directory_effect::removed;
 }
 
-void directory::registry_lost(time_ms) {
-    registry_unreachable_ = true;
-}
-
-void directory::registry_returned(time_ms now) {
-    registry_unreachable_ = false;
-    registry_returned_at_ = now;
-}
-
-std::vector<std::string> directory::expire(time_ms now) {
-    if (in_grace_period(now)) {
+std::vector<std::string> directory::expire(const freshness& current) {
+    if (in_grace_period(current)) {
         return {};
     }
     std::vector<std::string> expired(lapsed_.begin(), lapsed_.end());
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds tick_interval{250};
 constexpr std::chrono::milliseconds shutdown_poll_interval{50};
 constexpr double ms_per_s = 1'000;
 
@@ -28,7 +27,7 @@
 
 control::control(const gateway_settings& settings, std::string settings_path, event_log& events)
     : settings_(settings), settings_path_(std::move(settings_path)), events_(events), context_(1),
-      signals_(context_, SIGTERM, SIGINT, SIGHUP), tick_timer_(context_), shutdown_timer_(context_),
+      signals_(context_, SIGTERM, SIGINT, SIGHUP), shutdown_timer_(context_),
       planner_(settings.id_, settings.load_window_s_),
       traffic_(settings, *registry<header_names>::instance().find(settings.platform_), measures_, events,
                {[this](std::shared_ptr<const fleet_snapshot> snapshot) {
@@ -65,7 +64,7 @@
     };
     handlers.endpoints_ = [this](const std::vector<fleet::endpoint_change>& changes,
                                  const fleet::freshness& current) { apply_endpoints(changes, current); };
-    handlers.registry_ = [this](bool reachable) { set_registry_reachable(reachable); };
+    handlers.store_ = [this](bool reachable) { set_store_reachable(reachable); };
     handlers.skipped_ = [this](const error& why) {
         events_.write({event_kind::fleet_view, "gateway", "record_skipped", {}, {{"why", to_string(why)}}});
     };
@@ -100,7 +99,6 @@
     source_->start();
     seed_exchange_->start([this] { return configuration_version_ >= 0 && endpoints_known_; });
     watch_signals();
-    tick();
     context_.run();
     traffic_.stop();
     traffic_thread.join();
@@ -120,14 +118,13 @@
 
 void control::apply_endpoints(const std::vector<fleet::endpoint_change>& changes,
                               const fleet::freshness& current) {
-    const time_ms now = steady_now_ms();
     registry_freshness_ = current;
     if (!std::exchange(endpoints_known_, true)) {
         traffic_.set_store_reachable(true);
     }
     bool changed = false;
     for (const fleet::endpoint_change& change : changes) {
-        const fleet::directory_effect effect = directory_.apply(change, now);
+        const fleet::directory_effect effect = directory_.apply(change, current);
         changed = changed || effect != fleet::directory_effect::none;
         if (effect != fleet::directory_effect::none && effect != fleet::directory_effect::renewed) {
             log_endpoint(fleet::endpoint_id(change), fleet::to_string(effect));
@@ -142,7 +139,7 @@
 
 // Erases the endpoints whose grace period has ended. Returns whether there were any.
 bool control::erase_expired() {
-    const std::vector<std::string> expired = directory_.expire(steady_now_ms());
+    const std::vector<std::string> expired = directory_.expire(registry_freshness_);
     for (const std::string& id : expired) {
         log_endpoint(id, "expired");
     }
@@ -155,18 +152,12 @@
                    "endpoint_" + std::string(decision),
                    {},
                    {{"endpoint", id},
-                    {"view_age_ms", steady_now_ms() - registry_freshness_.as_of_},
+                    {"view_age_ms", fleet::age_ms(registry_freshness_, steady_now_ms())},
                     {"relayed", registry_freshness_.relayed_}}});
 }
 
-void control::set_registry_reachable(bool reachable) {
-    const time_ms now = steady_now_ms();
+void control::set_store_reachable(bool reachable) {
     traffic_.set_store_reachable(reachable);
-    if (reachable) {
-        directory_.registry_returned(now);
-    } else {
-        directory_.registry_lost(now);
-    }
     events_.write({event_kind::dependency,
                    "gateway",
                    reachable ? "store_regained" : "store_lost",
@@ -175,18 +166,6 @@
                     {"configuration", configuration_version_}}});
 }
 
-void control::tick() {
-    if (erase_expired()) {
-        traffic_.set_endpoints(directory_.endpoints());
-    }
-    tick_timer_.expires_after(tick_interval);
-    tick_timer_.async_wait([this](boost::system::error_code cancelled) {
-        if (!cancelled) {
-            tick();
-        }
-    });
-}
-
 bool control::ready() const {
     return !shutting_down_ && configuration_version_ >= 0 && endpoints_known_;
 }
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -24,8 +24,7 @@
     void apply_endpoints(const std::vector<fleet::endpoint_change>& changes, const fleet::freshness& current);
     bool erase_expired();
     void log_endpoint(std::string_view id, std::string_view decision);
-    void set_registry_reachable(bool reachable);
-    void tick();
+    void set_store_reachable(bool reachable);
     void watch_signals();
     void check_settings();
     void shut_down();
@@ -40,7 +39,6 @@
     metrics measures_;
     boost::asio::io_context context_;
     boost::asio::signal_set signals_;
-    boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer shutdown_timer_;
     std::unique_ptr<fleet::fleet_source> source_;
     fleet::directory directory_;
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -36,8 +36,8 @@
 
     void set_registry_freshness(const fleet::freshness& current) { registry_freshness_ = current; }
 
-    // Time since the endpoints were known to be current; a choice of an endpoint rests on data this old.
-    time_ms view_age_ms(time_ms now) const { return now - registry_freshness_.as_of_; }
+    // Age of the data that a choice of an endpoint rests on; -1 if there has been none.
+    time_ms view_age_ms(time_ms now) const { return fleet::age_ms(registry_freshness_, now); }
 
     // The retry budget of a service, shared by all its requests.
     dispatch::retry_window& retries(const std::string& service);
--- a/tests/direct/fleet_test.cpp
+++ b/tests/direct/fleet_test.cpp
@@ -41,6 +41,11 @@
         return one;
     }
 
+    // Data of a registry that has been in service for long.
+    static freshness continuous(time_ms as_of) {
+        return {as_of, as_of - 10 * registry_return_grace_ms, false};
+    }
+
     bool has(std::string_view id) const { return directory_.endpoints().contains(id); }
 };
 
@@ -84,60 +89,89 @@
 }
 
 TEST_CASE_FIXTURE(directory_fixture, "directory_changes_each_effect_is_returned") {
+    const freshness current = continuous(10'000);
     endpoint_record leaving = record("e1", 1, 3);
     leaving.leaving_ = true;
-    CHECK(directory_.apply(record("e1"), 10'000) == directory_effect::listed);
-    CHECK(directory_.apply(record("e1", 1, 2), 10'100) == directory_effect::renewed);
-    CHECK(directory_.apply(record("e1", 1, 1), 10'200) == directory_effect::none);
-    CHECK(directory_.apply(leaving, 10'300) == directory_effect::leaving);
-    CHECK(directory_.apply(endpoint_removed{"e1"}, 10'400) == directory_effect::removed);
-    CHECK(directory_.apply(endpoint_removed{"e1"}, 10'500) == directory_effect::none);
+    CHECK(directory_.apply(record("e1"), current) == directory_effect::listed);
+    CHECK(directory_.apply(record("e1", 1, 2), current) == directory_effect::renewed);
+    CHECK(directory_.apply(record("e1", 1, 1), current) == directory_effect::none);
+    CHECK(directory_.apply(leaving, current) == directory_effect::leaving);
+    CHECK(directory_.apply(endpoint_removed{"e1"}, current) == directory_effect::removed);
+    CHECK(directory_.apply(endpoint_removed{"e1"}, current) == directory_effect::none);
 }
 
 TEST_CASE_FIXTURE(directory_fixture, "directory_entry_removed_without_outage_is_erased_at_once") {
-    directory_.apply(record("e1"), 10'000);
-    directory_.apply(endpoint_removed{"e1"}, 10'001);
+    directory_.apply(record("e1"), continuous(10'000));
+    directory_.apply(endpoint_removed{"e1"}, continuous(10'001));
     CHECK_FALSE(has("e1"));
 }
 
 TEST_CASE_FIXTURE(directory_fixture, "directory_entry_removed_after_an_outage_stays_for_the_grace_period") {
-    directory_.apply(record("e1"), 10'000);
-    directory_.registry_lost(11'000);
-    directory_.registry_returned(15'000);
-    directory_.apply(endpoint_removed{"e1"}, 15'100);
+    directory_.apply(record("e1"), continuous(10'000));
+    const auto as_of = [](time_ms time) { return freshness{time, 15'000, false}; };
+    CHECK(directory_.apply(endpoint_removed{"e1"}, as_of(15'100)) == directory_effect::kept);
     CHECK(has("e1"));
-    CHECK(directory_.expire(15'000 + registry_return_grace_ms - 1).empty());
-    CHECK(directory_.expire(15'000 + registry_return_grace_ms) == std::vector<std::string>{"e1"});
+    CHECK(directory_.expire(as_of(15'000 + registry_return_grace_ms - 1)).empty());
+    CHECK(directory_.expire(as_of(15'000 + registry_return_grace_ms)) == std::vector<std::string>{"e1"});
     CHECK_FALSE(has("e1"));
 }
 
 TEST_CASE_FIXTURE(directory_fixture, "directory_lapsed_entry_registers_again_is_kept") {
-    directory_.apply(record("e1"), 10'000);
-    directory_.registry_lost(11'000);
-    directory_.registry_returned(15'000);
-    directory_.apply(endpoint_removed{"e1"}, 15'100);
-    directory_.apply(record("e1", 1, 2), 16'000);
-    directory_.expire(30'000);
+    directory_.apply(record("e1"), continuous(10'000));
+    directory_.apply(endpoint_removed{"e1"}, {15'100, 15'000, false});
+    directory_.apply(record("e1", 1, 2), {16'000, 15'000, false});
+    directory_.expire({30'000, 15'000, false});
     CHECK(has("e1"));
 }
 
 TEST_CASE_FIXTURE(directory_fixture, "directory_leaving_entry_removed_in_an_outage_is_erased_at_once") {
     endpoint_record leaving = record("e1");
     leaving.leaving_ = true;
-    directory_.apply(leaving, 10'000);
-    directory_.registry_lost(11'000);
-    directory_.apply(endpoint_removed{"e1"}, 12'000);
+    directory_.apply(leaving, continuous(10'000));
+    directory_.apply(endpoint_removed{"e1"}, {12'000, 12'000, false});
     CHECK_FALSE(has("e1"));
 }
 
+TEST_CASE("freshness_readings_in_short_succession_stay_continuous") {
+    const freshness first{10'000, 10'000, false};
+    const freshness next{10'000 + max_reading_gap_ms, 10'000 + max_reading_gap_ms, false};
+    CHECK(join(first, next).as_of_ == next.as_of_);
+    CHECK(join(first, next).continuous_since_ == 10'000);
+}
+
+TEST_CASE("freshness_reading_after_a_long_gap_starts_anew") {
+    const time_ms after_gap = 10'001 + max_reading_gap_ms;
+    const freshness joined = join({10'000, 5'000, false}, {after_gap, after_gap, false});
+    CHECK(joined.as_of_ == after_gap);
+    CHECK(joined.continuous_since_ == after_gap);
+}
+
+// DRAIN: a gateway that had lost the store once took the registry for lost ever after.
+TEST_CASE("freshness_own_gap_covered_by_a_relay_stays_continuous") {
+    const freshness relayed{30'000, 1'000, true};
+    CHECK(join({10'000, 5'000, false}, relayed).continuous_since_ == 1'000);
+    // The own reading comes first and the relay that covers the gap after it.
+    const freshness after_gap = join({10'000, 5'000, false}, {30'500, 30'500, false});
+    CHECK(join(after_gap, relayed).as_of_ == 30'500);
+    CHECK(join(after_gap, relayed).continuous_since_ == 1'000);
+}
+
+TEST_CASE("freshness_older_data_arrives_late_does_not_set_it_back") {
+    const freshness joined = join({30'000, 29'000, false}, {10'000, 9'000, true});
+    CHECK(joined.as_of_ == 30'000);
+    CHECK(joined.continuous_since_ == 29'000);
+    CHECK(age_ms(joined, 30'250) == 250);
+    CHECK(age_ms(freshness(), 30'250) == -1);
+}
+
 TEST_CASE_FIXTURE(directory_fixture, "directory_older_record_arrives_late_is_ignored") {
     endpoint_record leaving = record("e1", 5, 9);
     leaving.leaving_ = true;
-    directory_.apply(leaving, 10'000);
-    directory_.apply(record("e1", 5, 8), 10'100);
-    directory_.apply(record("e1", 4, 99), 10'200);
+    directory_.apply(leaving, continuous(10'000));
+    directory_.apply(record("e1", 5, 8), continuous(10'100));
+    directory_.apply(record("e1", 4, 99), continuous(10'200));
     CHECK(directory_.endpoints().at("e1").leaving_);
-    directory_.apply(record("e1", 6, 1), 10'300);
+    directory_.apply(record("e1", 6, 1), continuous(10'300));
     CHECK_FALSE(directory_.endpoints().at("e1").leaving_);
 }
 
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -48,7 +48,7 @@
     platform::relay_message message;
     message.topic_ = "t";
     message.span_ = {5, 9, {{"k", "v\x01"}, {"gone", std::nullopt}}};
-    message.store_failure_age_ms_ = 12;
+    message.continuous_for_ms_ = 12;
     const auto decoded = platform::decode_relay(platform::encode_relay(message));
     REQUIRE(ok(decoded));
     CHECK(value(decoded).topic_ == "t");
@@ -57,6 +57,7 @@
     REQUIRE(value(decoded).span_.records_.size() == 2);
     CHECK(value(decoded).span_.records_[0].value_ == "v\x01");
     CHECK_FALSE(value(decoded).span_.records_[1].value_);
+    CHECK(value(decoded).continuous_for_ms_ == 12);
     CHECK_FALSE(ok(platform::decode_relay("damaged")));
 }
 
@@ -111,7 +112,7 @@
                 }
             }
         };
-        handlers.registry_ = [](bool) {};
+        handlers.store_ = [](bool) {};
         handlers.relay_ = [&other](const std::string& bytes) { other.source_->take_relayed(bytes); };
         handlers.skipped_ = [](const error&) {};
         receiver.source_ = (*registry<fleet::fleet_source_factory>::instance().find("log-store"))(
--- a/tests/direct/registry_view_test.cpp
+++ b/tests/direct/registry_view_test.cpp
@@ -68,8 +68,10 @@
     void relay(std::vector<platform::keyed_record> records) {
         const std::int64_t from = registry_end_;
         registry_end_ += std::int64_t(records.size());
-        const std::string bytes = platform::encode_relay(
-            {"keyed.servers", {from, from + std::int64_t(records.size()), std::move(records), false}, -1});
+        const std::string bytes =
+            platform::encode_relay({"keyed.servers",
+                                    {from, from + std::int64_t(records.size()), std::move(records), false},
+                                    60'000});
         links::store_relay message;
         message.from = "gateway-0a";
         message.bytes.assign(bytes.begin(), bytes.end());
