Relay every change between the offsets of a span

Cause: a reader left out of its relays what it took the others to know already, since another reader had relayed it. A gateway that had missed that relay, and whose known records ended within the span, went past the change without it. A belief about what others know, without knowing it.

Change: a reader leaves out only records that change nothing in the topic as it knows it at the start of the span, that is, heartbeats. So a span suffices for whoever knows the topic up to its start. Records carry their offsets; those that are known are skipped, and a read whose answer the store cut to its size limit goes on from the last record in it, where it skipped the rest. What others relayed counts only if it could be applied.

--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -3,6 +3,8 @@
 #include "platform/relay.hpp"
 #include "tamarack/engine.hpp"
 
+#include <algorithm>
+
 namespace tamarack::direct {
 
 TEST_CASE("platform_configuration_with_unknown_and_missing_fields_is_decoded") {
@@ -47,7 +49,7 @@
 TEST_CASE("platform_relay_message_is_decoded_unchanged_and_malformed_bytes_are_rejected") {
     platform::relay_message message;
     message.topic_ = "t";
-    message.span_ = {5, 9, {{"k", "v\x01"}, {"gone", std::nullopt}}};
+    message.span_ = {5, 9, {{"k", "v\x01", 6}, {"gone", std::nullopt, 8}}};
     message.continuous_for_ms_ = 12;
     const auto decoded = platform::decode_relay(platform::encode_relay(message));
     REQUIRE(ok(decoded));
@@ -57,6 +59,7 @@
     REQUIRE(value(decoded).span_.records_.size() == 2);
     CHECK(value(decoded).span_.records_[0].value_ == "v\x01");
     CHECK_FALSE(value(decoded).span_.records_[1].value_);
+    CHECK(value(decoded).span_.records_[1].offset_ == 8);
     CHECK(value(decoded).continuous_for_ms_ == 12);
     CHECK_FALSE(ok(platform::decode_relay("damaged")));
 }
@@ -66,10 +69,10 @@
     const std::string record = std::string("\0\0\0\7", 4) + key_and_value;
     const std::string header = std::string(7, '\0') + char(2) + std::string(8, '\0');
     const std::string whole = header + record + record;
-    REQUIRE(ok(platform::decode_read(whole)));
-    CHECK(value(platform::decode_read(whole)).records_.size() == 2);
+    REQUIRE(ok(platform::decode_read(whole, 0)));
+    CHECK(value(platform::decode_read(whole, 0)).records_.size() == 2);
     for (std::size_t length = 0; length < whole.size(); ++length) {
-        const auto decoded = platform::decode_read(std::string_view(whole).substr(0, length));
+        const auto decoded = platform::decode_read(std::string_view(whole).substr(0, length), 0);
         const bool at_boundary = length == header.size() || length == header.size() + record.size();
         CHECK(ok(decoded) == at_boundary);
     }
@@ -82,6 +85,7 @@
     struct side {
         std::unique_ptr<fleet::fleet_source> source_;
         std::set<std::string> endpoints_;
+        std::vector<platform::relay_message> relayed_; // messages about the registry that it has relayed
     };
 
     fake_store store_;
@@ -113,7 +117,14 @@
             }
         };
         handlers.store_ = [](bool) {};
-        handlers.relay_ = [&other](const std::string& bytes) { other.source_->take_relayed(bytes); };
+        handlers.relay_ = [&receiver, &other](const std::string& bytes) {
+            const auto message = platform::decode_relay(bytes);
+            REQUIRE(ok(message));
+            if (value(message).topic_ == "keyed.servers") {
+                receiver.relayed_.push_back(value(message));
+            }
+            other.source_->take_relayed(bytes);
+        };
         handlers.skipped_ = [](const error&) {};
         receiver.source_ = (*registry<fleet::fleet_source_factory>::instance().find("log-store"))(
             context_, store_.address(), std::move(handlers));
@@ -156,6 +167,34 @@
     CHECK(eventually([&] { return known("i-1"); }));
 }
 
+// DRAIN: a reader left a change out because another reader had relayed it; a gateway that had missed the
+// other's relay then went past the change.
+TEST_CASE_FIXTURE(relaying_sources,
+                  "sources_reader_misses_a_relay_but_not_the_next_relays_all_that_changed") {
+    const auto known = [this](const std::string& id) {
+        return first_.endpoints_.contains(id) && second_.endpoints_.contains(id);
+    };
+    REQUIRE(eventually([&] { return known("i-1"); }));
+    set_roles(first_, second_);
+    store_.put("keyed.servers", "i-2", endpoint_text(endpoint_));
+    REQUIRE(eventually([&] { return known("i-2"); }));
+    const auto end = std::int64_t(store_.record_count("keyed.servers"));
+    store_.put("keyed.servers", "i-2", endpoint_text(endpoint_)); // a heartbeat
+    store_.drop("keyed.servers", "i-1");
+    platform::relay_message next;
+    next.topic_ = "keyed.servers";
+    next.span_ = {end + 1, end + 2, {{"i-1", std::nullopt}}, false};
+    first_.relayed_.clear();
+    first_.source_->take_relayed(platform::encode_relay(next));
+    const auto covers_removal = [&](const platform::relay_message& message) {
+        return message.span_.from_ <= end + 1 && message.span_.end_ > end + 1;
+    };
+    REQUIRE(eventually([&] { return std::ranges::any_of(first_.relayed_, covers_removal); }));
+    const auto message = std::ranges::find_if(first_.relayed_, covers_removal);
+    CHECK(std::ranges::any_of(message->span_.records_,
+                              [](const auto& record) { return record.key_ == "i-1" && !record.value_; }));
+}
+
 TEST_CASE("engine_client_unanswered_order_times_out_in_time_to_repeat_it") {
     constexpr time_ms adapter_limit_ms = 1'200; // within which a requested adapter must become resident
     fake_endpoint engine("i-1");
