--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -152,7 +152,7 @@
 // A time before all others, for what has never happened.
 inline constexpr time_ms never = std::numeric_limits<time_ms>::min() / 2;
 
-// How current the data of a fleet source is.
+// How current the data of a fleet source is. Times are those of `boot_now_ms`.
 struct freshness {
     time_ms as_of_ = never; // changes that the platform acknowledged before this time are included
 
@@ -208,6 +208,13 @@
     std::set<std::string> lapsed_; // entries removed from the registry but still kept
 };
 
+// Data that one gateway relays to others. `as_of_` is the time from which it is, on the clock of the process
+// that holds it; `never` if it is not known how long the data was on its way.
+struct relayed_data {
+    std::string bytes_;
+    time_ms as_of_ = never;
+};
+
 // Callbacks of a fleet source. They run on the executor that the source was created with.
 struct fleet_events {
     std::function<void(std::shared_ptr<const configuration>, const std::string& encoded)> configuration_;
@@ -215,9 +222,9 @@
     // Changes in the registry. Also called without changes, when the data is known to be current.
     std::function<void(std::vector<endpoint_change>, const freshness&)> endpoints_;
 
-    std::function<void(bool reachable)> store_;    // this process reaches the store, or no longer does
-    std::function<void(std::string bytes)> relay_; // data for gateways that do not read the store
-    std::function<void(const error&)> skipped_;    // a record could not be used
+    std::function<void(bool reachable)> store_; // this process reaches the store, or no longer does
+    std::function<void(relayed_data)> relay_;   // data for gateways that do not read the store
+    std::function<void(const error&)> skipped_; // a record could not be used
 };
 
 // Follows the operator's configuration and the registry of endpoints.
@@ -231,11 +238,11 @@
     virtual void set_reads_store(bool reads, bool first) = 0;
 
     // Applies data that another gateway relayed.
-    virtual void take_relayed(const std::string& bytes) = 0;
+    virtual void take_relayed(const relayed_data& data) = 0;
 
     // Returns all known state, as input for `take_relayed` of a gateway that starts while the store is
     // unreachable.
-    virtual std::vector<std::string> snapshot() const = 0;
+    virtual std::vector<relayed_data> snapshot() const = 0;
 
     // Decodes a configuration that a peer relayed. Fails with `invalid`.
     virtual result<std::shared_ptr<const configuration>> decode(const std::string& encoded) const = 0;
--- a/include/tamarack/kernel.hpp
+++ b/include/tamarack/kernel.hpp
@@ -71,6 +71,10 @@
 // Reads the monotonic clock. For programs only: the decision code takes the time as an argument.
 time_ms steady_now_ms();
 
+// Reads a monotonic clock that, unlike `steady_now_ms`, also counts the time for which the instance was
+// suspended. For the age of what a process knows.
+time_ms boot_now_ms();
+
 // 64-bit hash of `bytes`, the same in every process and build.
 std::uint64_t hash64(std::string_view bytes, std::uint64_t seed = 0);
 
--- a/include/tamarack/links.hpp
+++ b/include/tamarack/links.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <span>
 
 namespace tamarack::links {
@@ -26,6 +27,7 @@
 using gateway_digest = fbs::GatewayDigestT;
 using configuration_relay = fbs::ConfigurationRelayT;
 using store_relay = fbs::StoreRelayT;
+using echo = fbs::EchoT;
 using frame = fbs::FrameT;
 
 // Protocol version sent in `hello`. An agent closes the link of a gateway that has another version.
@@ -52,6 +54,28 @@
 // Decodes a frame without its length prefix. Fails with `invalid` if the bytes are not a valid frame.
 result<frame> decode(std::span<const std::uint8_t> bytes);
 
+// Holds the newest stamp that came over a link, to return it to the peer.
+class stamp_keeper {
+public:
+    // `sent_at` is the peer's stamp, negative if it sent none; `now` is this process's time.
+    void note(time_ms sent_at, time_ms now);
+
+    // Returns an echo to be sent at once; nothing before the first stamp.
+    std::optional<echo> make_echo(time_ms now) const;
+
+private:
+    struct received_stamp {
+        time_ms sent_at_ = 0;
+        time_ms received_at_ = 0;
+    };
+
+    std::optional<received_stamp> newest_;
+};
+
+// Upper bound of the time that a frame was on its way, if it was sent with this echo of an own stamp and
+// arrived at `now`. It includes the way of the stamp. The clocks of the two processes are not compared.
+time_ms max_transit_ms(const echo& returned, time_ms now);
+
 // A connection that carries frames in both directions. Call its functions only from the executor of its
 // socket.
 class link : public std::enable_shared_from_this<link> {
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -121,6 +121,7 @@
         }
         from->id_ = hello.id;
         engine_ids_[hello.engine_incarnation] = hello.engine;
+        from->stamps_.note(hello.sent_at, boot_now_ms());
         events_.write({event_kind::dependency, "agent", "gateway_linked", {}, {{"gateway", from->id_}}});
         from->link_->send(links::make_frame(make_status(true)));
         return;
@@ -143,10 +144,15 @@
         handle_placement(*received.body.AsPlacementOrder());
         return;
     case links::fbs::Body::GatewayDigest:
+        from->stamps_.note(received.body.AsGatewayDigest()->sent_at, boot_now_ms());
+        relay(*from, received);
+        return;
     case links::fbs::Body::ConfigurationRelay:
-    case links::fbs::Body::StoreRelay:
         relay(*from, received);
         return;
+    case links::fbs::Body::StoreRelay:
+        relay_store_reading(*from, *received.body.AsStoreRelay());
+        return;
     default:
         return;
     }
@@ -193,6 +199,26 @@
     }
 }
 
+// Relays what a gateway read from the store. Its age then includes the way to this agent, and the echoes let
+// the others add theirs.
+void agent::relay_store_reading(const gateway& from, const links::store_relay& received) {
+    const time_ms now = boot_now_ms();
+    links::store_relay relayed(received);
+    relayed.echo = nullptr;
+    relayed.age_ms = received.age_ms < 0 || received.echo == nullptr
+                         ? -1
+                         : received.age_ms + links::max_transit_ms(*received.echo, now);
+    const std::string bytes = links::encode(links::make_frame(std::move(relayed)));
+    const auto recipients = gateways_; // a copy, since a link that fails is removed from gateways_
+    for (const auto& to : recipients) {
+        if (to.get() == &from) {
+            continue;
+        }
+        const auto echo = to->stamps_.make_echo(now);
+        to->link_->send_encoded(echo ? links::encode(links::make_frame(*echo)) + bytes : bytes);
+    }
+}
+
 void agent::read_report() {
     if (std::exchange(report_pending_, true)) {
         return;
@@ -290,6 +316,7 @@
 
 links::engine_status agent::make_status(bool with_models) const {
     links::engine_status status;
+    status.sent_at = boot_now_ms();
     status.reachable = reachable_;
     if (!scheduler_.report()) {
         return status;
--- a/src/engine_agent/agent.hpp
+++ b/src/engine_agent/agent.hpp
@@ -25,6 +25,7 @@
         std::string id_;
         std::shared_ptr<links::link> link_;
         std::map<std::uint64_t, std::uint64_t> request_ids_; // this agent's id, by the gateway's number
+        links::stamp_keeper stamps_;                         // of the gateway
     };
 
     // The parts of an engine's status whose changes are sent to the gateways without delay.
@@ -42,6 +43,7 @@
     void release_adapter(gateway& from, std::uint64_t number);
     void handle_placement(const links::placement_order& order);
     void relay(const gateway& from, const links::frame& received);
+    void relay_store_reading(const gateway& from, const links::store_relay& received);
 
     void read_report();
     void handle_report(result<engine::report> outcome);
--- a/src/gateway/agent_links.cpp
+++ b/src/gateway/agent_links.cpp
@@ -2,6 +2,8 @@
 
 #include "tamarack/provisioning.hpp"
 
+#include <algorithm>
+
 namespace tamarack::gateway {
 
 namespace asio = boost::asio;
@@ -26,6 +28,8 @@
     time_ms next_attempt_ = 0;
     time_ms heard_at_ = 0;
     std::int64_t announced_incarnation_ = 0; // incarnation of the engine in the last hello
+    links::stamp_keeper stamps_;             // of the agent
+    std::optional<links::echo> echo_;        // of an own stamp, for the next StoreRelay
 };
 
 agent_links::agent_links(fleet_state& fleet, std::string id, std::uint64_t incarnation,
@@ -116,11 +120,14 @@
     greeting.incarnation = incarnation_;
     greeting.engine = one.endpoint_;
     greeting.engine_incarnation = one.announced_incarnation_;
+    greeting.sent_at = boot_now_ms();
     one.link_->send(links::make_frame(greeting));
 }
 
 void agent_links::on_link_closed(agent& one) {
     one.link_ = nullptr;
+    one.stamps_ = {};
+    one.echo_ = std::nullopt;
     one.next_attempt_ = steady_now_ms() + reconnect_delay_ms;
     const auto found = fleet_.endpoints().find(one.endpoint_);
     if (found != fleet_.endpoints().end()) {
@@ -153,8 +160,11 @@
     case links::fbs::Body::GatewayDigest:
         handlers_.digest_(*received.body.AsGatewayDigest());
         return;
+    case links::fbs::Body::Echo:
+        one.echo_ = *received.body.AsEcho();
+        return;
     case links::fbs::Body::StoreRelay:
-        handlers_.store_(*received.body.AsStoreRelay());
+        handle_store_relay(one, *received.body.AsStoreRelay());
         return;
     case links::fbs::Body::ConfigurationRelay:
         handlers_.configuration_(*received.body.AsConfigurationRelay());
@@ -164,7 +174,18 @@
     }
 }
 
+void agent_links::handle_store_relay(agent& one, const links::store_relay& relay) {
+    fleet::relayed_data data{{relay.bytes.begin(), relay.bytes.end()}, fleet::never};
+    const auto echo = std::exchange(one.echo_, std::nullopt);
+    if (echo && relay.age_ms >= 0) {
+        const time_ms now = boot_now_ms();
+        data.as_of_ = now - relay.age_ms - links::max_transit_ms(*echo, now);
+    }
+    handlers_.store_(std::move(data));
+}
+
 void agent_links::handle_status(agent& one, const links::engine_status& status) {
+    one.stamps_.note(status.sent_at, boot_now_ms());
     const auto found = fleet_.endpoints().find(one.endpoint_);
     if (found == fleet_.endpoints().end()) {
         return;
@@ -295,13 +316,33 @@
     return true;
 }
 
+agent_links::agent* agent_links::relaying_agent() {
+    const auto linked = std::find_if(agents_.begin(), agents_.end(),
+                                     [](const auto& entry) { return entry.second->link_ != nullptr; });
+    return linked == agents_.end() ? nullptr : linked->second.get();
+}
+
 void agent_links::relay(const links::frame& one) {
-    for (const auto& [id, known] : agents_) {
-        if (known->link_) {
-            known->link_->send(one);
-            return;
-        }
+    if (agent* const relaying = relaying_agent()) {
+        relaying->link_->send(one);
+    }
+}
+
+void agent_links::relay_store_reading(const fleet::relayed_data& data) {
+    agent* const relaying = relaying_agent();
+    if (relaying == nullptr) {
+        return;
+    }
+    const time_ms now = boot_now_ms();
+    links::store_relay relay;
+    relay.from = id_;
+    relay.bytes.assign(data.bytes_.begin(), data.bytes_.end());
+    const auto echo = relaying->stamps_.make_echo(now);
+    if (echo && data.as_of_ != fleet::never) {
+        relay.age_ms = now - data.as_of_;
+        relay.echo = std::make_unique<links::echo>(*echo);
     }
+    relaying->link_->send(links::make_frame(std::move(relay)));
 }
 
 } // namespace tamarack::gateway
--- a/src/gateway/agent_links.hpp
+++ b/src/gateway/agent_links.hpp
@@ -13,7 +13,7 @@
 struct agent_link_events {
     std::function<void(const links::gateway_digest&)> digest_;
     std::function<void(const links::configuration_relay&)> configuration_;
-    std::function<void(const links::store_relay&)> store_;
+    std::function<void(fleet::relayed_data)> store_;
 };
 
 class agent_links {
@@ -39,6 +39,9 @@
     // engines choose the same agent.
     void relay(const links::frame& one);
 
+    // Sends data that this gateway read from the store to the same agent, with its age.
+    void relay_store_reading(const fleet::relayed_data& data);
+
 private:
     struct agent;
 
@@ -47,6 +50,8 @@
     void send_hello(agent& one);
     void on_link_closed(agent& one);
     void handle_frame(agent& one, const links::frame& received);
+    agent* relaying_agent();
+    void handle_store_relay(agent& one, const links::store_relay& relay);
     void handle_status(agent& one, const links::engine_status& status);
     void handle_adapter_state(const links::adapter_state& state);
     int most_adapters(const endpoint& at) const;
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -46,8 +46,8 @@
                         }
                     });
                 },
-                [this](std::string bytes) {
-                    asio::post(context_, [this, bytes = std::move(bytes)] { source_->take_relayed(bytes); });
+                [this](fleet::relayed_data data) {
+                    asio::post(context_, [this, data = std::move(data)] { source_->take_relayed(data); });
                 },
                 [this](bool reads, bool first) {
                     asio::post(context_, [this, reads, first] { source_->set_reads_store(reads, first); });
@@ -68,7 +68,7 @@
     handlers.skipped_ = [this](const error& why) {
         events_.write({event_kind::fleet_view, "gateway", "record_skipped", {}, {{"why", to_string(why)}}});
     };
-    handlers.relay_ = [this](std::string bytes) { traffic_.relay_store_reading(std::move(bytes)); };
+    handlers.relay_ = [this](fleet::relayed_data data) { traffic_.relay_store_reading(std::move(data)); };
     source_ = (*registry<fleet::fleet_source_factory>::instance().find(settings.platform_))(
         context_, settings.store_, std::move(handlers));
     seed_exchange_ =
@@ -152,7 +152,7 @@
                    "endpoint_" + std::string(decision),
                    {},
                    {{"endpoint", id},
-                    {"view_age_ms", fleet::age_ms(registry_freshness_, steady_now_ms())},
+                    {"view_age_ms", fleet::age_ms(registry_freshness_, boot_now_ms())},
                     {"relayed", registry_freshness_.relayed_}}});
 }
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -154,7 +154,7 @@
 
 void request_flow::try_next_endpoint() {
     const time_ms now = steady_now_ms();
-    view_age_ms_ = context_.fleet_.view_age_ms(now);
+    view_age_ms_ = context_.fleet_.view_age_ms(boot_now_ms());
     const auto usable = usable_endpoints();
     if (usable.empty()) {
         const bool may_be_loaded = service_->engine_ && !metadata_.model_.empty() && tried_endpoints_.empty();
--- a/src/gateway/seed_exchange.cpp
+++ b/src/gateway/seed_exchange.cpp
@@ -55,9 +55,11 @@
                 std::move(socket),
                 links::link::events{[](const links::frame&) {}, [timer] { timer->cancel(); }});
             requester->start();
-            for (const std::string& reading : source_.snapshot()) {
+            const time_ms now = boot_now_ms();
+            for (const fleet::relayed_data& reading : source_.snapshot()) {
                 links::store_relay relay;
-                relay.bytes.assign(reading.begin(), reading.end());
+                relay.bytes.assign(reading.bytes_.begin(), reading.bytes_.end());
+                relay.age_ms = reading.as_of_ == fleet::never ? -1 : now - reading.as_of_;
                 requester->send(links::make_frame(std::move(relay)));
             }
             timer->async_wait([requester, timer](boost::system::error_code) { requester->close(); });
@@ -85,15 +87,19 @@
 
 void seed_exchange::ask_seed(const asio::ip::tcp::endpoint& seed) {
     const auto socket = std::make_shared<asio::ip::tcp::socket>(context_);
-    socket->async_connect(seed, [this, socket, seed](boost::system::error_code failed) {
+    const time_ms asked_at = boot_now_ms();
+    socket->async_connect(seed, [this, socket, seed, asked_at](boost::system::error_code failed) {
         if (failed || fleet_known_()) {
             return;
         }
         links::link::events handlers;
-        handlers.frame_ = [this, seed](const links::frame& received) {
+        handlers.frame_ = [this, seed, asked_at](const links::frame& received) {
             if (received.body.type == links::fbs::Body::StoreRelay) {
-                const auto& bytes = received.body.AsStoreRelay()->bytes;
-                source_.take_relayed({bytes.begin(), bytes.end()});
+                const links::store_relay& relay = *received.body.AsStoreRelay();
+                const auto& bytes = relay.bytes;
+                // The seed sent its data after it was asked.
+                const time_ms as_of = relay.age_ms < 0 ? fleet::never : asked_at - relay.age_ms;
+                source_.take_relayed({{bytes.begin(), bytes.end()}, as_of});
                 events_.write(
                     {event_kind::dependency,
                      "gateway",
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -40,9 +40,7 @@
                        handlers_.relayed_configuration_(relay.encoded);
                    }
                },
-               [this](const links::store_relay& relay) {
-                   handlers_.store_relay_({relay.bytes.begin(), relay.bytes.end()});
-               }}),
+               [this](fleet::relayed_data data) { handlers_.store_relay_(std::move(data)); }}),
       flows_{fleet_, measures, events,
              [this](endpoint& at, const std::string& model, const std::string& adapter,
                     std::function<void(bool)> done) {
@@ -127,13 +125,8 @@
     asio::post(context_, [this, current] { fleet_.set_registry_freshness(current); });
 }
 
-void traffic::relay_store_reading(std::string bytes) {
-    asio::post(context_, [this, bytes = std::move(bytes)] {
-        links::store_relay relay;
-        relay.from = settings_.id_;
-        relay.bytes.assign(bytes.begin(), bytes.end());
-        agents_.relay(links::make_frame(std::move(relay)));
-    });
+void traffic::relay_store_reading(fleet::relayed_data data) {
+    asio::post(context_, [this, data = std::move(data)] { agents_.relay_store_reading(data); });
 }
 
 void traffic::send_orders(std::vector<planned_order> orders) {
@@ -163,7 +156,7 @@
     }
     relay_configuration(now);
     measures_.set("tamarack_registry_view_age_ms", "Age of the view of the endpoints", {},
-                  double(fleet_.view_age_ms(now)));
+                  double(fleet_.view_age_ms(boot_now_ms())));
     fleet_.set_needs(peers_.total_needs(fleet_.demand_.levels(now), now));
     const int rank = std::min(peers_.reader_rank(store_reachable_, now), store_reader_count);
     if (rank != reader_rank_) {
@@ -210,6 +203,7 @@
     digest.uptime_ms = now - started_at_;
     digest.configuration_version = fleet_.current() ? fleet_.current()->configuration_->version_ : -1;
     digest.store_reachable = store_reachable_;
+    digest.sent_at = boot_now_ms();
     for (const auto& [model, level] : fleet_.demand_.levels(now)) {
         auto demand = std::make_unique<links::model_demand>();
         demand->model = model;
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -24,7 +24,7 @@
     std::function<void(std::string encoded)> relayed_configuration_;
 
     // Data that another gateway read from the store.
-    std::function<void(std::string bytes)> store_relay_;
+    std::function<void(fleet::relayed_data)> store_relay_;
 
     // Whether this gateway is to read the store, and whether it is the first of those that do.
     std::function<void(bool reads, bool first)> store_reader_changed_;
@@ -49,7 +49,7 @@
     // To be called after `set_endpoints`, so that the endpoints are at least as current.
     void set_registry_freshness(const fleet::freshness& current);
 
-    void relay_store_reading(std::string bytes);
+    void relay_store_reading(fleet::relayed_data data);
     void set_store_reachable(bool reachable) { store_reachable_ = reachable; }
     void send_orders(std::vector<planned_order> orders);
 
--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <ctime>
 #include <random>
 
 namespace tamarack {
@@ -43,6 +44,14 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+time_ms boot_now_ms() {
+    constexpr time_ms ms_per_s = 1'000;
+    constexpr time_ms ns_per_ms = 1'000'000;
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_ms(now.tv_sec) * ms_per_s + time_ms(now.tv_nsec) / ns_per_ms;
+}
+
 std::uint64_t hash64(std::string_view bytes, std::uint64_t seed) {
     return XXH64(bytes.data(), bytes.size(), seed);
 }
--- a/src/links/link_generated.h
+++ b/src/links/link_generated.h
@@ -17,6 +17,10 @@
 namespace links {
 namespace fbs {
 
+struct Echo;
+struct EchoBuilder;
+struct EchoT;
+
 struct Hello;
 struct HelloBuilder;
 struct HelloT;
@@ -76,11 +80,12 @@
   GatewayDigest = 7,
   ConfigurationRelay = 8,
   StoreRelay = 9,
+  Echo = 10,
   MIN = NONE,
-  MAX = StoreRelay
+  MAX = Echo
 };
 
-inline const Body (&EnumValuesBody())[10] {
+inline const Body (&EnumValuesBody())[11] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -91,13 +96,14 @@
     Body::PlacementOrder,
     Body::GatewayDigest,
     Body::ConfigurationRelay,
-    Body::StoreRelay
+    Body::StoreRelay,
+    Body::Echo
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[11] = {
+  static const char * const names[12] = {
     "NONE",
     "Hello",
     "EngineStatus",
@@ -108,13 +114,14 @@
     "GatewayDigest",
     "ConfigurationRelay",
     "StoreRelay",
+    "Echo",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::StoreRelay)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Echo)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -159,6 +166,10 @@
   static const Body enum_value = Body::StoreRelay;
 };
 
+template<> struct BodyTraits<tamarack::links::fbs::Echo> {
+  static const Body enum_value = Body::Echo;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -199,6 +210,10 @@
   static const Body enum_value = Body::StoreRelay;
 };
 
+template<> struct BodyUnionTraits<tamarack::links::fbs::EchoT> {
+  static const Body enum_value = Body::Echo;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -301,11 +316,88 @@
     return type == Body::StoreRelay ?
       reinterpret_cast<const tamarack::links::fbs::StoreRelayT *>(value) : nullptr;
   }
+  tamarack::links::fbs::EchoT *AsEcho() {
+    return type == Body::Echo ?
+      reinterpret_cast<tamarack::links::fbs::EchoT *>(value) : nullptr;
+  }
+  const tamarack::links::fbs::EchoT *AsEcho() const {
+    return type == Body::Echo ?
+      reinterpret_cast<const tamarack::links::fbs::EchoT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
+struct EchoT : public flatbuffers::NativeTable {
+  typedef Echo TableType;
+  int64_t sent_at = 0;
+  int64_t held_ms = 0;
+};
+
+struct Echo FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EchoT NativeTableType;
+  typedef EchoBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENT_AT = 4,
+    VT_HELD_MS = 6
+  };
+  int64_t sent_at() const {
+    return GetField<int64_t>(VT_SENT_AT, 0);
+  }
+  int64_t held_ms() const {
+    return GetField<int64_t>(VT_HELD_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_SENT_AT, 8) &&
+           VerifyField<int64_t>(verifier, VT_HELD_MS, 8) &&
+           verifier.EndTable();
+  }
+  EchoT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EchoT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Echo> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EchoT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EchoBuilder {
+  typedef Echo Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sent_at(int64_t sent_at) {
+    fbb_.AddElement<int64_t>(Echo::VT_SENT_AT, sent_at, 0);
+  }
+  void add_held_ms(int64_t held_ms) {
+    fbb_.AddElement<int64_t>(Echo::VT_HELD_MS, held_ms, 0);
+  }
+  explicit EchoBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Echo> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Echo>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Echo> CreateEcho(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t sent_at = 0,
+    int64_t held_ms = 0) {
+  EchoBuilder builder_(_fbb);
+  builder_.add_held_ms(held_ms);
+  builder_.add_sent_at(sent_at);
+  return builder_.Finish();
+}
+
+struct Echo::Traits {
+  using type = Echo;
+  static auto constexpr Create = CreateEcho;
+};
+
+flatbuffers::Offset<Echo> CreateEcho(flatbuffers::FlatBufferBuilder &_fbb, const EchoT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   uint32_t protocol = 0;
@@ -313,6 +405,7 @@
   uint64_t incarnation = 0;
   std::string engine{};
   int64_t engine_incarnation = 0;
+  int64_t sent_at = -1LL;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -324,7 +417,8 @@
     VT_ID = 6,
     VT_INCARNATION = 8,
     VT_ENGINE = 10,
-    VT_ENGINE_INCARNATION = 12
+    VT_ENGINE_INCARNATION = 12,
+    VT_SENT_AT = 14
   };
   uint32_t protocol() const {
     return GetField<uint32_t>(VT_PROTOCOL, 0);
@@ -341,6 +435,9 @@
   int64_t engine_incarnation() const {
     return GetField<int64_t>(VT_ENGINE_INCARNATION, 0);
   }
+  int64_t sent_at() const {
+    return GetField<int64_t>(VT_SENT_AT, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL, 4) &&
@@ -350,6 +447,7 @@
            VerifyOffset(verifier, VT_ENGINE) &&
            verifier.VerifyString(engine()) &&
            VerifyField<int64_t>(verifier, VT_ENGINE_INCARNATION, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_AT, 8) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -376,6 +474,9 @@
   void add_engine_incarnation(int64_t engine_incarnation) {
     fbb_.AddElement<int64_t>(Hello::VT_ENGINE_INCARNATION, engine_incarnation, 0);
   }
+  void add_sent_at(int64_t sent_at) {
+    fbb_.AddElement<int64_t>(Hello::VT_SENT_AT, sent_at, -1LL);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -393,8 +494,10 @@
     flatbuffers::Offset<flatbuffers::String> id = 0,
     uint64_t incarnation = 0,
     flatbuffers::Offset<flatbuffers::String> engine = 0,
-    int64_t engine_incarnation = 0) {
+    int64_t engine_incarnation = 0,
+    int64_t sent_at = -1LL) {
   HelloBuilder builder_(_fbb);
+  builder_.add_sent_at(sent_at);
   builder_.add_engine_incarnation(engine_incarnation);
   builder_.add_incarnation(incarnation);
   builder_.add_engine(engine);
@@ -414,7 +517,8 @@
     const char *id = nullptr,
     uint64_t incarnation = 0,
     const char *engine = nullptr,
-    int64_t engine_incarnation = 0) {
+    int64_t engine_incarnation = 0,
+    int64_t sent_at = -1LL) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto engine__ = engine ? _fbb.CreateString(engine) : 0;
   return tamarack::links::fbs::CreateHello(
@@ -423,7 +527,8 @@
       id__,
       incarnation,
       engine__,
-      engine_incarnation);
+      engine_incarnation,
+      sent_at);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -529,6 +634,7 @@
   std::vector<std::unique_ptr<tamarack::links::fbs::HeldModelT>> models{};
   std::vector<std::string> nearby{};
   std::vector<int32_t> store_load_ages_ms{};
+  int64_t sent_at = -1LL;
   EngineStatusT() = default;
   EngineStatusT(const EngineStatusT &o);
   EngineStatusT(EngineStatusT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -554,7 +660,8 @@
     VT_HAS_MODELS = 26,
     VT_MODELS = 28,
     VT_NEARBY = 30,
-    VT_STORE_LOAD_AGES_MS = 32
+    VT_STORE_LOAD_AGES_MS = 32,
+    VT_SENT_AT = 34
   };
   const flatbuffers::String *engine() const {
     return GetPointer<const flatbuffers::String *>(VT_ENGINE);
@@ -601,6 +708,9 @@
   const flatbuffers::Vector<int32_t> *store_load_ages_ms() const {
     return GetPointer<const flatbuffers::Vector<int32_t> *>(VT_STORE_LOAD_AGES_MS);
   }
+  int64_t sent_at() const {
+    return GetField<int64_t>(VT_SENT_AT, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENGINE) &&
@@ -625,6 +735,7 @@
            verifier.VerifyVectorOfStrings(nearby()) &&
            VerifyOffset(verifier, VT_STORE_LOAD_AGES_MS) &&
            verifier.VerifyVector(store_load_ages_ms()) &&
+           VerifyField<int64_t>(verifier, VT_SENT_AT, 8) &&
            verifier.EndTable();
   }
   EngineStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -681,6 +792,9 @@
   void add_store_load_ages_ms(flatbuffers::Offset<flatbuffers::Vector<int32_t>> store_load_ages_ms) {
     fbb_.AddOffset(EngineStatus::VT_STORE_LOAD_AGES_MS, store_load_ages_ms);
   }
+  void add_sent_at(int64_t sent_at) {
+    fbb_.AddElement<int64_t>(EngineStatus::VT_SENT_AT, sent_at, -1LL);
+  }
   explicit EngineStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -708,8 +822,10 @@
     bool has_models = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::HeldModel>>> models = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> nearby = 0,
-    flatbuffers::Offset<flatbuffers::Vector<int32_t>> store_load_ages_ms = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<int32_t>> store_load_ages_ms = 0,
+    int64_t sent_at = -1LL) {
   EngineStatusBuilder builder_(_fbb);
+  builder_.add_sent_at(sent_at);
   builder_.add_kv_total(kv_total);
   builder_.add_kv_used(kv_used);
   builder_.add_remaining_ms(remaining_ms);
@@ -749,7 +865,8 @@
     bool has_models = false,
     const std::vector<flatbuffers::Offset<tamarack::links::fbs::HeldModel>> *models = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *nearby = nullptr,
-    const std::vector<int32_t> *store_load_ages_ms = nullptr) {
+    const std::vector<int32_t> *store_load_ages_ms = nullptr,
+    int64_t sent_at = -1LL) {
   auto engine__ = engine ? _fbb.CreateString(engine) : 0;
   auto loading__ = loading ? _fbb.CreateString(loading) : 0;
   auto models__ = models ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::HeldModel>>(*models) : 0;
@@ -771,7 +888,8 @@
       has_models,
       models__,
       nearby__,
-      store_load_ages_ms__);
+      store_load_ages_ms__,
+      sent_at);
 }
 
 flatbuffers::Offset<EngineStatus> CreateEngineStatus(flatbuffers::FlatBufferBuilder &_fbb, const EngineStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1324,6 +1442,7 @@
   int64_t configuration_version = 0;
   bool store_reachable = false;
   std::vector<std::unique_ptr<tamarack::links::fbs::ModelDemandT>> demand{};
+  int64_t sent_at = -1LL;
   GatewayDigestT() = default;
   GatewayDigestT(const GatewayDigestT &o);
   GatewayDigestT(GatewayDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1340,7 +1459,8 @@
     VT_UPTIME_MS = 8,
     VT_CONFIGURATION_VERSION = 10,
     VT_STORE_REACHABLE = 12,
-    VT_DEMAND = 14
+    VT_DEMAND = 14,
+    VT_SENT_AT = 16
   };
   const flatbuffers::String *from() const {
     return GetPointer<const flatbuffers::String *>(VT_FROM);
@@ -1360,6 +1480,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>> *demand() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>> *>(VT_DEMAND);
   }
+  int64_t sent_at() const {
+    return GetField<int64_t>(VT_SENT_AT, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FROM) &&
@@ -1371,6 +1494,7 @@
            VerifyOffset(verifier, VT_DEMAND) &&
            verifier.VerifyVector(demand()) &&
            verifier.VerifyVectorOfTables(demand()) &&
+           VerifyField<int64_t>(verifier, VT_SENT_AT, 8) &&
            verifier.EndTable();
   }
   GatewayDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1400,6 +1524,9 @@
   void add_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>>> demand) {
     fbb_.AddOffset(GatewayDigest::VT_DEMAND, demand);
   }
+  void add_sent_at(int64_t sent_at) {
+    fbb_.AddElement<int64_t>(GatewayDigest::VT_SENT_AT, sent_at, -1LL);
+  }
   explicit GatewayDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1418,8 +1545,10 @@
     int64_t uptime_ms = 0,
     int64_t configuration_version = 0,
     bool store_reachable = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>>> demand = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>>> demand = 0,
+    int64_t sent_at = -1LL) {
   GatewayDigestBuilder builder_(_fbb);
+  builder_.add_sent_at(sent_at);
   builder_.add_configuration_version(configuration_version);
   builder_.add_uptime_ms(uptime_ms);
   builder_.add_incarnation(incarnation);
@@ -1441,7 +1570,8 @@
     int64_t uptime_ms = 0,
     int64_t configuration_version = 0,
     bool store_reachable = false,
-    const std::vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>> *demand = nullptr) {
+    const std::vector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>> *demand = nullptr,
+    int64_t sent_at = -1LL) {
   auto from__ = from ? _fbb.CreateString(from) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>>(*demand) : 0;
   return tamarack::links::fbs::CreateGatewayDigest(
@@ -1451,7 +1581,8 @@
       uptime_ms,
       configuration_version,
       store_reachable,
-      demand__);
+      demand__,
+      sent_at);
 }
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1460,6 +1591,12 @@
   typedef StoreRelay TableType;
   std::string from{};
   std::vector<uint8_t> bytes{};
+  int64_t age_ms = -1LL;
+  std::unique_ptr<tamarack::links::fbs::EchoT> echo{};
+  StoreRelayT() = default;
+  StoreRelayT(const StoreRelayT &o);
+  StoreRelayT(StoreRelayT&&) FLATBUFFERS_NOEXCEPT = default;
+  StoreRelayT &operator=(StoreRelayT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct StoreRelay FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1468,7 +1605,9 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FROM = 4,
-    VT_BYTES = 6
+    VT_BYTES = 6,
+    VT_AGE_MS = 8,
+    VT_ECHO = 10
   };
   const flatbuffers::String *from() const {
     return GetPointer<const flatbuffers::String *>(VT_FROM);
@@ -1476,12 +1615,21 @@
   const flatbuffers::Vector<uint8_t> *bytes() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
   }
+  int64_t age_ms() const {
+    return GetField<int64_t>(VT_AGE_MS, -1LL);
+  }
+  const tamarack::links::fbs::Echo *echo() const {
+    return GetPointer<const tamarack::links::fbs::Echo *>(VT_ECHO);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FROM) &&
            verifier.VerifyString(from()) &&
            VerifyOffset(verifier, VT_BYTES) &&
            verifier.VerifyVector(bytes()) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           VerifyOffset(verifier, VT_ECHO) &&
+           verifier.VerifyTable(echo()) &&
            verifier.EndTable();
   }
   StoreRelayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1499,6 +1647,12 @@
   void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
     fbb_.AddOffset(StoreRelay::VT_BYTES, bytes);
   }
+  void add_age_ms(int64_t age_ms) {
+    fbb_.AddElement<int64_t>(StoreRelay::VT_AGE_MS, age_ms, -1LL);
+  }
+  void add_echo(flatbuffers::Offset<tamarack::links::fbs::Echo> echo) {
+    fbb_.AddOffset(StoreRelay::VT_ECHO, echo);
+  }
   explicit StoreRelayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1513,8 +1667,12 @@
 inline flatbuffers::Offset<StoreRelay> CreateStoreRelay(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> from = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0,
+    int64_t age_ms = -1LL,
+    flatbuffers::Offset<tamarack::links::fbs::Echo> echo = 0) {
   StoreRelayBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_echo(echo);
   builder_.add_bytes(bytes);
   builder_.add_from(from);
   return builder_.Finish();
@@ -1528,13 +1686,17 @@
 inline flatbuffers::Offset<StoreRelay> CreateStoreRelayDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *from = nullptr,
-    const std::vector<uint8_t> *bytes = nullptr) {
+    const std::vector<uint8_t> *bytes = nullptr,
+    int64_t age_ms = -1LL,
+    flatbuffers::Offset<tamarack::links::fbs::Echo> echo = 0) {
   auto from__ = from ? _fbb.CreateString(from) : 0;
   auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
   return tamarack::links::fbs::CreateStoreRelay(
       _fbb,
       from__,
-      bytes__);
+      bytes__,
+      age_ms,
+      echo);
 }
 
 flatbuffers::Offset<StoreRelay> CreateStoreRelay(flatbuffers::FlatBufferBuilder &_fbb, const StoreRelayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1667,6 +1829,9 @@
   const tamarack::links::fbs::StoreRelay *body_as_StoreRelay() const {
     return body_type() == tamarack::links::fbs::Body::StoreRelay ? static_cast<const tamarack::links::fbs::StoreRelay *>(body()) : nullptr;
   }
+  const tamarack::links::fbs::Echo *body_as_Echo() const {
+    return body_type() == tamarack::links::fbs::Body::Echo ? static_cast<const tamarack::links::fbs::Echo *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1715,6 +1880,10 @@
   return body_as_StoreRelay();
 }
 
+template<> inline const tamarack::links::fbs::Echo *Frame::body_as<tamarack::links::fbs::Echo>() const {
+  return body_as_Echo();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1753,6 +1922,35 @@
 
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+inline EchoT *Echo::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EchoT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Echo::UnPackTo(EchoT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sent_at(); _o->sent_at = _e; }
+  { auto _e = held_ms(); _o->held_ms = _e; }
+}
+
+inline flatbuffers::Offset<Echo> Echo::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EchoT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEcho(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Echo> CreateEcho(flatbuffers::FlatBufferBuilder &_fbb, const EchoT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EchoT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sent_at = _o->sent_at;
+  auto _held_ms = _o->held_ms;
+  return tamarack::links::fbs::CreateEcho(
+      _fbb,
+      _sent_at,
+      _held_ms);
+}
+
 inline HelloT *Hello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<HelloT>();
   UnPackTo(_o.get(), _resolver);
@@ -1767,6 +1965,7 @@
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = engine(); if (_e) _o->engine = _e->str(); }
   { auto _e = engine_incarnation(); _o->engine_incarnation = _e; }
+  { auto _e = sent_at(); _o->sent_at = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1782,13 +1981,15 @@
   auto _incarnation = _o->incarnation;
   auto _engine = _o->engine.empty() ? 0 : _fbb.CreateString(_o->engine);
   auto _engine_incarnation = _o->engine_incarnation;
+  auto _sent_at = _o->sent_at;
   return tamarack::links::fbs::CreateHello(
       _fbb,
       _protocol,
       _id,
       _incarnation,
       _engine,
-      _engine_incarnation);
+      _engine_incarnation,
+      _sent_at);
 }
 
 inline HeldModelT *HeldModel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1834,7 +2035,8 @@
         loading(o.loading),
         has_models(o.has_models),
         nearby(o.nearby),
-        store_load_ages_ms(o.store_load_ages_ms) {
+        store_load_ages_ms(o.store_load_ages_ms),
+        sent_at(o.sent_at) {
   models.reserve(o.models.size());
   for (const auto &models_ : o.models) { models.emplace_back((models_) ? new tamarack::links::fbs::HeldModelT(*models_) : nullptr); }
 }
@@ -1855,6 +2057,7 @@
   std::swap(models, o.models);
   std::swap(nearby, o.nearby);
   std::swap(store_load_ages_ms, o.store_load_ages_ms);
+  std::swap(sent_at, o.sent_at);
   return *this;
 }
 
@@ -1882,6 +2085,7 @@
   { auto _e = models(); if (_e) { _o->models.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->models[_i] = std::unique_ptr<tamarack::links::fbs::HeldModelT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = nearby(); if (_e) { _o->nearby.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->nearby[_i] = _e->Get(_i)->str(); } } }
   { auto _e = store_load_ages_ms(); if (_e) { _o->store_load_ages_ms.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->store_load_ages_ms[_i] = _e->Get(_i); } } }
+  { auto _e = sent_at(); _o->sent_at = _e; }
 }
 
 inline flatbuffers::Offset<EngineStatus> EngineStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1907,6 +2111,7 @@
   auto _models = _o->models.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::HeldModel>> (_o->models.size(), [](size_t i, _VectorArgs *__va) { return CreateHeldModel(*__va->__fbb, __va->__o->models[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _nearby = _o->nearby.size() ? _fbb.CreateVectorOfStrings(_o->nearby) : 0;
   auto _store_load_ages_ms = _o->store_load_ages_ms.size() ? _fbb.CreateVector(_o->store_load_ages_ms) : 0;
+  auto _sent_at = _o->sent_at;
   return tamarack::links::fbs::CreateEngineStatus(
       _fbb,
       _engine,
@@ -1923,7 +2128,8 @@
       _has_models,
       _models,
       _nearby,
-      _store_load_ages_ms);
+      _store_load_ages_ms,
+      _sent_at);
 }
 
 inline AdapterWantedT *AdapterWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2109,7 +2315,8 @@
         incarnation(o.incarnation),
         uptime_ms(o.uptime_ms),
         configuration_version(o.configuration_version),
-        store_reachable(o.store_reachable) {
+        store_reachable(o.store_reachable),
+        sent_at(o.sent_at) {
   demand.reserve(o.demand.size());
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new tamarack::links::fbs::ModelDemandT(*demand_) : nullptr); }
 }
@@ -2121,6 +2328,7 @@
   std::swap(configuration_version, o.configuration_version);
   std::swap(store_reachable, o.store_reachable);
   std::swap(demand, o.demand);
+  std::swap(sent_at, o.sent_at);
   return *this;
 }
 
@@ -2139,6 +2347,7 @@
   { auto _e = configuration_version(); _o->configuration_version = _e; }
   { auto _e = store_reachable(); _o->store_reachable = _e; }
   { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<tamarack::links::fbs::ModelDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = sent_at(); _o->sent_at = _e; }
 }
 
 inline flatbuffers::Offset<GatewayDigest> GatewayDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2155,6 +2364,7 @@
   auto _configuration_version = _o->configuration_version;
   auto _store_reachable = _o->store_reachable;
   auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateModelDemand(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _sent_at = _o->sent_at;
   return tamarack::links::fbs::CreateGatewayDigest(
       _fbb,
       _from,
@@ -2162,7 +2372,23 @@
       _uptime_ms,
       _configuration_version,
       _store_reachable,
-      _demand);
+      _demand,
+      _sent_at);
+}
+
+inline StoreRelayT::StoreRelayT(const StoreRelayT &o)
+      : from(o.from),
+        bytes(o.bytes),
+        age_ms(o.age_ms),
+        echo((o.echo) ? new tamarack::links::fbs::EchoT(*o.echo) : nullptr) {
+}
+
+inline StoreRelayT &StoreRelayT::operator=(StoreRelayT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(from, o.from);
+  std::swap(bytes, o.bytes);
+  std::swap(age_ms, o.age_ms);
+  std::swap(echo, o.echo);
+  return *this;
 }
 
 inline StoreRelayT *StoreRelay::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2176,6 +2402,8 @@
   (void)_resolver;
   { auto _e = from(); if (_e) _o->from = _e->str(); }
   { auto _e = bytes(); if (_e) { _o->bytes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->bytes.begin()); } }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = echo(); if (_e) _o->echo = std::unique_ptr<tamarack::links::fbs::EchoT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<StoreRelay> StoreRelay::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StoreRelayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2188,10 +2416,14 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StoreRelayT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _from = _o->from.empty() ? 0 : _fbb.CreateString(_o->from);
   auto _bytes = _o->bytes.size() ? _fbb.CreateVector(_o->bytes) : 0;
+  auto _age_ms = _o->age_ms;
+  auto _echo = _o->echo ? CreateEcho(_fbb, _o->echo.get(), _rehasher) : 0;
   return tamarack::links::fbs::CreateStoreRelay(
       _fbb,
       _from,
-      _bytes);
+      _bytes,
+      _age_ms,
+      _echo);
 }
 
 inline ConfigurationRelayT *ConfigurationRelay::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2293,6 +2525,10 @@
       auto ptr = reinterpret_cast<const tamarack::links::fbs::StoreRelay *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Echo: {
+      auto ptr = reinterpret_cast<const tamarack::links::fbs::Echo *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2348,6 +2584,10 @@
       auto ptr = reinterpret_cast<const tamarack::links::fbs::StoreRelay *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::Echo: {
+      auto ptr = reinterpret_cast<const tamarack::links::fbs::Echo *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2391,6 +2631,10 @@
       auto ptr = reinterpret_cast<const tamarack::links::fbs::StoreRelayT *>(value);
       return CreateStoreRelay(_fbb, ptr, _rehasher).Union();
     }
+    case Body::Echo: {
+      auto ptr = reinterpret_cast<const tamarack::links::fbs::EchoT *>(value);
+      return CreateEcho(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2433,6 +2677,10 @@
       value = new tamarack::links::fbs::StoreRelayT(*reinterpret_cast<tamarack::links::fbs::StoreRelayT *>(u.value));
       break;
     }
+    case Body::Echo: {
+      value = new tamarack::links::fbs::EchoT(*reinterpret_cast<tamarack::links::fbs::EchoT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2485,6 +2733,11 @@
       delete ptr;
       break;
     }
+    case Body::Echo: {
+      auto ptr = reinterpret_cast<tamarack::links::fbs::EchoT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/direct/agent_stand_in.cpp
+++ b/tests/direct/agent_stand_in.cpp
@@ -8,7 +8,13 @@
 
 namespace {
 
-constexpr std::size_t length_bytes = 4;
+void note_stamp(links::stamp_keeper& stamps, const links::frame& frame) {
+    if (frame.body.type == links::fbs::Body::Hello) {
+        stamps.note(frame.body.AsHello()->sent_at, boot_now_ms());
+    } else if (frame.body.type == links::fbs::Body::GatewayDigest) {
+        stamps.note(frame.body.AsGatewayDigest()->sent_at, boot_now_ms());
+    }
+}
 
 } // namespace
 
@@ -29,37 +35,26 @@
         if (failed) {
             return;
         }
+        const auto connected = std::make_shared<gateway>();
         links::link::events handlers;
-        handlers.frame_ = [this](const links::frame& frame) {
-            const std::lock_guard lock(mutex_);
-            received_.push_back(links::encode(frame).substr(length_bytes));
-        };
+        handlers.frame_ = [connected](const links::frame& frame) { note_stamp(connected->stamps_, frame); };
         handlers.closed_ = [] {};
-        links_.push_back(std::make_shared<links::link>(std::move(socket), std::move(handlers)));
-        links_.back()->start();
+        connected->link_ = std::make_shared<links::link>(std::move(socket), std::move(handlers));
+        connected->link_->start();
+        gateways_.push_back(connected);
         accept();
     });
 }
 
 void agent_stand_in::send(links::frame message) {
     asio::post(context_, [this, bytes = links::encode(message)] {
-        for (const auto& one : links_) {
-            one->send_encoded(bytes);
+        for (const auto& to : gateways_) {
+            if (const auto echo = to->stamps_.make_echo(boot_now_ms())) {
+                to->link_->send(links::make_frame(*echo));
+            }
+            to->link_->send_encoded(bytes);
         }
     });
 }
 
-std::vector<links::frame> agent_stand_in::received(links::fbs::Body type) const {
-    std::vector<links::frame> frames;
-    const std::lock_guard lock(mutex_);
-    for (const std::string& bytes : received_) {
-        const std::vector<std::uint8_t> aligned(bytes.begin(), bytes.end());
-        auto decoded = links::decode(aligned);
-        if (ok(decoded) && value(decoded).body.type == type) {
-            frames.push_back(std::move(value(decoded)));
-        }
-    }
-    return frames;
-}
-
 } // namespace tamarack::direct
--- a/tests/direct/agent_stand_in.hpp
+++ b/tests/direct/agent_stand_in.hpp
@@ -6,7 +6,6 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <mutex>
 #include <thread>
 
 namespace tamarack::direct {
@@ -18,21 +17,21 @@
 
     std::uint16_t port() const { return port_; }
 
-    // Sends a frame on each open link.
+    // Sends a frame on each open link, with an echo of the gateway's newest stamp before it.
     void send(links::frame message);
 
-    // Returns the frames of this type that gateways sent.
-    std::vector<links::frame> received(links::fbs::Body type) const;
-
 private:
     void accept();
 
     boost::asio::io_context context_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::uint16_t port_;
-    std::vector<std::shared_ptr<links::link>> links_;
-    mutable std::mutex mutex_;
-    std::vector<std::string> received_; // encoded, without their length
+    struct gateway {
+        std::shared_ptr<links::link> link_;
+        links::stamp_keeper stamps_;
+    };
+
+    std::vector<std::shared_ptr<gateway>> gateways_;
     std::thread thread_;
 };
 
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -117,13 +117,13 @@
             }
         };
         handlers.store_ = [](bool) {};
-        handlers.relay_ = [&receiver, &other](const std::string& bytes) {
-            const auto message = platform::decode_relay(bytes);
+        handlers.relay_ = [&receiver, &other](const fleet::relayed_data& data) {
+            const auto message = platform::decode_relay(data.bytes_);
             REQUIRE(ok(message));
             if (value(message).topic_ == "keyed.servers") {
                 receiver.relayed_.push_back(value(message));
             }
-            other.source_->take_relayed(bytes);
+            other.source_->take_relayed(data);
         };
         handlers.skipped_ = [](const error&) {};
         receiver.source_ = (*registry<fleet::fleet_source_factory>::instance().find("log-store"))(
@@ -185,7 +185,7 @@
     next.topic_ = "keyed.servers";
     next.span_ = {end + 1, end + 2, {{"i-1", std::nullopt}}, false};
     first_.relayed_.clear();
-    first_.source_->take_relayed(platform::encode_relay(next));
+    first_.source_->take_relayed({platform::encode_relay(next), boot_now_ms()});
     const auto covers_removal = [&](const platform::relay_message& message) {
         return message.span_.from_ <= end + 1 && message.span_.end_ > end + 1;
     };
--- a/tests/direct/registry_view_test.cpp
+++ b/tests/direct/registry_view_test.cpp
@@ -12,6 +12,9 @@
     agent_stand_in agent_;
     fake_endpoint engine_{"e-1"};
     std::atomic<std::int64_t> registry_end_ = 0;
+    std::int64_t configuration_end_ = 0;
+    std::atomic<bool> relays_registry_ = true;
+    std::atomic<time_ms> relay_age_ms_ = 0;
     std::atomic<bool> stopping_ = false;
     std::thread peers_;
 
@@ -19,6 +22,7 @@
         store_.put("keyed.op", "config", configuration_with_engines(4));
         store_.put("keyed.servers", "e-1", engine_text());
         registry_end_ = std::int64_t(store_.record_count("keyed.servers"));
+        configuration_end_ = std::int64_t(store_.record_count("keyed.op"));
         agent_port_ = agent_.port();
     }
 
@@ -58,39 +62,63 @@
                     digest.store_reachable = true;
                     agent_.send(links::make_frame(std::move(digest)));
                 }
-                relay({});
+                relay("keyed.op", {configuration_end_, configuration_end_, {}, false});
+                if (relays_registry_) {
+                    relay_registry({});
+                }
                 ::usleep(interval_us);
             }
         });
     }
 
     // Relays records that follow those relayed before.
-    void relay(std::vector<platform::keyed_record> records) {
+    void relay_registry(std::vector<platform::keyed_record> records) {
         const std::int64_t from = registry_end_;
         registry_end_ += std::int64_t(records.size());
-        const std::string bytes =
-            platform::encode_relay({"keyed.servers",
-                                    {from, from + std::int64_t(records.size()), std::move(records), false},
-                                    60'000});
+        relay("keyed.servers", {from, from + std::int64_t(records.size()), std::move(records), false});
+    }
+
+    void relay(const std::string& topic, platform::topic_span span) {
+        const std::string bytes = platform::encode_relay({topic, std::move(span), 60'000});
         links::store_relay message;
         message.from = "gateway-0a";
+        message.age_ms = relay_age_ms_;
         message.bytes.assign(bytes.begin(), bytes.end());
         agent_.send(links::make_frame(std::move(message)));
     }
 
+    // Starts the gateway, which then relies on what the two others relay.
+    void start_relying_on_peers() {
+        start_ready();
+        start_peers();
+        REQUIRE(eventually([&] { return logged("\"leaves_reading_to_others\""); }));
+    }
+
+    // Whether no lookup reaches the second endpoint any more.
+    bool avoids_second() {
+        set_behaviours_of_both({behaviour::complete});
+        constexpr int lookups = 20;
+        for (int lookup = 0; lookup < lookups; ++lookup) {
+            CHECK(status(request("lookup", "r-" + std::to_string(lookup))) == 200);
+        }
+        return second_.received_requests().empty();
+    }
+
     bool logged(const std::string& text) const {
         std::ifstream file(folder_ + "/log");
         return std::string(std::istreambuf_iterator<char>(file), {}).find(text) != std::string::npos;
     }
 };
 
+// Time within which requests to an endpoint that leaves must stop.
+constexpr useconds_t leaving_limit_us = 2'000'000;
+
 } // namespace
 
 // DRAIN: a gateway that had lost the store once kept sending to endpoints whose entries others saw removed.
 TEST_CASE_FIXTURE(
     relayed_gateway,
     "gateway_lost_the_store_before_an_entry_is_removed_stops_sending_there_within_two_seconds") {
-    constexpr useconds_t limit_us = 2'000'000;
     start_ready();
     store_.set_fault(fake_store::fault::busy);
     REQUIRE(eventually([&] { return logged("\"store_lost\""); }));
@@ -98,14 +126,36 @@
     REQUIRE(eventually([&] { return logged("\"leaves_reading_to_others\""); }));
     store_.set_fault(fake_store::fault::none);
     store_.drop("keyed.servers", "i-2");
-    relay({{"i-2", std::nullopt}});
-    ::usleep(limit_us);
-    set_behaviours_of_both({behaviour::complete});
-    constexpr int lookups = 20;
-    for (int lookup = 0; lookup < lookups; ++lookup) {
-        CHECK(status(request("lookup", "r-" + std::to_string(lookup))) == 200);
-    }
-    CHECK(second_.received_requests().empty());
+    relay_registry({{"i-2", std::nullopt}});
+    ::usleep(leaving_limit_us);
+    CHECK(avoids_second());
+}
+
+// DRAIN: relays of the configuration hid that none of the registry came any more.
+TEST_CASE_FIXTURE(relayed_gateway, "gateway_hears_of_the_configuration_only_reads_the_registry_itself") {
+    start_relying_on_peers();
+    relays_registry_ = false;
+    store_.drop("keyed.servers", "i-2");
+    ::usleep(leaving_limit_us);
+    CHECK(avoids_second());
+}
+
+// DRAIN: relays that were held up on the way counted as new when they arrived.
+TEST_CASE_FIXTURE(relayed_gateway, "gateway_relays_arrive_seconds_late_reads_the_registry_itself") {
+    start_relying_on_peers();
+    relay_age_ms_ = 3'000;
+    store_.drop("keyed.servers", "i-2"); // what the peers relay from now on is from before
+    ::usleep(leaving_limit_us);
+    CHECK(avoids_second());
+}
+
+TEST_CASE_FIXTURE(relayed_gateway, "gateway_relays_are_recent_makes_no_calls_to_the_store") {
+    constexpr useconds_t settling_us = 1'500'000; // a waiting read of the configuration may be under way
+    start_relying_on_peers();
+    ::usleep(settling_us);
+    const int calls = store_.calls();
+    ::usleep(leaving_limit_us);
+    CHECK(store_.calls() == calls);
 }
 
 } // namespace tamarack::direct
