Look at an endpoint again before a request that was under way is sent to it

Callers' requests reached an endpoint that had left (DRAIN; found while looking for the incident's cause elsewhere).

Cause: the choice of an endpoint was taken for valid until the request was sent. In between lie up to 1.5 s for an adapter to be loaded and up to 0.45 s for a connection. Worse, once the registry lists an endpoint no longer, the object that the request holds is not updated any more.

Change: after the adapter and after the connection the gateway asks again whether the endpoint accepts requests, and otherwise chooses another one; nothing has been sent, so this costs no attempt. An endpoint that is erased from the view accepts none.

--- a/src/gateway/endpoint.hpp
+++ b/src/gateway/endpoint.hpp
@@ -74,7 +74,7 @@
     bool may_connect(int max_connections, int gateway_count) const;
 
     // Stops sending requests until the record's address or incarnation changes, for example because another
-    // endpoint uses the address now.
+    // endpoint uses the address now or the registry lists the endpoint no longer.
     void set_gone() { gone_ = true; }
 
     engine_view engine_;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -62,7 +62,8 @@
         if (self->ended_) {
             return;
         }
-        if (failed) {
+        // The endpoint may have left since it was chosen.
+        if (failed || !self->target_->accepts_requests()) {
             self->finish(exchange_outcome::not_connected);
             return;
         }
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -37,7 +37,13 @@
 }
 
 void fleet_state::apply_endpoints(const std::map<std::string, fleet::endpoint_record, std::less<>>& records) {
-    std::erase_if(endpoints_, [&](const auto& entry) { return !records.contains(entry.first); });
+    std::erase_if(endpoints_, [&](const auto& entry) {
+        const bool removed = !records.contains(entry.first);
+        if (removed) {
+            entry.second->set_gone(); // requests may be on their way to it
+        }
+        return removed;
+    });
     endpoints_by_service_.clear();
     for (const auto& [id, record] : records) {
         auto& known = endpoints_[id];
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -283,7 +283,8 @@
             if (self->finished_) {
                 return;
             }
-            if (ready) {
+            // The endpoint may have left since it was chosen.
+            if (ready && target->accepts_requests()) {
                 self->send(target);
                 return;
             }
--- /dev/null
+++ b/tests/direct/request_flow_test.cpp
@@ -0,0 +1,146 @@
+// Requests on their way to an endpoint while the view of the endpoints changes.
+#include "direct/platform_stand_ins.hpp"
+#include "gateway/request_flow.hpp"
+
+#include <doctest/doctest.h>
+
+namespace tamarack::gateway {
+
+namespace {
+
+using direct::fake_endpoint;
+
+// Keeps the status of a response.
+struct status_sink : response_sink {
+    int status_ = 0;
+
+    void send_response(int status, const std::vector<http::header>&, std::string_view) override {
+        status_ = status;
+    }
+    void begin_stream(int status, const std::vector<http::header>&) override { status_ = status; }
+    void send_data(std::string_view) override {}
+    void end_stream() override {}
+    void abort() override { status_ = -1; }
+    std::size_t unsent_bytes() const override { return 0; }
+};
+
+// Two engines that hold a model, and requests for one of its adapters. The test plays the engines' agents.
+struct flow_fixture {
+    using adapter_callback = std::function<void(bool ready)>;
+
+    boost::asio::io_context context_;
+    metrics metrics_;
+    event_log events_{"test", event_rate(), [](const std::string&) {}};
+    fleet_state fleet_{context_.get_executor(), *registry<header_names>::instance().find("log-store"),
+                       dispatch::retry_limits()};
+    std::vector<std::pair<std::string, adapter_callback>> adapters_; // engine and callback of each request
+    flow_context flows_{fleet_, metrics_, events_,
+                        [this](endpoint& at, const std::string&, const std::string&, adapter_callback done) {
+                            adapters_.emplace_back(at.record().id_, std::move(done));
+                            return std::uint64_t(adapters_.size());
+                        },
+                        [](std::string_view, std::uint64_t) {}};
+    fake_endpoint first_{"e-1"};
+    fake_endpoint second_{"e-2"};
+    std::map<std::string, fleet::endpoint_record, std::less<>> records_;
+    std::shared_ptr<status_sink> sink_ = std::make_shared<status_sink>();
+
+    flow_fixture() {
+        auto configuration = std::make_shared<fleet::configuration>();
+        configuration->version_ = 1;
+        fleet::service_spec service;
+        service.name_ = "engines";
+        service.engine_ = fleet::engine_spec();
+        configuration->services_.push_back(service);
+        fleet::route_rule route;
+        route.name_ = "drafts";
+        route.host_ = "shop.example";
+        route.prefix_ = "/drafts/";
+        route.timeout_ms_ = route.objective_ms_ = 2'000;
+        route.targets_ = {{"engines", 1}};
+        configuration->routes_.push_back(route);
+        fleet_.apply_configuration(std::make_shared<const indexed_configuration>(configuration));
+        for (const fake_endpoint* one : {&first_, &second_}) {
+            fleet::endpoint_record& record = records_[one->id()];
+            record.id_ = one->id();
+            record.service_ = "engines";
+            record.address_ = one->address();
+            record.models_ = {{"m", {}}};
+        }
+        fleet_.apply_endpoints(records_);
+    }
+
+    std::shared_ptr<request_flow> start(const std::string& model) {
+        http::request request{"POST",
+                              "/drafts/x",
+                              {{"Host", "shop.example"},
+                               {"Tamarackbeam-Request-Id", "r-1"},
+                               {"Tamarackbeam-Deadline-Ms", "2000"},
+                               {"Tamarackbeam-Model", model}},
+                              "body"};
+        auto flow = std::make_shared<request_flow>(flows_, sink_, std::move(request));
+        flow->on_finished([] {});
+        flow->start();
+        return flow;
+    }
+
+    void mark_leaving(const std::string& id) {
+        records_[id].leaving_ = true;
+        ++records_[id].sequence_;
+        fleet_.apply_endpoints(records_);
+    }
+
+    void run() {
+        constexpr std::chrono::milliseconds limit(3'000);
+        context_.run_for(limit);
+    }
+
+    std::size_t received_by(const std::string& id) const {
+        return (id == first_.id() ? first_ : second_).received_requests().size();
+    }
+};
+
+} // namespace
+
+// DRAIN: a request went to the endpoint that had been chosen before its adapter was loaded, though it had
+// left.
+TEST_CASE_FIXTURE(flow_fixture, "request_endpoint_leaves_while_its_adapter_is_loaded_is_sent_elsewhere") {
+    const auto flow = start("m/a1");
+    REQUIRE(adapters_.size() == 1);
+    const auto [left, adapter_loaded] = adapters_.front();
+    mark_leaving(left);
+    adapter_loaded(true);
+    REQUIRE(adapters_.size() == 2);
+    adapters_.back().second(true);
+    run();
+    CHECK(sink_->status_ == 200);
+    CHECK(received_by(left) == 0);
+}
+
+// DRAIN: the same, where the endpoint's entry was removed.
+TEST_CASE_FIXTURE(flow_fixture, "request_endpoint_is_removed_while_its_adapter_is_loaded_is_sent_elsewhere") {
+    const auto flow = start("m/a1");
+    REQUIRE(adapters_.size() == 1);
+    const auto [removed, adapter_loaded] = adapters_.front();
+    records_.erase(removed);
+    fleet_.apply_endpoints(records_);
+    adapter_loaded(true);
+    REQUIRE(adapters_.size() == 2);
+    adapters_.back().second(true);
+    run();
+    CHECK(sink_->status_ == 200);
+    CHECK(received_by(removed) == 0);
+}
+
+// DRAIN: a request was sent over a connection that was opened before the endpoint said that it leaves.
+TEST_CASE_FIXTURE(flow_fixture, "request_endpoint_leaves_while_it_is_connected_to_is_sent_elsewhere") {
+    const auto flow = start("m");
+    const bool first_chosen = fleet_.endpoints().at("e-1")->in_flight_ > 0;
+    const std::string left = first_chosen ? "e-1" : "e-2";
+    mark_leaving(left);
+    run();
+    CHECK(sink_->status_ == 200);
+    CHECK(received_by(left) == 0);
+}
+
+} // namespace tamarack::gateway
