--- a/tests/direct/registry_view_test.cpp
+++ b/tests/direct/registry_view_test.cpp
@@ -158,4 +158,16 @@
     CHECK(store_.calls() == calls);
 }
 
+// A gateway that the store had turned away once never tried again, so it could not take its turn at reading.
+TEST_CASE_FIXTURE(relayed_gateway,
+                  "gateway_store_serves_it_again_while_others_read_notices_within_ten_seconds") {
+    start_ready();
+    store_.set_fault(fake_store::fault::busy);
+    REQUIRE(eventually([&] { return logged("\"store_lost\""); }));
+    start_peers();
+    REQUIRE(eventually([&] { return logged("\"leaves_reading_to_others\""); }));
+    store_.set_fault(fake_store::fault::none);
+    CHECK(eventually([&] { return logged("\"store_regained\""); })); // within 10 s
+}
+
 } // namespace tamarack::direct
