--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -104,6 +104,13 @@
         answer.body_.resize(answer.body_.size() - 3);
     }
     co_await current.reply(std::move(answer));
+    const std::lock_guard lock(mutex_);
+    ++calls_by_topic_[std::string(call.query("topic").value_or(""))];
+}
+
+int fake_store::calls(const std::string& topic) {
+    const std::lock_guard lock(mutex_);
+    return calls_by_topic_[topic];
 }
 
 // Waits until there is a record for the read, for at most its `wait_ms`.
@@ -138,10 +145,13 @@
         }
     }
     nlohmann::json items = nlohmann::json::array();
-    for (const auto& [key, value] : newest) {
-        items.push_back({{"key", key}, {"value", base64(value.first)}, {"offset", value.second}});
+    auto entry = newest.upper_bound(std::string(call.query("after").value_or("")));
+    for (; entry != newest.end() && items.size() < page_size_; ++entry) {
+        const auto& [value, offset] = entry->second;
+        items.push_back({{"key", entry->first}, {"value", base64(value)}, {"offset", offset}});
     }
-    const nlohmann::json body = {{"items", items}, {"has_more", false}, {"end", records.size()}};
+    const bool has_more = entry != newest.end();
+    const nlohmann::json body = {{"items", items}, {"has_more", has_more}, {"end", records.size()}};
     return http::json_response(200, body.dump());
 }
 
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -37,6 +37,11 @@
     void set_fault(fault new_fault) { fault_ = new_fault; }
     boost::asio::ip::tcp::endpoint address() const;
     int calls() const { return calls_; }
+    int calls(const std::string& topic);
+
+    // Sets the number of records in one page of the newest records.
+    void set_page_size(std::size_t size) { page_size_ = size; }
+
     std::size_t record_count(const std::string& topic) { return end_of(topic); }
 
 private:
@@ -57,6 +62,8 @@
     std::map<std::string, std::vector<record>> topics_;
     std::atomic<fault> fault_ = fault::none;
     std::atomic<int> calls_ = 0;
+    std::atomic<std::size_t> page_size_ = 500;
+    std::map<std::string, int> calls_by_topic_; // answered ones
     std::thread thread_;
 };
 
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -4,6 +4,7 @@
 #include "tamarack/engine.hpp"
 
 #include <algorithm>
+#include <thread>
 
 namespace tamarack::direct {
 
@@ -195,6 +196,60 @@
                               [](const auto& record) { return record.key_ == "i-1" && !record.value_; }));
 }
 
+namespace {
+
+// One fleet source, at the moment at which the store has answered the second of three pages of the registry
+// and the source has seen the first only.
+struct source_between_pages : relaying_sources {
+    source_between_pages() {
+        first_.source_ = nullptr;
+        second_.source_ = nullptr;
+        store_.set_page_size(1);
+        store_.put("keyed.servers", "i-2", endpoint_text(endpoint_));
+        store_.put("keyed.servers", "i-3", endpoint_text(endpoint_));
+        connect(first_, second_);
+        connect(second_, first_); // not started
+        first_.endpoints_.clear();
+        const int before = store_.calls("keyed.servers");
+        first_.source_->start();
+        while (!first_.endpoints_.contains("i-1")) {
+            context_.run_one();
+        }
+        while (store_.calls("keyed.servers") < before + 2) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        REQUIRE(first_.endpoints_ == std::set<std::string>{"i-1"});
+    }
+};
+
+} // namespace
+
+// A gateway that asked a seed between two pages took the part that the seed knew for the whole registry.
+TEST_CASE_FIXTURE(source_between_pages, "source_between_pages_offers_no_snapshot_of_the_registry") {
+    const auto offers_registry = [this] {
+        return std::ranges::any_of(first_.source_->snapshot(), [](const fleet::relayed_data& data) {
+            const auto message = platform::decode_relay(data.bytes_);
+            return ok(message) && value(message).topic_ == "keyed.servers";
+        });
+    };
+    CHECK_FALSE(offers_registry());
+    REQUIRE(eventually([&] { return first_.endpoints_.size() == 3; }));
+    CHECK(eventually(offers_registry));
+}
+
+// DRAIN: a page that was older than a relayed removal listed the endpoint again, for good.
+TEST_CASE_FIXTURE(source_between_pages,
+                  "source_between_pages_hears_of_a_removal_does_not_list_the_endpoint") {
+    const auto end = std::int64_t(store_.record_count("keyed.servers"));
+    store_.drop("keyed.servers", "i-2");
+    platform::relay_message removal;
+    removal.topic_ = "keyed.servers";
+    removal.span_ = {end, end + 1, {{"i-2", std::nullopt, end}}, false};
+    first_.source_->take_relayed({platform::encode_relay(removal), boot_now_ms()});
+    REQUIRE(eventually([&] { return first_.endpoints_.contains("i-3"); }));
+    CHECK(eventually([&] { return !first_.endpoints_.contains("i-2"); }));
+}
+
 TEST_CASE("engine_client_unanswered_order_times_out_in_time_to_repeat_it") {
     constexpr time_ms adapter_limit_ms = 1'200; // within which a requested adapter must become resident
     fake_endpoint engine("i-1");
