Wait a moment for a newer view after a process stood still

Callers' requests could reach an endpoint that had left, in the first moments after a gateway had stood still: it knew that its data was seconds old and chose by it all the same (DRAIN; found while looking for the incident's cause elsewhere).

Cause: the age of the view was known and decided nothing.

Evidence: request_process_stood_still_waits_for_a_view_from_after_it failed 3 of 3 runs before.

Change: if the view is older than 1.7 s, which a process that runs does not let it become while the store serves anybody, requests wait up to 0.15 s for a newer one. They do so once for each such view: in an outage of the store, requests after that go by what is known, as before.

--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+// Above the age at which a gateway reads for itself, and below the two seconds within which requests to a
+// leaving endpoint must stop.
+constexpr time_ms max_view_age_ms = 1'700;
+
+constexpr time_ms newer_view_wait_ms = 150; // longer than a gateway takes to notice and to read
+
 constexpr int initial_gateway_count = 8;        // assumed until the first count of the peers
 constexpr double endpoint_sample_weight = 0.08; // weight of a new sample in an endpoint's slowness
 constexpr double service_sample_weight = 0.02;  // weight of a new sample in a service's mean first event time
@@ -56,6 +62,21 @@
     }
 }
 
+void fleet_state::set_registry_freshness(const fleet::freshness& current) {
+    registry_freshness_ = current;
+    found_old_at_ = std::nullopt;
+}
+
+bool fleet_state::newer_view_is_due(time_ms now) {
+    if (view_age_ms(now) <= max_view_age_ms) {
+        return false;
+    }
+    if (!found_old_at_) {
+        found_old_at_ = now;
+    }
+    return now - *found_old_at_ < newer_view_wait_ms;
+}
+
 const std::vector<std::shared_ptr<endpoint>>& fleet_state::endpoints_of(std::string_view service) const {
     static const std::vector<std::shared_ptr<endpoint>> none;
     const auto found = endpoints_by_service_.find(service);
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -34,11 +34,16 @@
     }
     const std::vector<std::shared_ptr<endpoint>>& endpoints_of(std::string_view service) const;
 
-    void set_registry_freshness(const fleet::freshness& current) { registry_freshness_ = current; }
+    void set_registry_freshness(const fleet::freshness& current);
 
     // Age of the data that a choice of an endpoint rests on; -1 if there has been none.
     time_ms view_age_ms(time_ms now) const { return fleet::age_ms(registry_freshness_, now); }
 
+    // Whether a request should wait a moment for a newer view of the endpoints before one is chosen. The view
+    // is then older than a process that runs lets it become, so a newer one is a read away unless the store
+    // serves nobody.
+    bool newer_view_is_due(time_ms now);
+
     // The retry budget of a service, shared by all its requests.
     dispatch::retry_window& retries(const std::string& service);
 
@@ -100,6 +105,7 @@
     std::map<std::string, std::shared_ptr<endpoint>, std::less<>> endpoints_;
     std::map<std::string, std::vector<std::shared_ptr<endpoint>>, std::less<>> endpoints_by_service_;
     fleet::freshness registry_freshness_;
+    std::optional<time_ms> found_old_at_; // when a request first found the present view too old
     std::map<std::string, dispatch::retry_window> retries_;
     std::map<std::string, dispatch::engine_timing> timings_;
     std::map<std::string, double> mean_first_event_ms_;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -12,6 +12,7 @@
 // for a repeatable request.
 constexpr time_ms default_timeout_ms = 30'000;
 
+constexpr time_ms view_check_interval_ms = 20;  // interval between checks for a newer view of the endpoints
 constexpr time_ms model_check_interval_ms = 80; // interval between checks for an engine that holds the model
 constexpr time_ms not_ready_retry_after_ms = 400;     // expected time until a gateway gets a configuration
 constexpr time_ms no_endpoint_retry_after_ms = 1'000; // expected time until an endpoint registers
@@ -153,6 +154,10 @@
 }
 
 void request_flow::try_next_endpoint() {
+    if (context_.fleet_.newer_view_is_due(boot_now_ms())) {
+        wait_for_newer_view();
+        return;
+    }
     const time_ms now = steady_now_ms();
     view_age_ms_ = context_.fleet_.view_age_ms(boot_now_ms());
     const auto usable = usable_endpoints();
@@ -226,6 +231,22 @@
     return facts;
 }
 
+void request_flow::wait_for_newer_view() {
+    if (!std::exchange(waited_for_view_, true)) {
+        context_.events_.write({event_kind::admission,
+                                "gateway",
+                                "held_for_view",
+                                metadata_.id_,
+                                {{"view_age_ms", context_.fleet_.view_age_ms(boot_now_ms())}}});
+    }
+    wait_timer_.expires_after(std::chrono::milliseconds(view_check_interval_ms));
+    wait_timer_.async_wait([self = shared_from_this()](boost::system::error_code cancelled) {
+        if (!cancelled && !self->finished_) {
+            self->try_next_endpoint();
+        }
+    });
+}
+
 // Called when no engine holds the model. Waits for one to load it if that can still be in time, and refuses
 // the request otherwise.
 void request_flow::wait_for_model() {
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -70,6 +70,7 @@
     double adapter_wait_ms(const endpoint& target) const;
     void log_refusal(const endpoint& best, const dispatch::endpoint_candidate& candidate, time_ms expected,
                      time_ms now);
+    void wait_for_newer_view();
     void wait_for_model();
     void stop_waiting_for_model();
     void acquire_adapter_and_send(std::shared_ptr<endpoint> target);
@@ -131,6 +132,7 @@
     int possible_runs_ = 0;    // those of them that the endpoint did not confirm as not run
     bool stream_begun_ = false;
     bool waiting_for_model_ = false;
+    bool waited_for_view_ = false;
     bool returned_after_refusal_ = false; // assumed if the deadline is shorter than usual for the route
     bool finished_ = false;
     time_ms last_event_at_ = 0;
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -65,6 +65,7 @@
             record.id_ = one->id();
             record.service_ = "engines";
             record.address_ = one->address();
+            record.slots_ = 16;
             record.models_ = {{"m", {}}};
         }
         fleet_.apply_endpoints(records_);
@@ -143,4 +144,36 @@
     CHECK(received_by(left) == 0);
 }
 
+// DRAIN: a gateway that had stood still sent requests by what it knew before, in the moment before its next
+// read.
+TEST_CASE_FIXTURE(flow_fixture, "request_process_stood_still_waits_for_a_view_from_after_it") {
+    constexpr std::chrono::milliseconds before_the_read(40);
+    constexpr time_ms stood_still_ms = 5'000;
+    fleet_.set_registry_freshness({boot_now_ms() - stood_still_ms, 0, false});
+    for (int request = 0; request < 6; ++request) {
+        start("m");
+    }
+    context_.run_for(before_the_read);
+    mark_leaving("e-1");
+    fleet_.set_registry_freshness({boot_now_ms(), 0, false});
+    run();
+    CHECK(received_by("e-1") == 0);
+    CHECK(received_by("e-2") == 6);
+}
+
+TEST_CASE_FIXTURE(flow_fixture, "request_no_newer_view_comes_waits_once_and_no_longer_than_a_read_takes") {
+    constexpr time_ms limit_ms = 300; // the wait and the request itself
+    fleet_.set_registry_freshness({boot_now_ms() - 60'000, 0, false});
+    for (int request = 0; request < 2; ++request) {
+        sink_->status_ = 0;
+        const time_ms began = boot_now_ms();
+        const auto flow = start("m");
+        while (sink_->status_ == 0 && boot_now_ms() - began < limit_ms) {
+            context_.run_for(std::chrono::milliseconds(5));
+        }
+        CHECK(sink_->status_ == 200);
+        CHECK(boot_now_ms() - began < (request == 0 ? limit_ms : limit_ms / 3));
+    }
+}
+
 } // namespace tamarack::gateway
