Ignore a late status of an earlier incarnation of an agent

Callers of the product's own interface could be sent to an agent that leaves; it refuses them, so they lose a retry and no more.

Cause: a status replaced the newest one whatever its incarnation, and with it the newer incarnation's word that it leaves.

Evidence: endpoint_status_of_an_earlier_incarnation_arrives_late_is_ignored failed before.

Change: while the later incarnation is heard, a status of an earlier one is ignored. An agent that restarts after its clock was set back has a lower number for good; it is taken once the other has not been heard for the heartbeat limit or its connection was lost.

--- a/include/tamarack/membership.hpp
+++ b/include/tamarack/membership.hpp
@@ -53,7 +53,8 @@
     void apply_list(std::span<const listed_instance> instances);
 
     // Records the status of an agent; ignores agents whose endpoint is not known. Within one incarnation,
-    // `leaving_` stays set once it was reported.
+    // `leaving_` stays set once it was reported. A status of an earlier incarnation is ignored while the
+    // later one is heard; after that it is taken for that of a restarted agent whose clock was set back.
     void apply_status(std::string_view id, const agent_status& status, time_ms now);
 
     // Marks the endpoint as disconnected.
@@ -67,6 +68,8 @@
     std::vector<const endpoint_view*> pool_endpoints(std::string_view pool) const;
 
 private:
+    bool heard(const endpoint_view& endpoint, time_ms now) const;
+
     time_ms heartbeat_limit_ms_;
     std::map<std::string, endpoint_view, std::less<>> endpoints_;
 };
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -24,6 +24,9 @@
         return;
     }
     endpoint_view& endpoint = found->second;
+    if (status.incarnation_ < endpoint.status_.incarnation_ && heard(endpoint, now)) {
+        return;
+    }
     const bool same_incarnation = endpoint.status_.incarnation_ == status.incarnation_;
     const bool left_before = same_incarnation && endpoint.status_.leaving_;
     std::vector<std::string> items_before = std::move(endpoint.status_.resident_);
@@ -43,9 +46,12 @@
     }
 }
 
+bool membership::heard(const endpoint_view& endpoint, time_ms now) const {
+    return endpoint.connected_ && now - endpoint.last_status_at_ <= heartbeat_limit_ms_;
+}
+
 bool membership::accepts_new_requests(const endpoint_view& endpoint, time_ms now) const {
-    const bool heard = endpoint.connected_ && now - endpoint.last_status_at_ <= heartbeat_limit_ms_;
-    return heard && !endpoint.instance_.leaving_ && !endpoint.status_.leaving_;
+    return heard(endpoint, now) && !endpoint.instance_.leaving_ && !endpoint.status_.leaving_;
 }
 
 std::vector<const endpoint_view*> membership::pool_endpoints(std::string_view pool) const {
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -59,6 +59,28 @@
     CHECK(accepts_requests("a", 30));
 }
 
+// A status of the process before cleared what its successor had said: that it leaves.
+TEST_CASE_FIXTURE(membership_fixture, "endpoint_status_of_an_earlier_incarnation_arrives_late_is_ignored") {
+    list({listed("a")});
+    report_status("a", 1, false, 0);
+    report_status("a", 2, true, 100);
+    report_status("a", 1, false, 200);
+    CHECK_FALSE(accepts_requests("a", 200));
+    CHECK(members_.endpoints().at("a").status_.incarnation_ == 2);
+    CHECK(members_.endpoints().at("a").last_status_at_ == 100);
+}
+
+TEST_CASE_FIXTURE(membership_fixture, "endpoint_restarted_after_its_clock_was_set_back_accepts_requests") {
+    list({listed("a")});
+    report_status("a", 2, false, 0);
+    report_status("a", 1, false, 2'001); // the earlier one has not been heard for the heartbeat limit
+    CHECK(accepts_requests("a", 2'001));
+    report_status("a", 3, false, 3'000);
+    members_.connection_lost("a");
+    report_status("a", 1, false, 3'100);
+    CHECK(accepts_requests("a", 3'100));
+}
+
 TEST_CASE_FIXTURE(membership_fixture, "endpoint_listed_as_leaving_accepts_no_requests") {
     list({listed("a")});
     report_status("a", 1, false, 0);
