Tell the age of an entry's view of the instance list

An operator of the product's own interface could not tell from when an entry's list is. The body of an entry's /readyz now has list_age_ms, counted from the start of the call that fetched the list. The process test takes the list away and gives it back; it passes.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -95,7 +95,9 @@
 asio::awaitable<void> control_thread::poll_instance_list() {
     asio::steady_timer timer(context_);
     while (!shutting_down_) {
+        const time_ms called_at = boot_now_ms();
         result<std::vector<listed_instance>> fetched = co_await list_client_.fetch_();
+        list_as_of_ = ok(fetched) ? called_at : list_as_of_;
         if (ok(fetched) && value(fetched) != instances_) {
             instances_ = std::move(value(fetched));
             publish_view();
@@ -124,6 +126,7 @@
     nlohmann::json body = {
         {"ready", ready()}, {"version", config_.state().version_}, {"leaving", shutting_down_}};
     body["in_service"] = requests_in_flight();
+    body["list_age_ms"] = list_as_of_ < 0 ? -1 : boot_now_ms() - list_as_of_;
     http::response response = admin_response(current.incoming().path(), metrics_, ready(), body.dump());
     co_await current.reply(std::move(response));
 }
--- a/src/entry/control.hpp
+++ b/src/entry/control.hpp
@@ -37,6 +37,7 @@
     std::vector<std::unique_ptr<shard>> shards_;
     std::vector<std::thread> threads_;
     std::vector<listed_instance> instances_;
+    time_ms list_as_of_ = -1; // start of the call that fetched `instances_`; -1 before the first one
     bool shutting_down_ = false;
 };
 
--- a/tests/process/configuration_process_test.cpp
+++ b/tests/process/configuration_process_test.cpp
@@ -93,6 +93,20 @@
     CHECK_FALSE(system_.get(alone.admin_port_, "/readyz")["ready"].get<bool>());
 }
 
+TEST_CASE_FIXTURE(config_cluster, "entry_list_unreachable_tells_the_age_of_its_view") {
+    constexpr std::int64_t limit_ms = 2'000;
+    const auto list_age_ms = [this] {
+        return system_.get(system_.entries().at("entry-1").admin_port_, "/readyz").value("list_age_ms", -1);
+    };
+    CHECK(list_age_ms() >= 0);
+    CHECK(list_age_ms() < limit_ms);
+    system_.set_faults(system_.list_port(), {{"outage", 1}});
+    CHECK(cluster::wait_for([&] { return list_age_ms() > limit_ms; }));
+    CHECK(send("entry-1", "without-list").outcome() == "answered");
+    system_.set_faults(system_.list_port(), {{"outage", 0}});
+    CHECK(cluster::wait_for([&] { return list_age_ms() < limit_ms; }));
+}
+
 TEST_CASE_FIXTURE(config_cluster, "instance_frozen_during_changes_and_log_trim_catches_up") {
     node("desk-a").agent_.signal(SIGSTOP);
     system_.entries().at("entry-1").entry_.signal(SIGSTOP);
