Let endpoints of the soak leave without notice

No caller was concerned. The soak's endpoints always said that they leave; now every other one only loses its entry, which the referee judges by the same two seconds.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -317,20 +317,28 @@
         }
     }
 
-    // An endpoint leaves as planned and comes back as another start.
+    // An endpoint leaves, with notice or without a word, and comes back as another start.
     awaitable<void> leave() {
         endpoint_place& one = any(fleet_.endpoints());
         if (one.leaving_) {
             co_return;
         }
-        note("leaving of " + one.engine_->id());
+        const time_ms away = between(2'500, 4'000);
+        const bool gives_notice = away % 2 == 0;
+        note((gives_notice ? "leaving of " : "leaving without notice of ") + one.engine_->id());
         one.leaving_ = true;
-        fleet_.heartbeat();
+        one.registered_ = gives_notice;
+        if (gives_notice) {
+            fleet_.heartbeat();
+        } else {
+            fleet_.store().drop("keyed.servers", one.engine_->id());
+        }
         judge_.leaves(one.engine_->id(), steady_now_ms());
-        co_await pause(between(2'500, 4'000));
+        co_await pause(away);
         one.engine_->restart();
         judge_.returned(one.engine_->id());
         one.leaving_ = false;
+        one.registered_ = true;
     }
 
     awaitable<void> configure() {
