Give the gateways of tests ports that no connection takes

No caller was concerned; a test of the gateway as a process failed now and then before it began (gateway_process.hpp, ready() never true).

Cause: its ports came from the range of outgoing connections, so one could be taken before the gateway listened there.

Change: the function of the other process tests, which takes ports below that range.

--- a/tests/direct/gateway_process.hpp
+++ b/tests/direct/gateway_process.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "direct/platform_stand_ins.hpp"
-#include "harness/process.hpp"
+#include "harness/cluster.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,6 +16,7 @@
 namespace tamarack::direct {
 
 using behaviour = fake_endpoint::behaviour;
+using harness::free_port;
 
 inline std::string configuration_text(int version) {
     nlohmann::json routes = nlohmann::json::array();
@@ -53,13 +54,6 @@
     return body.dump();
 }
 
-// Returns a local port on which nothing listens at the moment.
-inline std::uint16_t free_port() {
-    boost::asio::io_context context;
-    const boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
-    return acceptor.local_endpoint().port();
-}
-
 // A gateway process with its fake store and two fake endpoints.
 struct gateway_process {
     fake_store store_;
