Follow the store when it returns from a copy

New on the platform: the store may come back from a copy some seconds old, give offsets out again, and tell so by a number in its answers. Callers would have reached endpoints that had left and are in the copy again, and a gateway would have waited for good at an offset that meanwhile names other records: it missed configurations and endpoints written there.

Change: the number travels with each read and relay as the epoch. A later epoch makes a gateway read everything anew and starts the grace period for missing entries; spans of another epoch are not applied. The directory remembers endpoints that have left for a minute and takes their entries from a copy only when they are written again; readers relay the first record of each key after a copy for that.

Left: a gateway that the store turns away at that moment takes no relays of the new epoch until it is served again, as after any missed relay.

--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -134,6 +134,7 @@
     std::vector<held_model> models_;
     std::int64_t incarnation_ = 0; // increases with each start of the endpoint
     std::int64_t sequence_ = 0;    // increases with each record of one incarnation
+    bool rolled_back_ = false; // read after the registry was rolled back; the endpoint may have left since
 };
 
 // Whether `candidate` was written before `known`. Used to ignore records that arrive out of order.
@@ -183,15 +184,20 @@
     renewed, // a heartbeat, or a change of what the endpoint holds
     listed,  // an endpoint that was not known
     leaving, // the endpoint says that it is shutting down
+    doubted, // a rollback of the registry brought back the entry of an endpoint that had left
     kept,    // the entry was removed from the registry; the endpoint is kept
     removed,
 };
 
 std::string_view to_string(directory_effect effect);
 
+// Time for which endpoints that have left are remembered; a registry is rolled back by some seconds only.
+inline constexpr time_ms departed_retention_ms = 60'000;
+
 // The endpoints in service. If the registry was out of service, endpoints may have been unable to renew their
 // entries. Those that are then missing are kept until the registry has been read for the grace period after
-// its return, unless the endpoint was shutting down.
+// its return, unless the endpoint was shutting down. If the registry was rolled back, endpoints that had left
+// are in it again; they are listed only when their entry is written anew.
 class directory {
 public:
     // Applies a change, read with data of this freshness.
@@ -204,8 +210,16 @@
     const std::map<std::string, endpoint_record, std::less<>>& endpoints() const { return endpoints_; }
 
 private:
+    struct departure {
+        std::int64_t incarnation_ = 0;
+        time_ms as_of_ = 0;
+    };
+
+    void erase(std::string_view id, const freshness& current);
+
     std::map<std::string, endpoint_record, std::less<>> endpoints_;
     std::set<std::string> lapsed_; // entries removed from the registry but still kept
+    std::map<std::string, departure, std::less<>> departed_;
 };
 
 // Data that one gateway relays to others. `as_of_` is the time from which it is, on the clock of the process
@@ -223,6 +237,7 @@
     std::function<void(std::vector<endpoint_change>, const freshness&)> endpoints_;
 
     std::function<void(bool reachable)> store_; // this process reaches the store, or no longer does
+    std::function<void()> rolled_back_;         // the registry has lost what was written last
     std::function<void(relayed_data)> relay_;   // data for gateways that do not read the store
     std::function<void(const error&)> skipped_; // a record could not be used
 };
--- a/src/fleet/directory.cpp
+++ b/src/fleet/directory.cpp
@@ -25,6 +25,8 @@
         return "listed";
     case directory_effect::leaving:
         return "leaving";
+    case directory_effect::doubted:
+        return "doubted";
     case directory_effect::kept:
         return "kept";
     case directory_effect::removed:
@@ -62,6 +64,13 @@
         if (known != endpoints_.end() && is_older(*record, known->second)) {
             return directory_effect::none;
         }
+        const auto departed = departed_.find(record->id_);
+        const bool had_left = known == endpoints_.end() && departed != departed_.end() &&
+                              record->incarnation_ <= departed->second.incarnation_;
+        if (record->rolled_back_ && had_left) {
+            return directory_effect::doubted;
+        }
+        departed_.erase(record->id_);
         const bool left_before = known != endpoints_.end() && known->second.leaving_;
         lapsed_.erase(record->id_);
         endpoints_.insert_or_assign(record->id_, *record);
@@ -80,20 +89,28 @@
     if (in_grace_period(current) && !found->second.leaving_) {
         return lapsed_.insert(id).second ? directory_effect::kept : directory_effect::none;
     }
-    lapsed_.erase(id);
-    endpoints_.erase(found);
+    erase(id, current);
     return directory_effect::removed;
 }
 
+void directory::erase(std::string_view id, const freshness& current) {
+    const auto found = endpoints_.find(id);
+    std::erase_if(departed_, [&](const auto& entry) {
+        return entry.second.as_of_ < current.as_of_ - departed_retention_ms;
+    });
+    departed_[found->first] = {found->second.incarnation_, current.as_of_};
+    lapsed_.erase(found->first);
+    endpoints_.erase(found);
+}
+
 std::vector<std::string> directory::expire(const freshness& current) {
     if (in_grace_period(current)) {
         return {};
     }
-    std::vector<std::string> expired(lapsed_.begin(), lapsed_.end());
-    for (const std::string& id : lapsed_) {
-        endpoints_.erase(id);
+    const std::vector<std::string> expired(lapsed_.begin(), lapsed_.end());
+    for (const std::string& id : expired) {
+        erase(id, current);
     }
-    lapsed_.clear();
     return expired;
 }
 
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -65,6 +65,14 @@
     handlers.endpoints_ = [this](const std::vector<fleet::endpoint_change>& changes,
                                  const fleet::freshness& current) { apply_endpoints(changes, current); };
     handlers.store_ = [this](bool reachable) { set_store_reachable(reachable); };
+    handlers.rolled_back_ = [this] {
+        events_.write({event_kind::dependency,
+                       "gateway",
+                       "store_rolled_back",
+                       {},
+                       {{"endpoints", std::int64_t(directory_.endpoints().size())},
+                        {"configuration", configuration_version_}}});
+    };
     handlers.skipped_ = [this](const error& why) {
         events_.write({event_kind::fleet_view, "gateway", "record_skipped", {}, {{"why", to_string(why)}}});
     };
--- a/tests/direct/fleet_test.cpp
+++ b/tests/direct/fleet_test.cpp
@@ -132,6 +132,42 @@
     CHECK_FALSE(has("e1"));
 }
 
+// DRAIN: a registry that was rolled back listed an endpoint again that had left.
+TEST_CASE_FIXTURE(directory_fixture, "directory_rollback_brings_back_a_departed_endpoint_it_is_doubted") {
+    directory_.apply(record("e1", 5, 9), continuous(10'000));
+    directory_.apply(endpoint_removed{"e1"}, continuous(11'000));
+    endpoint_record brought_back = record("e1", 5, 8);
+    brought_back.rolled_back_ = true;
+    CHECK(directory_.apply(brought_back, continuous(14'000)) == directory_effect::doubted);
+    CHECK_FALSE(has("e1"));
+    // It writes its entry anew, with a number that the rollback set back as well.
+    CHECK(directory_.apply(record("e1", 5, 9), continuous(15'000)) == directory_effect::listed);
+    CHECK(has("e1"));
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "directory_rollback_endpoint_never_departed_or_started_again_is_listed") {
+    directory_.apply(record("e1", 5, 9), continuous(10'000));
+    directory_.apply(endpoint_removed{"e1"}, continuous(11'000));
+    endpoint_record started_again = record("e1", 6, 1);
+    started_again.rolled_back_ = true;
+    endpoint_record other = record("e2", 5, 8);
+    other.rolled_back_ = true;
+    CHECK(directory_.apply(started_again, continuous(14'000)) == directory_effect::listed);
+    CHECK(directory_.apply(other, continuous(14'000)) == directory_effect::listed);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "directory_departed_endpoint_is_forgotten_after_the_retention") {
+    directory_.apply(record("e1"), continuous(10'000));
+    directory_.apply(record("e2"), continuous(10'000));
+    directory_.apply(endpoint_removed{"e1"}, continuous(11'000));
+    directory_.apply(endpoint_removed{"e2"}, continuous(11'001 + departed_retention_ms));
+    endpoint_record brought_back = record("e1");
+    brought_back.rolled_back_ = true;
+    const freshness later = continuous(12'000 + departed_retention_ms);
+    CHECK(directory_.apply(brought_back, later) == directory_effect::listed);
+}
+
 TEST_CASE("freshness_readings_in_short_succession_stay_continuous") {
     const freshness first{10'000, 10'000, false};
     const freshness next{10'000 + max_reading_gap_ms, 10'000 + max_reading_gap_ms, false};
--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -78,6 +78,13 @@
     topics_[topic].push_back({key, std::nullopt});
 }
 
+void fake_store::roll_back(const std::string& topic, std::size_t count) {
+    const std::lock_guard lock(mutex_);
+    auto& records = topics_[topic];
+    records.resize(records.size() - count);
+    ++era_;
+}
+
 http::awaitable<void> fake_store::handle(http::exchange& current) {
     ++calls_;
     const http::request& call = current.incoming();
@@ -103,6 +110,7 @@
     if (active == fault::truncated && answer.body_.size() > 3) {
         answer.body_.resize(answer.body_.size() - 3);
     }
+    answer.headers_.push_back({"Store-Era", std::to_string(era_)});
     co_await current.reply(std::move(answer));
     const std::lock_guard lock(mutex_);
     ++calls_by_topic_[std::string(call.query("topic").value_or(""))];
@@ -159,6 +167,9 @@
     const std::lock_guard lock(mutex_);
     const auto& records = topics_[std::string(call.query("topic").value_or(""))];
     const std::size_t from = std::stoul(std::string(call.query("from").value_or("0")));
+    if (from > records.size()) {
+        return http::json_response(410, "{\"first\":0}");
+    }
     std::string body = big_endian(records.size(), 8) + big_endian(0, 8);
     for (std::size_t offset = from; offset < records.size(); ++offset) {
         const record& current = records[offset];
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -33,6 +33,9 @@
     void put(const std::string& topic, const std::string& key, const std::string& value);
     void drop(const std::string& topic, const std::string& key);
 
+    // Returns from a copy that lacks the last `count` records of the topic.
+    void roll_back(const std::string& topic, std::size_t count);
+
     // Sets the fault of all following calls.
     void set_fault(fault new_fault) { fault_ = new_fault; }
     boost::asio::ip::tcp::endpoint address() const;
@@ -63,6 +66,7 @@
     std::atomic<fault> fault_ = fault::none;
     std::atomic<int> calls_ = 0;
     std::atomic<std::size_t> page_size_ = 500;
+    std::atomic<int> era_ = 1;
     std::map<std::string, int> calls_by_topic_; // answered ones
     std::thread thread_;
 };
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -50,7 +50,7 @@
 TEST_CASE("platform_relay_message_is_decoded_unchanged_and_malformed_bytes_are_rejected") {
     platform::relay_message message;
     message.topic_ = "t";
-    message.span_ = {5, 9, {{"k", "v\x01", 6}, {"gone", std::nullopt, 8}}};
+    message.span_ = {5, 9, {{"k", "v\x01", 6, true}, {"gone", std::nullopt, 8}}, false, 3};
     message.continuous_for_ms_ = 12;
     const auto decoded = platform::decode_relay(platform::encode_relay(message));
     REQUIRE(ok(decoded));
@@ -61,6 +61,9 @@
     CHECK(value(decoded).span_.records_[0].value_ == "v\x01");
     CHECK_FALSE(value(decoded).span_.records_[1].value_);
     CHECK(value(decoded).span_.records_[1].offset_ == 8);
+    CHECK(value(decoded).span_.records_[0].rolled_back_);
+    CHECK_FALSE(value(decoded).span_.records_[1].rolled_back_);
+    CHECK(value(decoded).span_.epoch_ == 3);
     CHECK(value(decoded).continuous_for_ms_ == 12);
     CHECK_FALSE(ok(platform::decode_relay("damaged")));
 }
@@ -118,6 +121,7 @@
             }
         };
         handlers.store_ = [](bool) {};
+        handlers.rolled_back_ = [] {};
         handlers.relay_ = [&receiver, &other](const fleet::relayed_data& data) {
             const auto message = platform::decode_relay(data.bytes_);
             REQUIRE(ok(message));
@@ -184,7 +188,7 @@
     store_.drop("keyed.servers", "i-1");
     platform::relay_message next;
     next.topic_ = "keyed.servers";
-    next.span_ = {end + 1, end + 2, {{"i-1", std::nullopt}}, false};
+    next.span_ = {end + 1, end + 2, {{"i-1", std::nullopt}}, false, 1};
     first_.relayed_.clear();
     first_.source_->take_relayed({platform::encode_relay(next), boot_now_ms()});
     const auto covers_removal = [&](const platform::relay_message& message) {
@@ -244,12 +248,29 @@
     store_.drop("keyed.servers", "i-2");
     platform::relay_message removal;
     removal.topic_ = "keyed.servers";
-    removal.span_ = {end, end + 1, {{"i-2", std::nullopt, end}}, false};
+    removal.span_ = {end, end + 1, {{"i-2", std::nullopt, end}}, false, 1};
     first_.source_->take_relayed({platform::encode_relay(removal), boot_now_ms()});
     REQUIRE(eventually([&] { return first_.endpoints_.contains("i-3"); }));
     CHECK(eventually([&] { return !first_.endpoints_.contains("i-2"); }));
 }
 
+// After the store returned from a copy, offsets that were known were given out again for other records.
+TEST_CASE_FIXTURE(relaying_sources, "sources_store_returns_from_a_copy_both_see_what_is_written_there") {
+    const auto known = [this](const std::string& id) {
+        return first_.endpoints_.contains(id) && second_.endpoints_.contains(id);
+    };
+    REQUIRE(eventually([&] { return known("i-1"); }));
+    set_roles(first_, second_);
+    store_.put("keyed.servers", "i-1", endpoint_text(endpoint_));
+    store_.put("keyed.servers", "i-2", endpoint_text(endpoint_));
+    REQUIRE(eventually([&] { return known("i-2"); }));
+    store_.roll_back("keyed.servers", 2);
+    store_.put("keyed.servers", "i-3", endpoint_text(endpoint_));
+    store_.put("keyed.servers", "i-1", endpoint_text(endpoint_));
+    store_.put("keyed.servers", "i-1", endpoint_text(endpoint_));
+    CHECK(eventually([&] { return known("i-3"); }));
+}
+
 TEST_CASE("engine_client_unanswered_order_times_out_in_time_to_repeat_it") {
     constexpr time_ms adapter_limit_ms = 1'200; // within which a requested adapter must become resident
     fake_endpoint engine("i-1");
--- a/tests/direct/registry_view_test.cpp
+++ b/tests/direct/registry_view_test.cpp
@@ -62,7 +62,7 @@
                     digest.store_reachable = true;
                     agent_.send(links::make_frame(std::move(digest)));
                 }
-                relay("keyed.op", {configuration_end_, configuration_end_, {}, false});
+                relay("keyed.op", {configuration_end_, configuration_end_, {}, false, 1});
                 if (relays_registry_) {
                     relay_registry({});
                 }
@@ -75,7 +75,7 @@
     void relay_registry(std::vector<platform::keyed_record> records) {
         const std::int64_t from = registry_end_;
         registry_end_ += std::int64_t(records.size());
-        relay("keyed.servers", {from, from + std::int64_t(records.size()), std::move(records), false});
+        relay("keyed.servers", {from, from + std::int64_t(records.size()), std::move(records), false, 1});
     }
 
     void relay(const std::string& topic, platform::topic_span span) {
@@ -170,4 +170,38 @@
     CHECK(eventually([&] { return logged("\"store_regained\""); })); // within 10 s
 }
 
+// A gateway waited at an offset that the store, back from a copy, gave to the next configuration.
+TEST_CASE_FIXTURE(relayed_gateway, "gateway_store_returns_from_a_copy_takes_the_next_configuration") {
+    start_ready();
+    store_.put("keyed.op", "config", configuration_with_engines(9));
+    REQUIRE(eventually([&] { return logged("\"configuration_in_force\",\"version\":9"); }));
+    store_.roll_back("keyed.op", 1);
+    store_.put("keyed.op", "config", configuration_with_engines(10));
+    CHECK(eventually([&] { return logged("\"configuration_in_force\",\"version\":10"); }));
+    CHECK(logged("\"store_rolled_back\""));
+}
+
+// DRAIN: a store that returned from a copy listed an endpoint again that had left before.
+TEST_CASE_FIXTURE(gateway_process,
+                  "gateway_store_returns_from_a_copy_sends_nothing_to_an_endpoint_that_had_left") {
+    start_ready();
+    store_.drop("keyed.servers", "i-2");
+    const auto lookups_reach_second = [this] {
+        set_behaviours_of_both({behaviour::complete});
+        for (int lookup = 0; lookup < 20; ++lookup) {
+            CHECK(status(request("lookup", "r-" + std::to_string(lookup))) == 200);
+        }
+        return !second_.received_requests().empty();
+    };
+    REQUIRE(eventually([&] { return !lookups_reach_second(); }));
+    store_.roll_back("keyed.servers", 1);
+    const time_ms until = boot_now_ms() + 3'000; // several reads of the registry
+    while (boot_now_ms() < until) {
+        CHECK_FALSE(lookups_reach_second());
+    }
+    // Once it writes its entry there, it has not left.
+    store_.put("keyed.servers", "i-2", endpoint_text(second_));
+    CHECK(eventually(lookups_reach_second));
+}
+
 } // namespace tamarack::direct
