Let requests wait once for a newer view, also when older ones keep coming

Callers could wait up to 0.15 s again and again at a gateway whose relays are all too old: each of them counted as a new view. Found by reading. request_no_newer_view_comes_waits_once_... failed with a newer view that is still too old, and passes: only a view from after the moment at which one was found too old ends the episode.

--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -64,7 +64,9 @@
 
 void fleet_state::set_registry_freshness(const fleet::freshness& current) {
     registry_freshness_ = current;
-    found_old_at_ = std::nullopt;
+    if (found_old_at_ && current.as_of_ > *found_old_at_) {
+        found_old_at_ = std::nullopt;
+    }
 }
 
 bool fleet_state::newer_view_is_due(time_ms now) {
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -105,7 +105,7 @@
     std::map<std::string, std::shared_ptr<endpoint>, std::less<>> endpoints_;
     std::map<std::string, std::vector<std::shared_ptr<endpoint>>, std::less<>> endpoints_by_service_;
     fleet::freshness registry_freshness_;
-    std::optional<time_ms> found_old_at_; // when a request first found the present view too old
+    std::optional<time_ms> found_old_at_; // when a request first found the view too old
     std::map<std::string, dispatch::retry_window> retries_;
     std::map<std::string, dispatch::engine_timing> timings_;
     std::map<std::string, double> mean_first_event_ms_;
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -173,6 +173,7 @@
         }
         CHECK(sink_->status_ == 200);
         CHECK(boot_now_ms() - began < (request == 0 ? limit_ms : limit_ms / 3));
+        fleet_.set_registry_freshness({boot_now_ms() - 30'000, 0, true}); // newer, and still too old
     }
 }
 
