--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -164,8 +164,8 @@
     bool relayed_ = false; // the latest data came from another gateway
 };
 
-// No entry expires for want of a registry that accepts heartbeats if the registry is out of service for this
-// time only: endpoints renew their entries each 1.2 s, and entries last for three times as long.
+// Longest gap between two readings of the registry in which no entry can have expired for want of a registry.
+// Endpoints renew their entries each 1.2 s, and entries last for three times as long.
 inline constexpr time_ms max_reading_gap_ms = 2'000;
 
 // Age of the data in ms; -1 if there has been none.
@@ -200,7 +200,7 @@
 // are in it again; they are listed only when their entry is written anew.
 class directory {
 public:
-    // Applies a change, read with data of this freshness.
+    // Applies a change that came with data of this freshness.
     directory_effect apply(const endpoint_change& change, const freshness& current);
 
     // Erases the removed entries that were kept, if the data is from after the grace period. Returns their
@@ -236,10 +236,10 @@
     // Changes in the registry. Also called without changes, when the data is known to be current.
     std::function<void(std::vector<endpoint_change>, const freshness&)> endpoints_;
 
-    std::function<void(bool reachable)> store_; // this process reaches the store, or no longer does
-    std::function<void()> rolled_back_;         // the registry has lost what was written last
-    std::function<void(relayed_data)> relay_;   // data for gateways that do not read the store
-    std::function<void(const error&)> skipped_; // a record could not be used
+    std::function<void(bool reached)> store_reached_; // this process reaches the store, or no longer does
+    std::function<void()> rolled_back_;               // the registry has lost what was written last
+    std::function<void(relayed_data)> relay_;         // data for gateways that do not read the store
+    std::function<void(const error&)> skipped_;       // a record could not be used
 };
 
 // Follows the operator's configuration and the registry of endpoints.
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -64,7 +64,7 @@
     };
     handlers.endpoints_ = [this](const std::vector<fleet::endpoint_change>& changes,
                                  const fleet::freshness& current) { apply_endpoints(changes, current); };
-    handlers.store_ = [this](bool reachable) { set_store_reachable(reachable); };
+    handlers.store_reached_ = [this](bool reachable) { set_store_reachable(reachable); };
     handlers.rolled_back_ = [this] {
         events_.write({event_kind::dependency,
                        "gateway",
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -120,7 +120,7 @@
                 }
             }
         };
-        handlers.store_ = [](bool) {};
+        handlers.store_reached_ = [](bool) {};
         handlers.rolled_back_ = [] {};
         handlers.relay_ = [&receiver, &other](const fleet::relayed_data& data) {
             const auto message = platform::decode_relay(data.bytes_);
