--- a/tests/direct/registry_view_test.cpp
+++ b/tests/direct/registry_view_test.cpp
@@ -94,6 +94,16 @@
         REQUIRE(eventually([&] { return logged("\"leaves_reading_to_others\""); }));
     }
 
+    // The same, where the store has turned the gateway away before and serves it again.
+    void start_turned_away() {
+        start_ready();
+        store_.set_fault(fake_store::fault::busy);
+        REQUIRE(eventually([&] { return logged("\"store_lost\""); }));
+        start_peers();
+        REQUIRE(eventually([&] { return logged("\"leaves_reading_to_others\""); }));
+        store_.set_fault(fake_store::fault::none);
+    }
+
     // Whether no lookup reaches the second endpoint any more.
     bool avoids_second() {
         set_behaviours_of_both({behaviour::complete});
@@ -119,12 +129,7 @@
 TEST_CASE_FIXTURE(
     relayed_gateway,
     "gateway_lost_the_store_before_an_entry_is_removed_stops_sending_there_within_two_seconds") {
-    start_ready();
-    store_.set_fault(fake_store::fault::busy);
-    REQUIRE(eventually([&] { return logged("\"store_lost\""); }));
-    start_peers();
-    REQUIRE(eventually([&] { return logged("\"leaves_reading_to_others\""); }));
-    store_.set_fault(fake_store::fault::none);
+    start_turned_away();
     store_.drop("keyed.servers", "i-2");
     relay_registry({{"i-2", std::nullopt}});
     ::usleep(leaving_limit_us);
@@ -161,12 +166,7 @@
 // A gateway that the store had turned away once never tried again, so it could not take its turn at reading.
 TEST_CASE_FIXTURE(relayed_gateway,
                   "gateway_store_serves_it_again_while_others_read_notices_within_ten_seconds") {
-    start_ready();
-    store_.set_fault(fake_store::fault::busy);
-    REQUIRE(eventually([&] { return logged("\"store_lost\""); }));
-    start_peers();
-    REQUIRE(eventually([&] { return logged("\"leaves_reading_to_others\""); }));
-    store_.set_fault(fake_store::fault::none);
+    start_turned_away();
     CHECK(eventually([&] { return logged("\"store_regained\""); })); // within 10 s
 }
 
