Tell which endpoint names a limit on its requests

No line or metric said what a gateway knows of an endpoint's limit, so the hypotheses of the incident could not be told apart. Nothing is decided by it yet.

--- a/include/tamarack/gateway.hpp
+++ b/include/tamarack/gateway.hpp
@@ -23,6 +23,7 @@
     std::string response_stamp_; // present on every response that the endpoint produced itself
     std::string not_run_;        // present on responses to requests that were not run
     std::string endpoint_id_;    // id of the endpoint that responded
+    std::string request_limit_;  // requests per second that the endpoint takes from all gateways together
 
     // Headers that only the gateway may set; those from clients are dropped.
     std::vector<std::string> reserved_;
--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace tamarack::gateway {
 
@@ -137,6 +138,12 @@
     return bytes;
 }
 
+std::optional<double> request_limit(const std::vector<http::header>& headers, const header_names& names) {
+    const http::header* named = http::find_header(headers, names.request_limit_);
+    const auto per_s = named == nullptr ? std::nullopt : parse_number<double>(named->value_);
+    return per_s && std::isfinite(*per_s) && *per_s >= 0 ? per_s : std::nullopt;
+}
+
 std::vector<http::header> forwarded_headers(const std::vector<http::header>& headers) {
     const std::vector<std::string> listed_names = names_in_connection_header(headers);
     std::vector<http::header> forwarded;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -339,6 +339,7 @@
     request.max_connections_ = service_->max_connections_;
     request.gateway_count_ = context_.fleet_.gateway_count();
     splitter_.restart();
+    response_head_noted_ = false;
     attempt_ =
         std::make_unique<scoped_attempt>(context_.fleet_, target, metadata_.prompt_tokens_, urgency(now));
     const auto self = shared_from_this();
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -77,6 +77,7 @@
     void release_adapter();
     void send(const std::shared_ptr<endpoint>& target);
 
+    void note_response_head(const http::response_parser& response);
     bool is_event_stream(const http::response_parser& response) const;
     void on_response_progress(http::response_parser& response);
     void forward_events(http::response_parser& response);
@@ -128,8 +129,9 @@
     std::string adapter_endpoint_; // endpoint that holds the adapter for `adapter_lease_`
     std::uint64_t adapter_lease_ = 0;
     std::function<void()> on_finished_;
-    int arrived_attempts_ = 0; // attempts that reached an endpoint
-    int possible_runs_ = 0;    // those of them that the endpoint did not confirm as not run
+    int arrived_attempts_ = 0;         // attempts that reached an endpoint
+    int possible_runs_ = 0;            // those of them that the endpoint did not confirm as not run
+    bool response_head_noted_ = false; // of the current attempt
     bool stream_begun_ = false;
     bool waiting_for_model_ = false;
     bool waited_for_view_ = false;
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -43,7 +43,29 @@
 
 } // namespace
 
+// Takes what the head of a response tells about its endpoint.
+void request_flow::note_response_head(const http::response_parser& response) {
+    const header_names& names = context_.fleet_.names_;
+    const bool from_endpoint = http::find_header(response.headers_, names.response_stamp_) != nullptr;
+    if (!response.head_done_ || !from_endpoint || std::exchange(response_head_noted_, true)) {
+        return;
+    }
+    endpoint& target = attempt_->target();
+    const auto named = request_limit(response.headers_, names);
+    if (named != target.request_limit_) {
+        target.request_limit_ = named;
+        context_.events_.write({event_kind::fleet_view,
+                                "gateway",
+                                named ? "endpoint_limited" : "endpoint_limit_lifted",
+                                metadata_.id_,
+                                {{"endpoint", target.record().id_}, {"per_s", named.value_or(-1)}}});
+    }
+}
+
 void request_flow::on_response_progress(http::response_parser& response) {
+    if (!finished_) {
+        note_response_head(response);
+    }
     if (!finished_ && is_event_stream(response)) {
         forward_events(response);
     }
@@ -151,6 +173,7 @@
     }
     const auto ended = std::exchange(exchange_, nullptr);
     http::response_parser& response = ended->response();
+    note_response_head(response);
     if (is_event_stream(response) && outcome == exchange_outcome::complete) {
         forward_events(response);
         if (!finished_ && finish_if_stream_complete()) {
@@ -360,6 +383,7 @@
                              {"configuration", version},
                              {"model", metadata_.model_},
                              {"endpoint", attempt_ ? attempt_->target().record().id_ : std::string()},
+                             {"limit_per_s", attempt_ ? attempt_->target().request_limit_.value_or(-1) : -1},
                              {"arrivals", arrived_attempts_},
                              {"events", splitter_.event_count()},
                              {"took_ms", now - arrived_at_},
