Reproduce requests beyond the limit that an endpoint named, as a failing test

Six gateways send to endpoints that name, change and lift a limit on their requests; the referee judges each four seconds as the rule is worded.

--- a/tests/direct/soak_referee_test.cpp
+++ b/tests/direct/soak_referee_test.cpp
@@ -105,4 +105,49 @@
     CHECK_FALSE(kept());
 }
 
+TEST_CASE("referee_limited_engine_gets_more_than_it_takes_breaks_a_promise_unless_the_gateway_is_excused") {
+    enum class gateway_state { told, untold, paused };
+    struct row {
+        const char* name_;
+        gateway_state state_;
+        time_ms interval_ms_; // between two requests
+        bool kept_;
+    };
+    // A limit of 2 a second allows 17 requests in 4 s.
+    const row rows[] = {{"as many as allowed", gateway_state::told, 240, true},
+                        {"too many", gateway_state::told, 220, false},
+                        {"too many, but never told", gateway_state::untold, 100, true},
+                        {"too many after a pause", gateway_state::paused, 100, true}};
+    for (const row& one : rows) {
+        CAPTURE(one.name_);
+        referee judge;
+        judge.limits("e1", 2.0, 1'000);
+        constexpr time_ms end = 12'000;
+        if (one.state_ == gateway_state::paused) {
+            judge.disturb("gateway-1", 1'500, end);
+        }
+        for (time_ms now = 1'100; now < end; now += one.interval_ms_) {
+            const std::string id = std::to_string(now);
+            judge.sent({id, "gateway-1", true, now, 2'000});
+            judge.arrived(id, "e1", now);
+            if (one.state_ != gateway_state::untold) {
+                judge.told_limit(id, "e1", now);
+            }
+        }
+        CHECK(judge.broken_promises().empty() == one.kept_);
+    }
+}
+
+TEST_CASE_FIXTURE(referee_fixture, "referee_limit_is_lifted_any_number_of_requests_may_arrive") {
+    judge_.limits("e1", 0.5, 1'000);
+    send("first", true);
+    judge_.told_limit("first", "e1", 1'100);
+    judge_.limits("e1", std::nullopt, 5'000);
+    for (time_ms now = 5'000; now < 7'000; now += 10) {
+        send(std::to_string(now), true);
+        judge_.arrived(std::to_string(now), "e1", now);
+    }
+    CHECK(kept());
+}
+
 } // namespace tamarack::soak
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -24,7 +24,12 @@
     void check(std::uint64_t seed) {
         settings_.seed_ = seed;
         const soak_outcome outcome = run_soak(settings_);
-        CAPTURE(outcome.faults_);
+        for (const std::string& fault : outcome.faults_) {
+            MESSAGE(fault);
+        }
+        for (const std::string& promise : outcome.broken_promises_) {
+            MESSAGE(promise);
+        }
         CHECK(outcome.broken_promises_ == std::vector<std::string>());
         CHECK(outcome.recovered_after_ms_ >= 0);
         CHECK(outcome.served_ > 0);
@@ -42,4 +47,13 @@
     check(2);
 }
 
+// Endpoints that had named a limit on their requests got several times as many from six gateways together.
+TEST_CASE_FIXTURE(soak_fixture, "fleet_endpoints_name_request_limits_gateways_together_keep_them") {
+    settings_.faults_ = false;
+    settings_.limits_ = 2;
+    settings_.gateways_ = 6;
+    settings_.requests_per_s_ = 80;
+    check(1);
+}
+
 } // namespace tamarack::soak
--- a/tests/soak/engine_stand_in.cpp
+++ b/tests/soak/engine_stand_in.cpp
@@ -24,13 +24,6 @@
     return std::string(call.find(name).value_or(""));
 }
 
-http::response refusal(int status, const std::string& request_id) {
-    http::response answer = http::json_response(status, "{}");
-    answer.headers_.push_back({"Tamarackbeam-Not-Run", "1"});
-    answer.headers_.push_back({"Tamarackbeam-Request-Id", request_id});
-    return answer;
-}
-
 } // namespace
 
 std::string plain_answer(const std::string& request_id) {
@@ -92,6 +85,27 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+void engine_stand_in::set_limit(std::optional<double> per_s) {
+    limit_per_s_ = per_s;
+    judge_.limits(id_, per_s, steady_now_ms());
+}
+
+// Adds the present limit on requests to a response.
+void engine_stand_in::name_limit(std::vector<http::header>& headers, const std::string& request_id) {
+    if (limit_per_s_) {
+        headers.push_back({"Server-Limit", std::to_string(*limit_per_s_)});
+        judge_.told_limit(request_id, id_, steady_now_ms());
+    }
+}
+
+awaitable<void> engine_stand_in::refuse(http::exchange& call, int status, const std::string& request_id) {
+    http::response answer = http::json_response(status, "{}");
+    answer.headers_.push_back({"Tamarackbeam-Not-Run", "1"});
+    answer.headers_.push_back({"Tamarackbeam-Request-Id", request_id});
+    name_limit(answer.headers_, request_id);
+    co_await call.reply(std::move(answer));
+}
+
 awaitable<void> engine_stand_in::handle(http::exchange& call) {
     const http::request& incoming = call.incoming();
     if (incoming.path() == "/api/report") {
@@ -101,9 +115,11 @@
     }
     const std::string request_id = header_of(incoming, "Tamarackbeam-Request-Id");
     const std::string expected = header_of(incoming, "Tamarackbeam-Expect-Instance");
+    if (incoming.path() != "/api/order") {
+        judge_.arrived(request_id, id_, steady_now_ms());
+    }
     if (!expected.empty() && expected != id_) {
-        http::response answer = refusal(421, request_id);
-        co_await call.reply(std::move(answer));
+        co_await refuse(call, 421, request_id);
         co_return;
     }
     if (incoming.path() == "/api/order") {
@@ -120,13 +136,11 @@
     const auto held = models_.find(model);
     if (has_models_ &&
         (held == models_.end() || (!adapter.empty() && !held->second.adapters_.contains(adapter)))) {
-        http::response answer = refusal(421, request_id);
-        co_await call.reply(std::move(answer));
+        co_await refuse(call, 421, request_id);
         co_return;
     }
     if (running_ >= slots || unloading_.contains(model)) {
-        http::response answer = refusal(503, request_id);
-        co_await call.reply(std::move(answer));
+        co_await refuse(call, 503, request_id);
         co_return;
     }
     judge_.ran(request_id, id_, steady_now_ms());
@@ -146,6 +160,7 @@
             http::response answer{fails ? 500 : 200, {}, plain_answer(request_id)};
             answer.headers_ = {{"Tamarackbeam-Request-Id", request_id},
                                {"Tamarackbeam-Server-Stamp", stamp_of(id_)}};
+            name_limit(answer.headers_, request_id);
             answered = co_await call.reply(std::move(answer));
         }
     } else {
@@ -174,6 +189,7 @@
     std::vector<http::header> headers = {{"Tamarackbeam-Request-Id", request_id},
                                          {"Tamarackbeam-Server-Stamp", stamp_of(id_)},
                                          {"Content-Type", "text/event-stream"}};
+    name_limit(headers, request_id);
     bool alive = co_await call.begin(200, std::move(headers));
     for (int number = first; alive && number <= end; ++number) {
         if (number == cut || gone || incarnation != incarnation_) {
--- a/tests/soak/engine_stand_in.hpp
+++ b/tests/soak/engine_stand_in.hpp
@@ -53,6 +53,9 @@
 
     void set_faults(const engine_faults& faults) { faults_ = faults; }
 
+    // Names a limit on its requests per second in its responses from now on, or none.
+    void set_limit(std::optional<double> per_s);
+
     // Forgets all but its disk, as after a crash; runs end without an answer.
     void restart();
 
@@ -63,6 +66,8 @@
     };
 
     boost::asio::awaitable<void> handle(http::exchange& call);
+    void name_limit(std::vector<http::header>& headers, const std::string& request_id);
+    boost::asio::awaitable<void> refuse(http::exchange& call, int status, const std::string& request_id);
     boost::asio::awaitable<void> run(http::exchange& call, const std::string& request_id);
     boost::asio::awaitable<bool> stream(http::exchange& call, const std::string& request_id, bool& gone);
     boost::asio::awaitable<void> take_order(http::exchange& call);
@@ -82,6 +87,7 @@
     std::mt19937_64 random_;
     http::server server_;
     engine_faults faults_;
+    std::optional<double> limit_per_s_;
     std::map<std::string, resident_model> models_;
     std::set<std::string> disk_;
     std::string loading_;
--- a/tests/soak/fleet.hpp
+++ b/tests/soak/fleet.hpp
@@ -47,6 +47,7 @@
     std::int64_t entries_ = 0; // written to the registry
     bool registered_ = true;
     bool leaving_ = false;
+    bool limited_ = false; // names a limit on its requests
 };
 
 class fleet {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -12,6 +12,8 @@
 DEFINE_double(rate, 60, "requests a second");
 DEFINE_int32(gateways, 3, "gateways");
 DEFINE_int32(engines, 4, "model engines, each with an agent");
+DEFINE_int32(limits, 1, "endpoints that name a limit on their requests at a time");
+DEFINE_bool(faults, true, "whether there are faults beside the limits");
 DEFINE_string(folder, "", "where the logs of failed soaks stay; a temporary folder if empty");
 
 int main(int argc, char** argv) {
@@ -30,6 +32,8 @@
         settings.requests_per_s_ = FLAGS_rate;
         settings.gateways_ = FLAGS_gateways;
         settings.engines_ = FLAGS_engines;
+        settings.limits_ = FLAGS_limits;
+        settings.faults_ = FLAGS_faults;
         settings.folder_ = (base / ("seed-" + std::to_string(settings.seed_))).string();
         std::filesystem::remove_all(settings.folder_);
         const soak_outcome outcome = run_soak(settings);
--- a/tests/soak/referee.cpp
+++ b/tests/soak/referee.cpp
@@ -116,6 +116,68 @@
     }
 }
 
+void referee::limits(const std::string& engine, std::optional<double> per_s, time_ms now) {
+    if (!per_s) {
+        limited_.erase(engine);
+        return;
+    }
+    limited_engine& one = limited_[engine];
+    if (one.limits_.empty()) {
+        one.first_named_at_ = now;
+    }
+    one.limits_.emplace_back(now, *per_s);
+}
+
+void referee::told_limit(const std::string& id, const std::string& engine, time_ms now) {
+    const auto found = limited_.find(engine);
+    const auto sent = requests_.find(id);
+    if (found != limited_.end() && sent != requests_.end()) {
+        found->second.told_.try_emplace(sent->second.sent_.gateway_, now);
+    }
+}
+
+// Requests that the limits of an engine let arrive in a span.
+double referee::allowed_by(const limited_engine& one, time_ms from, time_ms until) {
+    constexpr double ms_per_s = 1'000;
+    double allowed = 0;
+    for (std::size_t index = 0; index < one.limits_.size(); ++index) {
+        const auto& [since, per_s] = one.limits_[index];
+        const time_ms end = index + 1 < one.limits_.size() ? one.limits_[index + 1].first : until;
+        const time_ms held = std::min(end, until) - std::max(since, from);
+        allowed += per_s * double(std::max<time_ms>(0, held)) / ms_per_s;
+    }
+    return allowed;
+}
+
+void referee::arrived(const std::string& id, const std::string& engine, time_ms now) {
+    const auto found = limited_.find(engine);
+    const auto sent = requests_.find(id);
+    if (found == limited_.end() || sent == requests_.end()) {
+        return;
+    }
+    limited_engine& one = found->second;
+    ++one.arrived_;
+    const std::string& gateway = sent->second.sent_.gateway_;
+    const auto told = one.told_.find(gateway);
+    if (told == one.told_.end() || now < told->second + bounds_.limit_told_ms_ ||
+        now < one.first_named_at_ + bounds_.stable_ms_) {
+        return;
+    }
+    one.arrivals_.emplace_back(now, gateway);
+    const time_ms from = now - bounds_.limit_window_ms_;
+    while (one.arrivals_.front().first <= from) {
+        one.arrivals_.pop_front();
+    }
+    const auto count = std::count_if(one.arrivals_.begin(), one.arrivals_.end(), [&](const auto& arrival) {
+        return !disturbed(arrival.second, from, now);
+    });
+    const double allowed = bounds_.limit_share_ * allowed_by(one, from, now) + bounds_.limit_slack_;
+    if (double(count) > allowed && !std::exchange(one.reported_, true)) {
+        broken(engine + " limits its requests and got " + std::to_string(count) + " where " +
+               std::to_string(int(allowed)) + " were allowed");
+    }
+}
+
 void referee::loads_from_store(time_ms now) {
     store_loads_.push_back(now);
     while (store_loads_.front() <= now - bounds_.load_window_ms_) {
--- a/tests/soak/referee.hpp
+++ b/tests/soak/referee.hpp
@@ -5,18 +5,24 @@
 #include "tamarack/kernel.hpp"
 
 #include <deque>
+#include <map>
+#include <optional>
 
 namespace tamarack::soak {
 
 // Bounds of the promises, in ms.
 struct promises {
-    time_ms drain_ms_ = 2'000;       // until a leaving engine gets no more requests
-    time_ms stable_ms_ = 3'000;      // after a disturbance, until bounds hold again
-    time_ms late_answer_ms_ = 500;   // after a request's time, until it must have its final answer
-    time_ms load_window_ms_ = 5'000; // of the weight store's rate
-    int loads_in_window_ = 14;       // rate of 2 a second, a tenth over, and three
-    int most_attempts_ = 2;          // engines that may run one repeatable request
-    time_ms cancel_ms_ = 500;        // until a run ends whose client has left
+    time_ms drain_ms_ = 2'000;        // until a leaving engine gets no more requests
+    time_ms stable_ms_ = 3'000;       // after a disturbance, until bounds hold again
+    time_ms late_answer_ms_ = 500;    // after a request's time, until it must have its final answer
+    time_ms load_window_ms_ = 5'000;  // of the weight store's rate
+    int loads_in_window_ = 14;        // rate of 2 a second, a tenth over, and three
+    int most_attempts_ = 2;           // engines that may run one repeatable request
+    time_ms cancel_ms_ = 500;         // until a run ends whose client has left
+    time_ms limit_window_ms_ = 4'000; // in which an engine's limit on its requests is judged
+    double limit_share_ = 1.5;        // of the limit that may arrive in that time,
+    int limit_slack_ = 5;             // and requests beside it
+    time_ms limit_told_ms_ = 500;     // until a gateway that got a response with the limit must keep it
 };
 
 // What a client knows of its request.
@@ -57,6 +63,15 @@
                int adapter_slots);
     void loads_from_store(time_ms now);
 
+    // A request arrived at an engine, whether it runs or is turned away.
+    void arrived(const std::string& id, const std::string& engine, time_ms now);
+
+    // From now on an engine names this limit on its requests per second in its responses, or none.
+    void limits(const std::string& engine, std::optional<double> per_s, time_ms now);
+
+    // An engine responds to a request with its present limit.
+    void told_limit(const std::string& id, const std::string& engine, time_ms now);
+
     // The registry accepted that the engine leaves.
     void leaves(const std::string& engine, time_ms now) { leaving_since_.try_emplace(engine, now); }
     void returned(const std::string& engine) { leaving_since_.erase(engine); }
@@ -96,6 +111,18 @@
         std::int64_t token_ = 0;
     };
 
+    // What is known of an engine that names a limit on its requests.
+    struct limited_engine {
+        time_ms first_named_at_ = 0;
+        std::vector<std::pair<time_ms, double>> limits_; // with the times from which they hold
+        std::map<std::string, time_ms> told_;            // gateways, by their first response with a limit
+        std::deque<std::pair<time_ms, std::string>> arrivals_; // of requests, with their gateways
+        int arrived_ = 0;                                      // since the limit was first named
+        bool reported_ = false;
+    };
+
+    static double allowed_by(const limited_engine& one, time_ms from, time_ms until);
+
     void broken(std::string what) { broken_.push_back(std::move(what)); }
     bool disturbed(const std::string& part, time_ms from, time_ms until) const;
 
@@ -104,6 +131,7 @@
     std::map<std::string, engine_orders> orders_;
     std::map<std::string, time_ms> leaving_since_;
     std::deque<time_ms> store_loads_;
+    std::map<std::string, limited_engine> limited_;
     std::vector<span> disturbances_;
     std::vector<std::string> broken_;
     int served_ = 0;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -31,7 +31,7 @@
         : settings_(settings), random_(settings.seed_),
           fleet_(context_, judge_, settings.folder_, settings.seed_,
                  {settings.gateways_, settings.engines_, 2}),
-          clients_(context_, fleet_, judge_, settings.seed_) {}
+          clients_(context_, fleet_, judge_, settings.seed_), limit_random_(settings.seed_ + 1) {}
 
     soak_outcome run() {
         asio::co_spawn(context_, script(), asio::detached);
@@ -80,7 +80,11 @@
         judge_.disturb("all", started_at_, started_at_ + warm_up_ms);
         clients_.start(settings_.requests_per_s_);
         const time_ms until = steady_now_ms() + settings_.duration_ms_;
-        while (steady_now_ms() < until) {
+        for (int number = 0; number < settings_.limits_; ++number) {
+            ++active_;
+            asio::co_spawn(context_, name_limits(until), asio::detached);
+        }
+        while (settings_.faults_ && steady_now_ms() < until) {
             static constexpr fault faults[] = {
                 &soak_run::kill_gateway, &soak_run::kill_agent,      &soak_run::pause_gateway,
                 &soak_run::pause_agent,  &soak_run::stop_gateway,    &soak_run::hang_up,
@@ -109,6 +113,36 @@
         --active_;
     }
 
+    // Endpoints in need: each names a limit on its requests, changes it and lifts it. With random numbers of
+    // its own, so that a seed draws the same faults with and without limits.
+    awaitable<void> name_limits(time_ms until) {
+        const auto draw = [this](time_ms least, time_ms most) {
+            return std::uniform_int_distribution<time_ms>(least, most)(limit_random_);
+        };
+        const auto set = [this](endpoint_place& one, double per_s) {
+            note("limit of " + std::to_string(per_s) + " at " + one.engine_->id());
+            one.engine_->set_limit(per_s);
+        };
+        do {
+            co_await pause(draw(0, 1'000));
+            endpoint_place& one = fleet_.endpoints()[limit_random_() % fleet_.endpoints().size()];
+            if (one.limited_) {
+                continue;
+            }
+            one.limited_ = true;
+            constexpr double tenths = 10;
+            const int changes = int(draw(0, 2));
+            for (int change = 0; change <= changes; ++change) {
+                set(one, double(draw(3, 60)) / tenths);
+                co_await pause(draw(4'000, 9'000));
+            }
+            note("no limit at " + one.engine_->id());
+            one.engine_->set_limit(std::nullopt);
+            one.limited_ = false;
+        } while (steady_now_ms() < until);
+        --active_;
+    }
+
     awaitable<void> recover() {
         const time_ms from = steady_now_ms();
         while (steady_now_ms() < from + recovery_limit_ms) {
@@ -353,6 +387,7 @@
     referee judge_;
     fleet fleet_;
     clients clients_;
+    std::mt19937_64 limit_random_;
     soak_outcome outcome_;
     time_ms started_at_ = 0;
     int active_ = 0;
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -11,6 +11,8 @@
     double requests_per_s_ = 60;
     int gateways_ = 3;
     int engines_ = 4;
+    int limits_ = 1;     // endpoints that name a limit on their requests at a time
+    bool faults_ = true; // otherwise only the limits
     std::string folder_; // for settings and logs
 };
 
