--- a/src/provisioning/plan.cpp
+++ b/src/provisioning/plan.cpp
@@ -35,14 +35,24 @@
     double work_ = 0;
     int waiting_ = 0;
 
+    // Copies that carry work as usual.
+    int full_copies() const { return copies_ - limited_copies_; }
+
     double work_per_copy(int copies) const { return work_ / std::max(1, copies); }
 
+    // Work for each copy that is left without the one on this engine.
+    double work_per_copy_without(const engine_state& engine) const {
+        constexpr double limited_part = 0.1; // of the work that a copy on a limited engine carries
+        const int left = full_copies() - (engine.limited_ ? 0 : 1);
+        return left <= 0 && limited_copies_ > 0 ? work_ / limited_part : work_per_copy(left);
+    }
+
     // An occasional request can wait for a load from the engine's own disk, so it does not count as demand.
     bool in_demand() const { return work_ > idle_work || waiting_ > 0; }
 
     // Work beyond what the copies should carry. Requests that wait for a first copy weigh more.
     double excess_work(double busy_work) const {
-        return std::max(0.0, work_ - busy_work * (copies_ - limited_copies_)) +
+        return std::max(0.0, work_ - busy_work * full_copies()) +
                (copies_ == 0 ? waiting_weight * waiting_ : 0.0);
     }
 };
@@ -110,20 +120,20 @@
             victims.push_back(&found->second);
         }
     }
-    std::sort(victims.begin(), victims.end(), [](const model_status* left, const model_status* right) {
+    std::sort(victims.begin(), victims.end(), [&](const model_status* left, const model_status* right) {
         if ((left->copies_ > 1) != (right->copies_ > 1)) {
-            return left->copies_ > 1 && left->work_per_copy(left->copies_ - 1) <= right->work_;
+            return left->copies_ > 1 && left->work_per_copy_without(engine) <= right->work_;
         }
-        return left->work_per_copy(left->copies_ - 1) < right->work_per_copy(right->copies_ - 1);
+        return left->work_per_copy_without(engine) < right->work_per_copy_without(engine);
     });
-    const double wanted_after = wanted.work_per_copy(wanted.copies_ + 1);
+    const double wanted_after = wanted.work_per_copy(wanted.full_copies() + 1);
     for (const model_status* victim : victims) {
         if (used + wanted.spec_->weights_mb_ <= budget) {
             break;
         }
-        const bool less_busy = victim->work_per_copy(victim->copies_ - 1) <= victim_ratio * wanted_after;
+        const bool less_busy = victim->work_per_copy_without(engine) <= victim_ratio * wanted_after;
         // A first copy must not replace one whose requests would then overload the remaining copies.
-        const bool not_overloaded = victim->work_per_copy(victim->copies_ - 1) <= facts.spec_->slots_;
+        const bool not_overloaded = victim->work_per_copy_without(engine) <= facts.spec_->slots_;
         const bool first_copy = wanted.copies_ == 0 && wanted.in_demand();
         if (!less_busy && !(first_copy && not_overloaded)) {
             return std::nullopt;
--- a/tests/direct/provisioning_test.cpp
+++ b/tests/direct/provisioning_test.cpp
@@ -140,6 +140,27 @@
     CHECK(other->engine_ == "e3");
 }
 
+TEST_CASE_FIXTURE(plan_fixture, "next_placement_other_copy_is_on_a_limited_engine_the_only_full_one_stays") {
+    for (const char* model : {"a", "b", "c", "d"}) {
+        add_model(model);
+    }
+    add_engine("e1", {"a", "b", "c"}).limited_ = true;
+    add_engine("e2", {"b", "c", "d"}).cached_models_.insert("a");
+    needs_["a"].work_ = 6;
+    needs_["b"].work_ = 3;
+    needs_["c"].work_ = 1;
+    needs_["d"].work_ = 3;
+    for (engine_state& engine : engines_) {
+        engine.available_ = engine.id_ == "e2";
+    }
+    CHECK_FALSE(next()); // each of the models on e2 would lose the copy that carries its work
+    engines_.front().limited_ = false;
+    const auto step = next();
+    REQUIRE(step);
+    CHECK(step->load_ == "a");
+    CHECK(step->drop_ == std::vector<std::string>{"c"});
+}
+
 TEST_CASE_FIXTURE(plan_fixture, "next_placement_only_holder_is_lost_loads_its_model_again") {
     for (const char* name : {"a", "b"}) {
         add_model(name);
