Bound what is held of responses that never end

A response 1xx was taken for the answer of the store or the engine, and the answer itself for that of the next call.

Change: at most 64 KB wait for the end of a head, chunk header or trailer; an event has at most 1 MB, a response that is no stream 16 MB, all of a gateway together 48 MB, responses to other requests 1 MB, one of the store or an engine 8 MB, one that the own interface keeps 16 MB. Interim responses are skipped, three at most. A response that began and did not end in time counts as a failure of its endpoint.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::size_t max_event_bytes = 1024 * 1024;
+
 // Parses the number in the event's line "id: NUMBER".
 std::optional<std::int64_t> parse_event_id(std::string_view event) {
     constexpr std::string_view field = "id:";
@@ -69,7 +71,7 @@
         ++event_count_;
     }
     partial_event_.erase(0, used);
-    return true;
+    return partial_event_.size() <= max_event_bytes;
 }
 
 } // namespace tamarack::gateway
--- a/src/gateway/event_splitter.hpp
+++ b/src/gateway/event_splitter.hpp
@@ -12,7 +12,8 @@
 class event_splitter {
 public:
     // Appends bytes of the stream, and adds to `complete_events` those events that are now complete and new.
-    // Returns false if an event is missing: the next id is not the last one plus 1.
+    // Returns false if an event is missing, since the next id is not the last one plus 1, or if an event is
+    // too long.
     bool append(std::string_view bytes, std::string& complete_events);
 
     // Prepares for the same stream from another endpoint: drops the bytes of an incomplete event.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -15,7 +15,10 @@
 // Allows for a round trip and one lost packet within a data centre.
 constexpr std::chrono::milliseconds connect_timeout{450};
 constexpr std::size_t read_bytes = 16 * 1024;
-constexpr std::size_t max_response_bytes = 64 * 1024 * 1024;
+constexpr std::size_t max_response_bytes = 16 * 1024 * 1024; // of one response that is no stream
+constexpr std::size_t max_held_bytes = 48 * 1024 * 1024;     // of all of them
+constexpr std::size_t max_unmatched_bytes = 1024 * 1024;     // of responses to other requests
+constexpr std::uint64_t max_stream_bytes = 1024ULL * 1024 * 1024;
 constexpr int silence_limit_ms = 3'000;    // time without acknowledgements before the connection is dropped
 constexpr int max_unmatched_responses = 3; // responses skipped before the connection is dropped
 constexpr time_ms default_keep_alive_ms = 4'000; // idle time if the endpoint sends no Keep-Alive header
@@ -24,14 +27,23 @@
 
 } // namespace
 
-exchange::exchange(asio::any_io_executor executor, std::shared_ptr<endpoint> target, exchange_request request,
-                   callbacks handlers)
-    : executor_(executor), target_(std::move(target)), request_(std::move(request)),
+bool response_budget::take(std::size_t bytes) {
+    if (held_ + bytes > max_held_bytes) {
+        return false;
+    }
+    held_ += bytes;
+    return true;
+}
+
+exchange::exchange(asio::any_io_executor executor, response_budget& budget, std::shared_ptr<endpoint> target,
+                   exchange_request request, callbacks handlers)
+    : executor_(executor), budget_(budget), target_(std::move(target)), request_(std::move(request)),
       handlers_(std::make_shared<const callbacks>(std::move(handlers))), timer_(executor),
-      parser_(std::make_unique<http::response_parser>(max_response_bytes)) {}
+      parser_(std::make_unique<http::response_parser>(max_stream_bytes)) {}
 
 exchange::~exchange() {
     abandon();
+    budget_.give_back(held_bytes_);
 }
 
 void exchange::start() {
@@ -126,7 +138,7 @@
     if (++unmatched_responses_ > max_unmatched_responses) {
         return false;
     }
-    parser_ = std::make_unique<http::response_parser>(max_response_bytes);
+    parser_ = std::make_unique<http::response_parser>(max_stream_bytes);
     return true;
 }
 
@@ -149,7 +161,11 @@
                 finish(exchange_outcome::broken);
                 return;
             }
-            parser_->body_.clear();
+            unmatched_bytes_ += std::exchange(parser_->body_, {}).size();
+            if (unmatched_bytes_ > max_unmatched_bytes) {
+                finish(exchange_outcome::broken);
+                return;
+            }
             break;
         }
         if (done) {
@@ -160,6 +176,10 @@
             const auto self = shared_from_this();
             const auto handlers = handlers_;
             handlers->on_progress_(*parser_);
+            if (!ended_ && !hold_body()) {
+                finish(exchange_outcome::broken);
+                return;
+            }
         }
         break;
     }
@@ -168,6 +188,19 @@
     }
 }
 
+// Accounts for the part of the body that the handlers left in memory. Returns false if it is too much.
+bool exchange::hold_body() {
+    const std::size_t size = parser_->body_.size();
+    if (size <= held_bytes_) {
+        return true;
+    }
+    if (size > max_response_bytes || !budget_.take(size - held_bytes_)) {
+        return false;
+    }
+    held_bytes_ = size;
+    return true;
+}
+
 void exchange::resume() {
     if (paused_) {
         paused_ = false;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -26,6 +26,17 @@
     broken,        // the connection failed, or the bytes received are no response to this request
 };
 
+// Bytes of responses that a gateway holds until they are complete.
+class response_budget {
+public:
+    // Takes or gives back memory. Returns false, and takes none, if too much is held.
+    bool take(std::size_t bytes);
+    void give_back(std::size_t bytes) { held_ -= bytes; }
+
+private:
+    std::size_t held_ = 0;
+};
+
 // Calls `on_progress_` any number of times and then `on_ended_` once, unless it is abandoned before.
 class exchange : public std::enable_shared_from_this<exchange> {
 public:
@@ -35,7 +46,7 @@
         std::function<void(exchange_outcome)> on_ended_;
     };
 
-    exchange(boost::asio::any_io_executor executor, std::shared_ptr<endpoint> target,
+    exchange(boost::asio::any_io_executor executor, response_budget& budget, std::shared_ptr<endpoint> target,
              exchange_request request, callbacks handlers);
     ~exchange();
 
@@ -49,6 +60,7 @@
     void resume();
 
     bool sent() const { return sent_; }
+    bool response_begun() const { return parser_->head_done_; }
     bool reused() const { return reused_; }
     endpoint& target() { return *target_; }
     http::response_parser& response() { return *parser_; }
@@ -58,6 +70,7 @@
     void send();
     void read();
     void parse_received();
+    bool hold_body();
     bool matches_request() const;
     bool skip_unmatched_response();
     void finish(exchange_outcome outcome);
@@ -65,6 +78,9 @@
     time_ms keep_alive_ms() const;
 
     boost::asio::any_io_executor executor_;
+    response_budget& budget_;
+    std::size_t held_bytes_ = 0; // of the budget
+    std::size_t unmatched_bytes_ = 0;
     std::shared_ptr<endpoint> target_;
     exchange_request request_;
     std::shared_ptr<const callbacks> handlers_; // shared, since a handler may abandon the exchange
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -454,7 +454,7 @@
         std::make_unique<scoped_attempt>(context_.fleet_, target, metadata_.prompt_tokens_, urgency(now));
     const auto self = shared_from_this();
     exchange_ = std::make_shared<exchange>(
-        context_.fleet_.executor_, target, std::move(request),
+        context_.fleet_.executor_, context_.budget_, target, std::move(request),
         exchange::callbacks{[self](http::response_parser& response) { self->on_response_progress(response); },
                             [self](exchange_outcome outcome) { self->on_exchange_ended(outcome); }});
     exchange_->start();
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -26,6 +26,8 @@
 
     // Called when a response names another limit of its endpoint than the one known.
     std::function<void()> limit_changed_;
+
+    response_budget budget_ = {};
 };
 
 // Counts one attempt in the load of its endpoint for as long as the object lives.
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -100,7 +100,7 @@
         }
     }
     if (!in_order && exchange_) {
-        // An event is missing; what follows must not be passed on.
+        // An event is missing or has no end; what follows must not be passed on.
         const auto broken = std::exchange(exchange_, nullptr);
         on_attempt_ended(dispatch::send_end::broken, response);
         broken->abandon();
@@ -359,6 +359,10 @@
         const bool sent = exchange_->sent();
         arrived_attempts_ += sent ? 1 : 0;
         possible_runs_ += sent ? 1 : 0;
+        // A response that began and did not end, or a stream that stopped within an event.
+        if (stream_begun_ ? splitter_.has_partial_event() : exchange_->response_begun()) {
+            update_health(dispatch::send_end::broken, 0);
+        }
         std::exchange(exchange_, nullptr)->abandon();
     }
     if (stream_begun_) {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -19,6 +19,8 @@
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_buffer_bytes = 64 * 1024;
+constexpr std::size_t max_buffered_bytes = 2 * read_buffer_bytes; // also bounds heads and chunk headers
+constexpr std::size_t max_fetched_bytes = 16 * 1024 * 1024;       // of a body that is kept in memory
 constexpr std::uint64_t max_response_bytes = 256ULL * 1024 * 1024;
 constexpr int http_1_1 = 11;
 
@@ -38,8 +40,9 @@
     }
 
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_buffered_bytes};
     bhttp::response_parser<bhttp::buffer_body> parser_;
+    time_ms ends_at_ = 0;
 };
 
 class beast_response_stream : public response_stream {
@@ -58,6 +61,11 @@
     awaitable<result<std::string>> read() override {
         const std::shared_ptr<call> current = call_;
         while (!current->parser_.is_done()) {
+            // The stream's own time limit does not stop reads that find bytes without waiting.
+            if (steady_now_ms() >= current->ends_at_) {
+                cancel();
+                co_return call_error(beast::error::timeout, "reading the answer");
+            }
             auto& body = current->parser_.get().body();
             body.data = part_.data();
             body.size = part_.size();
@@ -121,6 +129,7 @@
     boost::system::error_code ignored;
     current->stream_.socket().set_option(tcp::no_delay(true), ignored);
     current->stream_.expires_after(limits.total_);
+    current->ends_at_ = steady_now_ms() + limits.total_.count();
     const auto message = convert(std::move(outgoing), remote);
     auto [write_error, written] = co_await bhttp::async_write(current->stream_, message, no_throw);
     if (write_error) {
@@ -151,6 +160,9 @@
         if (value(part).empty()) {
             co_return collected;
         }
+        if (collected.body_.size() + value(part).size() > max_fetched_bytes) {
+            co_return error{error_kind::interrupted, "the answer is too long", "look at the endpoint"};
+        }
         collected.body_ += value(part);
     }
 }
--- a/src/http/kept_client.cpp
+++ b/src/http/kept_client.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-constexpr std::size_t max_response_bytes = 64 * 1024 * 1024;
+constexpr std::size_t max_response_bytes = 8 * 1024 * 1024;
 constexpr std::size_t read_bytes = 32 * 1024;
+constexpr int first_final_status = 200;
 constexpr int dead_peer_limit_ms = 3'000; // time without acknowledgement after which a peer counts as dead
 
 error call_error(error_kind kind, std::string what) {
@@ -62,6 +63,7 @@
     busy_ = true;
     ++generation_;
     parser_ = std::make_unique<response_parser>(max_response_bytes);
+    interim_responses_ = 0;
     if (connected_) {
         send();
     } else {
@@ -143,6 +145,15 @@
     case response_parser::progress::done:
         break;
     }
+    if (parser_->status_ < first_final_status) {
+        if (++interim_responses_ > max_interim_responses) {
+            finish(call_error(error_kind::interrupted, "there is no final response"), false);
+            return;
+        }
+        parser_ = std::make_unique<response_parser>(max_response_bytes);
+        received_.size() > 0 ? parse_received() : read();
+        return;
+    }
     response received_response{parser_->status_, std::move(parser_->headers_), std::move(parser_->body_)};
     const header* connection_header = find_header(received_response.headers_, "Connection");
     const bool keep = received_.size() == 0 &&
--- a/src/http/kept_client.hpp
+++ b/src/http/kept_client.hpp
@@ -50,6 +50,7 @@
     boost::asio::steady_timer timer_;
     boost::beast::flat_buffer received_;
     std::unique_ptr<response_parser> parser_;
+    int interim_responses_ = 0; // to the present call
     std::deque<pending_call> calls_;
     // Changes whenever a call starts or ends, so that late completions of earlier calls are ignored.
     std::uint64_t generation_ = 0;
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -123,7 +123,7 @@
         const std::size_t used = put(received.data(), failed);
         received.consume(used);
         if (failed == bhttp::error::need_more) {
-            return progress::more;
+            return received.size() > max_unparsed_bytes ? progress::broken : progress::more;
         }
         if (failed) {
             return progress::broken;
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -61,6 +61,12 @@
     bool in_trailer_ = false;
 };
 
+// Most received bytes that may wait for the end of a head, a chunk's header or a trailer.
+inline constexpr std::size_t max_unparsed_bytes = 64 * 1024;
+
+// Most interim responses (1xx) before the final one.
+inline constexpr int max_interim_responses = 3;
+
 // Parses one response. The body is appended to `body_`, from which the owner may remove data.
 class response_parser : public boost::beast::http::basic_parser<false> {
 public:
--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -215,6 +215,30 @@
     received_requests_.clear();
 }
 
+void fake_endpoint::set_endless(std::optional<endless_reply> reply) {
+    const std::lock_guard lock(mutex_);
+    endless_ = std::move(reply);
+}
+
+void fake_endpoint::send_endlessly(int socket, endless_reply reply, const std::string& request) {
+    constexpr std::size_t bulk_bytes = 64 * 1024;
+    ++endless_running_;
+    const std::size_t id_at = reply.begin_.find("ID");
+    if (id_at != std::string::npos) {
+        reply.begin_.replace(id_at, 2, header_value(request, "Tamarackbeam-Request-Id"));
+    }
+    std::string part = reply.repeated_;
+    while (reply.pause_.count() == 0 && part.size() < bulk_bytes) {
+        part += reply.repeated_;
+    }
+    bool open = ::send(socket, reply.begin_.data(), reply.begin_.size(), MSG_NOSIGNAL) >= 0;
+    while (open) {
+        open = ::send(socket, part.data(), part.size(), MSG_NOSIGNAL) > 0;
+        std::this_thread::sleep_for(reply.pause_);
+    }
+    --endless_running_;
+}
+
 void fake_endpoint::set_limit(std::string per_s) {
     const std::lock_guard lock(mutex_);
     limit_ = std::move(per_s);
@@ -270,10 +294,16 @@
             selected = next_behaviour();
         }
         std::string reply;
+        std::optional<endless_reply> endless;
         {
             const std::lock_guard lock(mutex_);
+            endless = endless_;
             reply = answer(selected, request);
         }
+        if (endless) {
+            send_endlessly(socket, *endless, request);
+            break;
+        }
         ::send(socket, reply.data(), reply.size(), MSG_NOSIGNAL);
         const bool ends = selected == behaviour::truncated || selected == behaviour::reset ||
                           selected == behaviour::garbage || selected == behaviour::truncated_stream;
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -96,6 +97,19 @@
     // Also forgets the received requests.
     void set_behaviours(std::vector<behaviour> behaviours);
 
+    // Bytes that an endpoint sends without end, until the other side closes the connection.
+    struct endless_reply {
+        std::string begin_; // the text ID in it becomes the request's id
+        std::string repeated_;
+        std::chrono::milliseconds pause_{0}; // between two repetitions; without one they are sent in bulk
+    };
+
+    // Answers the following requests with it, instead of a behaviour.
+    void set_endless(std::optional<endless_reply> reply);
+
+    // Replies without end that are still being sent.
+    int endless_running() const { return endless_running_; }
+
     // Names this limit on its requests in its following responses; none if empty.
     void set_limit(std::string per_s);
     boost::asio::ip::tcp::endpoint address() const { return address_; }
@@ -109,6 +123,7 @@
     void serve(int socket);
     behaviour next_behaviour();
     std::string answer(behaviour selected, const std::string& request) const;
+    void send_endlessly(int socket, endless_reply reply, const std::string& request);
 
     std::string id_;
     int listener_ = -1;
@@ -117,6 +132,8 @@
     std::vector<behaviour> behaviours_ = {behaviour::complete};
     std::size_t next_ = 0;
     std::string limit_;
+    std::optional<endless_reply> endless_;
+    std::atomic<int> endless_running_ = 0;
     std::vector<std::string> received_requests_;
     std::vector<int> sockets_;
     std::vector<std::thread> threads_;
