Share the retry budget with gateways that fell silent or are not heard yet

A gateway that had just started, or was cut off from the others, counted one and took the whole slack of a service's retries for itself.

--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -93,6 +93,10 @@
     int gateway_count() const { return gateway_count_; }
     void set_gateway_count(int count) { gateway_count_ = count; }
 
+    // Gateways that share the retry budgets.
+    int budget_sharers() const { return budget_sharers_; }
+    void set_budget_sharers(int count) { budget_sharers_ = count; }
+
     std::uint64_t random() { return random_(); }
 
     const boost::asio::any_io_executor executor_;
@@ -121,6 +125,7 @@
     std::map<std::string, provisioning::model_need, std::less<>> needs_;
     std::mt19937_64 random_;
     int gateway_count_;
+    int budget_sharers_;
 };
 
 } // namespace tamarack::gateway
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peers.hpp"
 
+#include "tamarack/limits.hpp"
+
 #include <algorithm>
 
 namespace tamarack::gateway {
@@ -9,6 +11,11 @@
 // A gateway without a digest for this time, in which several are due, counts as gone.
 constexpr time_ms digest_timeout_ms = 1'800;
 
+// Time for which a gateway that fell silent counts among those that share a budget: the window of the budget.
+constexpr time_ms departed_budget_ms = 10'000;
+
+constexpr int sharers_while_listening = 64; // as many as a large fleet has
+
 // A gateway with a lower id takes over planning after it has settled. The current planner stops before the
 // new one starts; the difference of the delays exceeds the interval between two digests.
 constexpr time_ms stop_planning_delay_ms = 1'200;
@@ -44,6 +51,18 @@
                                  [&](const auto& entry) { return is_alive(entry.second, now); }));
 }
 
+int peers::budget_sharers(time_ms now) const {
+    const auto silent_below = [&](time_ms limit_ms) {
+        return int(std::count_if(peers_.begin(), peers_.end(),
+                                 [&](const auto& entry) { return now - entry.second.heard_at_ < limit_ms; }));
+    };
+    const int known = silent_below(limits::isolated_hold_ms);
+    const bool isolated = 2 * silent_below(digest_timeout_ms) < known;
+    const int sharers = 1 + (isolated ? known : silent_below(departed_budget_ms));
+    const bool listening = now - started_at_ < limits::listening_ms;
+    return listening ? std::max(sharers, sharers_while_listening) : sharers;
+}
+
 bool peers::is_planner(time_ms now, bool is_planning) const {
     const time_ms own_margin = is_planning ? 0 : start_planning_delay_ms;
     const time_ms peer_margin = is_planning ? stop_planning_delay_ms : 0;
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -26,6 +26,11 @@
     // Number of gateways in service, including this one.
     int gateway_count(time_ms now) const;
 
+    // Number of gateways, including this one, that may have used a part of a common budget lately. Does not
+    // fall at once when others fall silent, since this gateway may merely not hear them, and is large until a
+    // gateway that just started has heard them.
+    int budget_sharers(time_ms now) const;
+
     // Whether this gateway is the planner: the one with the lowest id among the settled gateways, or among
     // all while none is settled. `is_planning` tells whether it plans at present; the present planner stops
     // before the next one starts, so that no two plan at once.
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -153,7 +153,7 @@
     const time_ms now = steady_now_ms();
     return is_endpoint_lost(attempt_->target(), now, context_.fleet_.gateway_count()) &&
            possible_runs_ + 1 < route_->max_attempts_ && left_ms(now) > min_retry_time_ms &&
-           context_.fleet_.retries(service_->name_).available(now, context_.fleet_.gateway_count()) &&
+           context_.fleet_.retries(service_->name_).available(now, context_.fleet_.budget_sharers()) &&
            has_other_endpoint();
 }
 
@@ -266,7 +266,7 @@
     facts.failure_status_ = response.status_ >= first_server_error_status;
     facts.sends_that_may_have_run_ = possible_runs_;
     facts.max_attempts_ = route_->max_attempts_;
-    facts.budget_left_ = arrived_attempts_ == 0 || retries.available(now, context_.fleet_.gateway_count());
+    facts.budget_left_ = arrived_attempts_ == 0 || retries.available(now, context_.fleet_.budget_sharers());
     facts.time_left_ = left_ms(now) > min_retry_time_ms;
     facts.other_endpoint_ = has_other_endpoint() || end == dispatch::send_end::withheld;
     const dispatch::next_step step = dispatch::after_send(facts);
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -157,6 +157,7 @@
     const time_ms now = steady_now_ms();
     agents_.tick(now);
     fleet_.set_gateway_count(peers_.gateway_count(now));
+    fleet_.set_budget_sharers(peers_.budget_sharers(now));
     fleet_.limits_.update(boot_now_ms(), !shutting_down_);
     measures_.set("tamarack_limited_endpoints", "Endpoints that name a limit on their requests", {},
                   double(fleet_.limits_.count()));
