--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -70,12 +70,12 @@
 
 void fake_store::put(const std::string& topic, const std::string& key, const std::string& value) {
     const std::lock_guard lock(mutex_);
-    topics_[topic].push_back({key, value});
+    topics_[topic].push_back({key, value, std::chrono::steady_clock::now()});
 }
 
 void fake_store::drop(const std::string& topic, const std::string& key) {
     const std::lock_guard lock(mutex_);
-    topics_[topic].push_back({key, std::nullopt});
+    topics_[topic].push_back({key, std::nullopt, std::chrono::steady_clock::now()});
 }
 
 void fake_store::roll_back(const std::string& topic, std::size_t count) {
@@ -85,6 +85,15 @@
     ++era_;
 }
 
+void fake_store::return_from_copy(std::chrono::milliseconds age) {
+    const auto copied_at = std::chrono::steady_clock::now() - age;
+    const std::lock_guard lock(mutex_);
+    for (auto& [name, records] : topics_) {
+        std::erase_if(records, [&](const record& one) { return one.written_at_ > copied_at; });
+    }
+    ++era_;
+}
+
 http::awaitable<void> fake_store::handle(http::exchange& current) {
     ++calls_;
     const http::request& call = current.incoming();
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -37,6 +37,9 @@
     // Returns from a copy that lacks the last `count` records of the topic.
     void roll_back(const std::string& topic, std::size_t count);
 
+    // Returns from a copy that is this old: all topics lack the records written since.
+    void return_from_copy(std::chrono::milliseconds age);
+
     // Sets the fault of all following calls.
     void set_fault(fault new_fault) { fault_ = new_fault; }
     boost::asio::ip::tcp::endpoint address() const;
@@ -52,6 +55,7 @@
     struct record {
         std::string key_;
         std::optional<std::string> value_;
+        std::chrono::steady_clock::time_point written_at_ = std::chrono::steady_clock::now();
     };
 
     boost::asio::awaitable<void> handle(http::exchange& current);
--- a/tests/direct/registry_view_test.cpp
+++ b/tests/direct/registry_view_test.cpp
@@ -204,4 +204,26 @@
     CHECK(eventually(lookups_reach_second));
 }
 
+// The copy lacks that the endpoint said it leaves, which the store had acknowledged.
+TEST_CASE_FIXTURE(gateway_process,
+                  "gateway_store_returns_from_a_copy_sends_nothing_to_an_endpoint_that_was_leaving") {
+    start_ready();
+    nlohmann::json leaving = nlohmann::json::parse(endpoint_text(second_, "draining"));
+    leaving["sequence"] = 2;
+    store_.put("keyed.servers", "i-2", leaving.dump());
+    const auto lookups_reach_second = [this] {
+        set_behaviours_of_both({behaviour::complete});
+        for (int lookup = 0; lookup < 20; ++lookup) {
+            CHECK(status(request("lookup", "r-" + std::to_string(lookup))) == 200);
+        }
+        return !second_.received_requests().empty();
+    };
+    REQUIRE(eventually([&] { return !lookups_reach_second(); }));
+    store_.roll_back("keyed.servers", 1);
+    const time_ms until = boot_now_ms() + 3'000; // several reads of the registry
+    while (boot_now_ms() < until) {
+        CHECK_FALSE(lookups_reach_second());
+    }
+}
+
 } // namespace tamarack::direct
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -21,7 +21,7 @@
     }
     ~soak_fixture() { std::filesystem::remove_all(settings_.folder_); }
 
-    void check(std::uint64_t seed) {
+    soak_outcome check(std::uint64_t seed) {
         settings_.seed_ = seed;
         const soak_outcome outcome = run_soak(settings_);
         for (const std::string& fault : outcome.faults_) {
@@ -33,6 +33,7 @@
         CHECK(outcome.broken_promises_ == std::vector<std::string>());
         CHECK(outcome.recovered_after_ms_ >= 0);
         CHECK(outcome.served_ > 0);
+        return outcome;
     }
 };
 
@@ -50,10 +51,18 @@
 // Endpoints that had named a limit on their requests got several times as many from six gateways together.
 TEST_CASE_FIXTURE(soak_fixture, "fleet_endpoints_name_request_limits_gateways_together_keep_them") {
     settings_.faults_ = false;
+    settings_.drills_ = false;
     settings_.limits_ = 2;
     settings_.gateways_ = 6;
     settings_.requests_per_s_ = 80;
     check(1);
 }
 
+TEST_CASE_FIXTURE(soak_fixture, "fleet_store_returns_from_copies_every_request_is_served") {
+    settings_.faults_ = false;
+    settings_.limits_ = 0;
+    const soak_outcome outcome = check(1);
+    CHECK(outcome.served_ == outcome.requests_);
+}
+
 } // namespace tamarack::soak
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -208,6 +208,16 @@
     store_.put("keyed.op", "config", configuration_text(version_));
 }
 
+void fleet::write_again() {
+    store_.put("keyed.op", "config", configuration_text(version_));
+    for (const endpoint_place& one : endpoints_) {
+        if (!one.registered_) {
+            store_.drop("keyed.servers", one.engine_->id());
+        }
+    }
+    heartbeat();
+}
+
 void fleet::watch(referee& judge) {
     for (fleet_process* one : processes()) {
         if (one->expected_ && !one->process_.running()) {
--- a/tests/soak/fleet.hpp
+++ b/tests/soak/fleet.hpp
@@ -65,6 +65,10 @@
     // The next version of the configuration.
     void put_configuration();
 
+    // After the store has returned from a copy, what it lost is written again: the configuration and the
+    // entries of the endpoints.
+    void write_again();
+
     bool ready(const gateway_place& one);
 
     std::vector<gateway_place>& gateways() { return gateways_; }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -31,7 +31,8 @@
         : settings_(settings), random_(settings.seed_),
           fleet_(context_, judge_, settings.folder_, settings.seed_,
                  {settings.gateways_, settings.engines_, 2}),
-          clients_(context_, fleet_, judge_, settings.seed_), limit_random_(settings.seed_ + 1) {}
+          clients_(context_, fleet_, judge_, settings.seed_), limit_random_(settings.seed_ + 1),
+          drill_random_(settings.seed_ + 2) {}
 
     soak_outcome run() {
         asio::co_spawn(context_, script(), asio::detached);
@@ -84,6 +85,10 @@
             ++active_;
             asio::co_spawn(context_, name_limits(until), asio::detached);
         }
+        if (settings_.drills_) {
+            ++active_;
+            asio::co_spawn(context_, drill_store(until), asio::detached);
+        }
         while (settings_.faults_ && steady_now_ms() < until) {
             static constexpr fault faults[] = {
                 &soak_run::kill_gateway, &soak_run::kill_agent,      &soak_run::pause_gateway,
@@ -143,6 +148,30 @@
         --active_;
     }
 
+    // The store is away for a moment and returns from a copy some seconds old, at times twice in short
+    // succession. What it lost is written again after a while. With random numbers of its own.
+    awaitable<void> drill_store(time_ms until) {
+        const auto draw = [this](time_ms least, time_ms most) {
+            return std::uniform_int_distribution<time_ms>(least, most)(drill_random_);
+        };
+        do {
+            co_await pause(draw(500, 3'000));
+            const time_ms away = draw(50, 1'000);
+            const time_ms age = draw(100, 5'000);
+            const time_ms written_after = draw(0, 1'000);
+            begin("return from a copy " + std::to_string(age) + " ms old of the", "store",
+                  away + written_after);
+            judge_.disturb("links", steady_now_ms(), steady_now_ms() + away + written_after);
+            fleet_.store().set_fault(direct::fake_store::fault::busy);
+            co_await pause(away);
+            fleet_.store().return_from_copy(std::chrono::milliseconds(age));
+            fleet_.store().set_fault(direct::fake_store::fault::none);
+            co_await pause(written_after);
+            fleet_.write_again();
+        } while (steady_now_ms() < until);
+        --active_;
+    }
+
     awaitable<void> recover() {
         const time_ms from = steady_now_ms();
         while (steady_now_ms() < from + recovery_limit_ms) {
@@ -388,6 +417,7 @@
     fleet fleet_;
     clients clients_;
     std::mt19937_64 limit_random_;
+    std::mt19937_64 drill_random_;
     soak_outcome outcome_;
     time_ms started_at_ = 0;
     int active_ = 0;
