--- a/tests/direct/registry_view_test.cpp
+++ b/tests/direct/registry_view_test.cpp
@@ -181,18 +181,25 @@
     CHECK(logged("\"store_rolled_back\""));
 }
 
-// DRAIN: a store that returned from a copy listed an endpoint again that had left before.
-TEST_CASE_FIXTURE(gateway_process,
-                  "gateway_store_returns_from_a_copy_sends_nothing_to_an_endpoint_that_had_left") {
-    start_ready();
-    store_.drop("keyed.servers", "i-2");
-    const auto lookups_reach_second = [this] {
+namespace {
+
+struct rolled_back_gateway : gateway_process {
+    bool lookups_reach_second() {
         set_behaviours_of_both({behaviour::complete});
         for (int lookup = 0; lookup < 20; ++lookup) {
             CHECK(status(request("lookup", "r-" + std::to_string(lookup))) == 200);
         }
         return !second_.received_requests().empty();
-    };
+    }
+};
+
+} // namespace
+
+// DRAIN: a store that returned from a copy listed an endpoint again that had left before.
+TEST_CASE_FIXTURE(rolled_back_gateway,
+                  "gateway_store_returns_from_a_copy_sends_nothing_to_an_endpoint_that_had_left") {
+    start_ready();
+    store_.drop("keyed.servers", "i-2");
     REQUIRE(eventually([&] { return !lookups_reach_second(); }));
     store_.roll_back("keyed.servers", 1);
     const time_ms until = boot_now_ms() + 3'000; // several reads of the registry
@@ -201,23 +208,16 @@
     }
     // Once it writes its entry there, it has not left.
     store_.put("keyed.servers", "i-2", endpoint_text(second_));
-    CHECK(eventually(lookups_reach_second));
+    CHECK(eventually([&] { return lookups_reach_second(); }));
 }
 
 // The copy lacks that the endpoint said it leaves, which the store had acknowledged.
-TEST_CASE_FIXTURE(gateway_process,
+TEST_CASE_FIXTURE(rolled_back_gateway,
                   "gateway_store_returns_from_a_copy_sends_nothing_to_an_endpoint_that_was_leaving") {
     start_ready();
     nlohmann::json leaving = nlohmann::json::parse(endpoint_text(second_, "draining"));
     leaving["sequence"] = 2;
     store_.put("keyed.servers", "i-2", leaving.dump());
-    const auto lookups_reach_second = [this] {
-        set_behaviours_of_both({behaviour::complete});
-        for (int lookup = 0; lookup < 20; ++lookup) {
-            CHECK(status(request("lookup", "r-" + std::to_string(lookup))) == 200);
-        }
-        return !second_.received_requests().empty();
-    };
     REQUIRE(eventually([&] { return !lookups_reach_second(); }));
     store_.roll_back("keyed.servers", 1);
     const time_ms until = boot_now_ms() + 3'000; // several reads of the registry
