Let a gateway that has just started retry as one of eight

What callers saw: in the first two seconds of a gateway a lookup whose endpoint failed was not sent to another one (502, 504), since the slack of the retry budget was divided by 64 until the others had been heard.

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -14,7 +14,7 @@
 // Time for which a gateway that fell silent counts among those that share a budget: the window of the budget.
 constexpr time_ms departed_budget_ms = 10'000;
 
-constexpr int sharers_while_listening = 64; // as many as a large fleet has
+constexpr int sharers_while_listening = 8; // assumed until the others have been heard
 
 // A gateway with a lower id takes over planning after it has settled. The current planner stops before the
 // new one starts; the difference of the delays exceeds the interval between two digests.
