--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -27,8 +27,8 @@
     int gateway_count(time_ms now) const;
 
     // Number of gateways, including this one, that may have used a part of a common budget lately. Does not
-    // fall at once when others fall silent, since this gateway may merely not hear them, and is large until a
-    // gateway that just started has heard them.
+    // fall at once when others fall silent, since this gateway may merely not hear them, and is at least the
+    // number assumed at a start until a gateway has had time to hear the others.
     int budget_sharers(time_ms now) const;
 
     // Whether this gateway is the planner: the one with the lowest id among the settled gateways, or among
