--- a/include/tamarack/limits.hpp
+++ b/include/tamarack/limits.hpp
@@ -105,14 +105,16 @@
     void apply(const std::string& from, std::span<const announcement> announced, time_ms late_ms, time_ms now,
                const std::function<void(const announcement&, limit_change)>& changed);
 
-    // Drops the endpoints for which `keep` returns false.
+    // Drops what is known of the endpoints for which `keep` returns false: those that are gone or have
+    // started again.
     void retain(const std::function<bool(std::string_view endpoint, std::int64_t incarnation)>& keep);
 
     // Divides the limits anew. To be called a few times a second. A gateway that is shutting down passes
     // false, and uses no part from then on.
     void update(time_ms now, bool takes_part);
 
-    // What this gateway tells the others, at most `max_announcements`.
+    // What this gateway tells the others, at most `max_announcements`. Remembers it as told at `now`, so it
+    // is to be called only for a message that is sent.
     std::vector<announcement> announce(time_ms now);
 
     // Whether the endpoint has a limit.
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -52,13 +52,13 @@
 }
 
 int peers::budget_sharers(time_ms now) const {
-    const auto silent_below = [&](time_ms limit_ms) {
+    const auto heard_within = [&](time_ms limit_ms) {
         return int(std::count_if(peers_.begin(), peers_.end(),
                                  [&](const auto& entry) { return now - entry.second.heard_at_ < limit_ms; }));
     };
-    const int known = silent_below(limits::isolated_hold_ms);
-    const bool isolated = 2 * silent_below(digest_timeout_ms) < known;
-    const int sharers = 1 + (isolated ? known : silent_below(departed_budget_ms));
+    const int known = heard_within(limits::isolated_hold_ms);
+    const bool isolated = 2 * heard_within(digest_timeout_ms) < known;
+    const int sharers = 1 + (isolated ? known : heard_within(departed_budget_ms));
     const bool listening = now - started_at_ < limits::listening_ms;
     return listening ? std::max(sharers, sharers_while_listening) : sharers;
 }
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -246,6 +246,7 @@
     update_health(end, response.status_);
     const bool arrived = end != dispatch::send_end::not_connected && end != dispatch::send_end::withheld;
     if (end == dispatch::send_end::withheld) {
+        // The request may wait for a place there.
         tried_endpoints_.erase(attempt_->target().record().id_);
     }
     const bool may_have_run_before = possible_runs_ > 0;
