Log the shared parts of a prompt and the engine's incarnation with each send that ended

A line of an ended send named the endpoint and how it ended, and nothing of what the request was. With the incarnation and the parts, the sends that were lost when an engine ended can be told from those that broke alone, and it shows what they had in common.

--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -117,6 +117,7 @@
     bool finish_if_stream_complete();
     dispatch::send_end classify_end(exchange_outcome outcome, const http::response_parser& response) const;
     void update_health(dispatch::send_end end, int status);
+    std::string shared_parts_text() const;
     void on_attempt_ended(dispatch::send_end end, http::response_parser& response);
     void deliver(http::response_parser& response);
 
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -241,6 +241,16 @@
     }
 }
 
+// The parts of the prompt that other requests may have as well, for logs.
+std::string request_flow::shared_parts_text() const {
+    constexpr std::size_t max_bytes = 200;
+    std::string text;
+    for (std::size_t index = 0; index + 1 < metadata_.prompt_parts_.size(); ++index) {
+        text += (index == 0 ? "" : ",") + metadata_.prompt_parts_[index].first;
+    }
+    return text.substr(0, max_bytes);
+}
+
 void request_flow::on_attempt_ended(dispatch::send_end end, http::response_parser& response) {
     const time_ms now = steady_now_ms();
     wait_timer_.cancel();
@@ -277,8 +287,11 @@
                             "send_ended",
                             metadata_.id_,
                             {{"endpoint", attempt_->target().record().id_},
+                             {"incarnation", attempt_->target().record().incarnation_},
                              {"end", dispatch::to_string(end)},
                              {"status", response.status_},
+                             {"events", splitter_.event_count()},
+                             {"shared_parts", shared_parts_text()},
                              {"took_ms", now - attempt_->started_at_},
                              {"view_age_ms", view_age_ms_},
                              {"may_run_again", facts.repeatable_},
