Reproduce engines that end under one part of a prompt, failing

Callers of one route lost their answers for a minute, as requests with one part in their prompts ended one engine after the other. No kind of trouble brings it, so the stand-in engine of the soak does: it ends when it begins to answer a request with that part and comes back after one to three seconds as a new incarnation without models. The referee judges the arrivals after the fifth crash and the requests that share the first part.

--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -58,6 +58,18 @@
     check(1);
 }
 
+// Requests with one part in their prompts ended one engine after the other for as long as they came.
+TEST_CASE_FIXTURE(soak_fixture, "fleet_prompt_part_crashes_engines_gateways_together_stop_sending_it") {
+    settings_.faults_ = false;
+    settings_.drills_ = false;
+    settings_.limits_ = 0;
+    settings_.crashing_parts_ = 1;
+    settings_.gateways_ = 6;
+    settings_.engines_ = 6;
+    settings_.requests_per_s_ = 80;
+    check(1);
+}
+
 TEST_CASE_FIXTURE(soak_fixture, "fleet_store_returns_from_copies_every_request_is_served") {
     settings_.faults_ = false;
     settings_.limits_ = 0;
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -38,7 +38,8 @@
 } // namespace
 
 clients::clients(asio::io_context& context, fleet& parts, referee& judge, std::uint64_t seed)
-    : context_(context), fleet_(parts), judge_(judge), random_(seed), seed_(seed),
+    : context_(context), fleet_(parts), judge_(judge), random_(seed), part_random_(seed + 3),
+      seed_(seed),
       idle_(parts.gateways().size()) {}
 
 void clients::start(double requests_per_s) {
@@ -59,6 +60,9 @@
         sent.repeatable_ = outgoing.target_.starts_with("/lookup") || outgoing.target_.starts_with("/chat");
         sent.sent_at_ = steady_now_ms();
         sent.limit_ms_ = deadline_ms;
+        if (!plain) {
+            add_prompt(outgoing, sent);
+        }
         judge_.sent(sent);
         ++open_;
         if (plain) {
@@ -96,6 +100,19 @@
     return outgoing;
 }
 
+// Adds the parts of a prompt: one of a few that all share, one that some share, and its own. With random
+// numbers of its own, so that a seed draws the same requests with and without a crashing part.
+void clients::add_prompt(http::request& outgoing, sent_request& sent) {
+    constexpr std::uint64_t first_parts = 2;
+    constexpr std::uint64_t subjects = 60;
+    sent.first_part_ = "f" + std::to_string(part_random_() % first_parts);
+    const std::string subject = "5" + std::to_string(part_random_() % subjects);
+    sent.crashing_ = std::uniform_real_distribution<>(0, 1)(part_random_) < crashing_share_;
+    const std::string middle = sent.crashing_ ? crashing_part_ : subject;
+    outgoing.headers_.push_back(
+        {"Tamarackbeam-Prompt-Prefix", sent.first_part_ + ":80," + middle + ":60," + sent.id_ + ":60"});
+}
+
 void clients::call_plain(std::size_t gateway, http::request outgoing) {
     const std::string id(*outgoing.find("Tamarackbeam-Request-Id"));
     auto& idle = idle_[gateway];
--- a/tests/soak/clients.hpp
+++ b/tests/soak/clients.hpp
@@ -14,6 +14,12 @@
     void start(double requests_per_s);
     void stop() { stopped_ = true; }
 
+    // From now on this share of the requests for a model has the part in its prompt; none if it is 0.
+    void set_crashing_part(std::string part, double share) {
+        crashing_part_ = std::move(part);
+        crashing_share_ = share;
+    }
+
     int open() const { return open_; }
 
 private:
@@ -21,12 +27,16 @@
     boost::asio::awaitable<void> call_stream(std::size_t gateway, http::request outgoing);
     void call_plain(std::size_t gateway, http::request outgoing);
     http::request make_request();
+    void add_prompt(http::request& outgoing, sent_request& sent);
 
     boost::asio::io_context& context_;
     fleet& fleet_;
     referee& judge_;
     std::mt19937_64 random_;
+    std::mt19937_64 part_random_;
     std::uint64_t seed_;
+    std::string crashing_part_;
+    double crashing_share_ = 0;
     std::vector<std::vector<std::shared_ptr<http::kept_client>>> idle_; // connections by gateway
     std::uint64_t next_id_ = 1;
     int open_ = 0;
--- a/tests/soak/engine_stand_in.cpp
+++ b/tests/soak/engine_stand_in.cpp
@@ -90,6 +90,16 @@
     judge_.limits(id_, per_s, steady_now_ms());
 }
 
+void engine_stand_in::set_crashing_part(std::string part, std::function<void()> crash) {
+    crashing_part_ = std::move(part);
+    crash_ = std::move(crash);
+}
+
+bool engine_stand_in::has_crashing_part(const http::request& call) const {
+    const std::string parts = "," + header_of(call, "Tamarackbeam-Prompt-Prefix");
+    return !crashing_part_.empty() && parts.find("," + crashing_part_ + ":") != std::string::npos;
+}
+
 // Adds the present limit on requests to a response.
 void engine_stand_in::name_limit(std::vector<http::header>& headers, const std::string& request_id) {
     if (limit_per_s_) {
@@ -191,6 +201,11 @@
                                          {"Content-Type", "text/event-stream"}};
     name_limit(headers, request_id);
     bool alive = co_await call.begin(200, std::move(headers));
+    if (incarnation == incarnation_ && has_crashing_part(call.incoming())) {
+        judge_.crashed_by_part(steady_now_ms());
+        crash_();
+        co_return false;
+    }
     for (int number = first; alive && number <= end; ++number) {
         if (number == cut || gone || incarnation != incarnation_) {
             const std::string part = event_text(request_id, number);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -13,6 +13,7 @@
 DEFINE_int32(gateways, 3, "gateways");
 DEFINE_int32(engines, 4, "model engines, each with an agent");
 DEFINE_int32(limits, 1, "endpoints that name a limit on their requests at a time");
+DEFINE_int32(crashing_parts, 0, "spans in which a part of prompts ends engines");
 DEFINE_bool(drills, true, "whether the store returns from a copy now and then");
 DEFINE_bool(faults, true, "whether there are faults beside the limits and drills");
 DEFINE_string(folder, "", "where the logs of failed soaks stay; a temporary folder if empty");
@@ -34,6 +35,7 @@
         settings.gateways_ = FLAGS_gateways;
         settings.engines_ = FLAGS_engines;
         settings.limits_ = FLAGS_limits;
+        settings.crashing_parts_ = FLAGS_crashing_parts;
         settings.drills_ = FLAGS_drills;
         settings.faults_ = FLAGS_faults;
         settings.folder_ = (base / ("seed-" + std::to_string(settings.seed_))).string();
--- a/tests/soak/referee.cpp
+++ b/tests/soak/referee.cpp
@@ -149,9 +149,70 @@
     return allowed;
 }
 
+void referee::crashed_by_part(time_ms now) {
+    part_crashes_.push_back(now);
+}
+
+void referee::note_crashing_arrival(const request& one, time_ms now) {
+    const auto bound = std::size_t(bounds_.crashes_of_part_);
+    if (part_crashes_.size() < bound) {
+        return;
+    }
+    const time_ms from = part_crashes_[bound - 1] + bounds_.stable_ms_;
+    if (now <= from || disturbed(one.sent_.gateway_, from - bounds_.stable_ms_, now) ||
+        disturbed("store", from - bounds_.stable_ms_, now)) {
+        return;
+    }
+    if (++sends_after_crashes_ == bounds_.sends_after_crashes_ + 1) {
+        broken("requests with the part under which " + std::to_string(bound) + " engines had ended arrived " +
+               std::to_string(sends_after_crashes_) + " times more, the last from " + one.sent_.gateway_);
+    }
+}
+
+void referee::check_sound_requests(time_ms now) {
+    if (part_crashes_.empty()) {
+        return;
+    }
+    const std::size_t deciding =
+        std::min(part_crashes_.size(), std::size_t(bounds_.crashes_of_part_)) - 1;
+    const time_ms from = part_crashes_[deciding] + 2 * bounds_.stable_ms_;
+    struct counts {
+        int sent_ = 0;
+        int begun_ = 0;
+    };
+    std::map<std::string, std::pair<counts, counts>> by_part; // before the first crash, and after `from`
+    for (const auto& [id, one] : requests_) {
+        const sent_request& sent = one.sent_;
+        const bool before = sent.sent_at_ + bounds_.stable_ms_ < part_crashes_.front();
+        const bool after = sent.sent_at_ >= from && sent.sent_at_ + sent.limit_ms_ < now;
+        if (sent.first_part_.empty() || sent.crashing_ || (!before && !after) ||
+            disturbed(sent.gateway_, sent.sent_at_, sent.sent_at_) ||
+            disturbed("store", sent.sent_at_, sent.sent_at_) ||
+            disturbed("links", sent.sent_at_, sent.sent_at_)) {
+            continue;
+        }
+        counts& part = before ? by_part[sent.first_part_].first : by_part[sent.first_part_].second;
+        ++part.sent_;
+        part.begun_ += one.runs_.empty() ? 0 : 1;
+    }
+    for (const auto& [part, both] : by_part) {
+        const auto& [usual, later] = both;
+        const int least = bounds_.least_sound_requests_;
+        if (usual.sent_ >= least && later.sent_ >= least &&
+            2.0 * later.begun_ / later.sent_ < double(usual.begun_) / usual.sent_) {
+            broken("sound requests with the first part " + part + " began " + std::to_string(later.begun_) +
+                   " of " + std::to_string(later.sent_) + " times after the crashes, " +
+                   std::to_string(usual.begun_) + " of " + std::to_string(usual.sent_) + " times before");
+        }
+    }
+}
+
 void referee::arrived(const std::string& id, const std::string& engine, time_ms now) {
     const auto found = limited_.find(engine);
     const auto sent = requests_.find(id);
+    if (sent != requests_.end() && sent->second.sent_.crashing_) {
+        note_crashing_arrival(sent->second, now);
+    }
     if (found == limited_.end() || sent == requests_.end()) {
         return;
     }
--- a/tests/soak/referee.hpp
+++ b/tests/soak/referee.hpp
@@ -22,6 +22,9 @@
     time_ms limit_window_ms_ = 4'000; // in which an engine's limit on its requests is judged
     double limit_share_ = 1.5;        // of the limit that may arrive in that time,
     int limit_slack_ = 5;             // and requests beside it
+    int crashes_of_part_ = 5;         // engines that may end under one part of a prompt
+    int sends_after_crashes_ = 3;     // requests with it that may still arrive, `stable_ms_` after that
+    int least_sound_requests_ = 20;   // requests without it that are judged
     time_ms limit_told_ms_ = 500;     // until a gateway that got a response with the limit must keep it
 };
 
@@ -31,7 +34,9 @@
     std::string gateway_;
     bool repeatable_ = false;
     time_ms sent_at_ = 0;
-    time_ms limit_ms_ = 0; // until the client wants a final answer
+    time_ms limit_ms_ = 0;    // until the client wants a final answer
+    std::string first_part_;  // of its prompt; empty without a prompt
+    bool crashing_ = false;   // has the part that ends engines
 };
 
 // What a client received.
@@ -72,6 +77,12 @@
     // An engine responds to a request with its present limit.
     void told_limit(const std::string& id, const std::string& engine, time_ms now);
 
+    // An engine ended as it began to answer a request with the crashing part.
+    void crashed_by_part(time_ms now);
+
+    // Judges the requests without the crashing part that were sent until now. To be called in the end.
+    void check_sound_requests(time_ms now);
+
     // The registry accepted that the engine leaves.
     void leaves(const std::string& engine, time_ms now) { leaving_since_.try_emplace(engine, now); }
     void returned(const std::string& engine) { leaving_since_.erase(engine); }
@@ -121,6 +132,7 @@
         bool reported_ = false;
     };
 
+    void note_crashing_arrival(const request& one, time_ms now);
     static double allowed_by(const limited_engine& one, time_ms from, time_ms until);
 
     void broken(std::string what) { broken_.push_back(std::move(what)); }
@@ -132,6 +144,8 @@
     std::map<std::string, time_ms> leaving_since_;
     std::deque<time_ms> store_loads_;
     std::map<std::string, limited_engine> limited_;
+    std::vector<time_ms> part_crashes_;
+    int sends_after_crashes_ = 0;
     std::vector<span> disturbances_;
     std::vector<std::string> broken_;
     int served_ = 0;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -32,7 +32,7 @@
           fleet_(context_, judge_, settings.folder_, settings.seed_,
                  {settings.gateways_, settings.engines_, 2}),
           clients_(context_, fleet_, judge_, settings.seed_), limit_random_(settings.seed_ + 1),
-          drill_random_(settings.seed_ + 2) {}
+          drill_random_(settings.seed_ + 2), part_random_(settings.seed_ + 4) {}
 
     soak_outcome run() {
         asio::co_spawn(context_, script(), asio::detached);
@@ -85,6 +85,10 @@
             ++active_;
             asio::co_spawn(context_, name_limits(until), asio::detached);
         }
+        if (settings_.crashing_parts_ > 0) {
+            ++active_;
+            asio::co_spawn(context_, crash_on_parts(), asio::detached);
+        }
         if (settings_.drills_) {
             ++active_;
             asio::co_spawn(context_, drill_store(until), asio::detached);
@@ -108,6 +112,7 @@
         clients_.stop();
         co_await pause(last_answers_ms);
         judge_.check_unanswered(steady_now_ms());
+        judge_.check_sound_requests(steady_now_ms());
         ended_ = true;
         co_await pause(heartbeat_ms); // the other loops see it
         context_.stop();
@@ -172,6 +177,32 @@
         --active_;
     }
 
+    // A part of prompts ends every engine that begins to answer it, while some requests have it. The part is the
+    // same each time. With random numbers of its own.
+    awaitable<void> crash_on_parts() {
+        const auto draw = [this](time_ms least, time_ms most) {
+            return std::uniform_int_distribution<time_ms>(least, most)(part_random_);
+        };
+        const std::string part = "bad" + std::to_string(settings_.seed_);
+        for (endpoint_place& one : fleet_.endpoints()) {
+            one.engine_->set_crashing_part(part, [this, &one, draw] {
+                note("crash of " + one.engine_->id() + " under a part of a prompt");
+                asio::co_spawn(context_, take_down(one, draw(1'000, 3'000)), asio::detached);
+            });
+        }
+        for (int span = 0; span < settings_.crashing_parts_; ++span) {
+            co_await pause(draw(5'500, 6'500));
+            constexpr double percent = 100;
+            const double share = double(draw(5, 40)) / percent;
+            note("requests with a part that ends engines, share " + std::to_string(share));
+            clients_.set_crashing_part(part, share);
+            co_await pause(draw(12'000, 16'000));
+            note("no more requests with that part");
+            clients_.set_crashing_part("", 0);
+        }
+        --active_;
+    }
+
     awaitable<void> recover() {
         const time_ms from = steady_now_ms();
         while (steady_now_ms() < from + recovery_limit_ms) {
@@ -364,6 +395,11 @@
         endpoint_place& one = any(fleet_.endpoints());
         const time_ms down = between(100, 1'500);
         begin("crash of", one.engine_->id(), down);
+        co_await take_down(one, down);
+    }
+
+    // Ends an endpoint, which starts again after a while.
+    awaitable<void> take_down(endpoint_place& one, time_ms down) {
         const auto proxies = {one.requests_.get(), one.agent_engine_.get()};
         for (faulty_proxy* proxy : proxies) {
             if (proxy != nullptr) {
@@ -418,6 +454,7 @@
     clients clients_;
     std::mt19937_64 limit_random_;
     std::mt19937_64 drill_random_;
+    std::mt19937_64 part_random_;
     soak_outcome outcome_;
     time_ms started_at_ = 0;
     int active_ = 0;
