--- a/src/gateway/agent_links.cpp
+++ b/src/gateway/agent_links.cpp
@@ -199,12 +199,16 @@
         view.known_ = true;
         view.reachable_ = false;
         view.reported_at_ = now;
+        fleet_.quarantine_.note_ended(one.endpoint_, listed, boot_now_ms());
         return;
     }
     const bool was_reachable = view.reachable_ || !view.known_;
     const bool has_models = status.has_models;
     view.known_ = view.known_ || has_models;
     view.reachable_ = status.reachable;
+    if (!status.reachable) {
+        fleet_.quarantine_.note_ended(one.endpoint_, listed, boot_now_ms());
+    }
     view.leaving_ = status.leaving;
     view.incarnation_ = status.incarnation;
     view.gone_at_ =
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -271,6 +271,12 @@
     }
 }
 
+void client_session::end_if_quarantined() {
+    if (const auto request = request_) {
+        request->end_if_quarantined();
+    }
+}
+
 void client_session::close() {
     if (closed_) {
         return;
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -29,6 +29,7 @@
     // Closes the connection if no request is being read or served.
     void close_if_idle();
     void refuse_if_unsent();
+    void end_if_quarantined();
     void close();
 
     void send_response(int status, const std::vector<http::header>& headers, std::string_view body) override;
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -51,7 +51,15 @@
                 },
                 [this](bool reads, bool first) {
                     asio::post(context_, [this, reads, first] { source_->set_reads_store(reads, first); });
-                }}),
+                },
+                [this](std::vector<std::string> parts, bool writes) {
+                    asio::post(context_, [this, parts = std::move(parts), writes] {
+                        if (writes && quarantine_known_) {
+                            source_->write_quarantine({parts.begin(), parts.end()});
+                        }
+                    });
+                },
+                [this] { asio::post(context_, [this] { quarantine_known_ = true; }); }}),
       admin_(context_, http::server_limits(),
              [this](http::exchange& current) -> asio::awaitable<void> { co_await handle_admin(current); }),
       metrics_server_(
@@ -77,6 +85,9 @@
         events_.write({event_kind::fleet_view, "gateway", "record_skipped", {}, {{"why", to_string(why)}}});
     };
     handlers.relay_ = [this](fleet::relayed_data data) { traffic_.relay_store_reading(std::move(data)); };
+    handlers.quarantine_ = [this](std::vector<std::string> parts) {
+        traffic_.restore_quarantine(std::move(parts));
+    };
     source_ = (*registry<fleet::fleet_source_factory>::instance().find(settings.platform_))(
         context_, settings.store_, std::move(handlers));
     seed_exchange_ =
@@ -175,7 +186,7 @@
 }
 
 bool control::ready() const {
-    return !shutting_down_ && configuration_version_ >= 0 && endpoints_known_;
+    return !shutting_down_ && configuration_version_ >= 0 && endpoints_known_ && quarantine_known_;
 }
 
 asio::awaitable<void> control::handle_admin(http::exchange& current) {
@@ -206,14 +217,17 @@
     });
 }
 
-// Reports whether the settings file is valid and differs. Changes take effect at the next start; an invalid
-// file changes nothing.
+// Reports whether the settings file is valid and differs. The released parts take effect at once, other
+// changes at the next start; an invalid file changes nothing.
 void control::check_settings() {
     const auto settings = load_gateway_settings(settings_path_);
     const std::string outcome = !ok(settings)                  ? to_string(failure(settings))
                                 : value(settings) == settings_ ? "unchanged"
                                                                : "in force at the next start";
     events_.write({event_kind::process, "gateway", "settings_read", {}, {{"outcome", outcome}}});
+    if (ok(settings)) {
+        traffic_.release_parts(value(settings).released_parts_);
+    }
 }
 
 // Reports not ready at once, serves until the platform has noticed, then exits when no request is in service,
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -12,7 +12,7 @@
 class control {
 public:
     // On SIGHUP the file at `settings_path` is read again, to report whether it is valid and whether it
-    // differs.
+    // differs, and to release the quarantined parts that it names.
     control(const gateway_settings& settings, std::string settings_path, event_log& events);
 
     // Serves until SIGTERM or SIGINT. Returns the exit code of the process.
@@ -50,6 +50,7 @@
     http::server metrics_server_;
     std::int64_t configuration_version_ = -1;
     bool endpoints_known_ = false;
+    bool quarantine_known_ = false;
     bool shutting_down_ = false;
     time_ms shutdown_started_at_ = 0;
 };
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -48,6 +48,7 @@
         const bool removed = !records.contains(entry.first);
         if (removed) {
             entry.second->set_gone(); // requests may be on their way to it
+            quarantine_.note_ended(entry.first, entry.second->record().incarnation_, boot_now_ms());
         }
         return removed;
     });
@@ -57,6 +58,9 @@
         if (known == nullptr) {
             known = std::make_shared<endpoint>(record, executor_);
         } else {
+            if (record.incarnation_ != known->record().incarnation_) {
+                quarantine_.note_ended(id, known->record().incarnation_, boot_now_ms());
+            }
             known->update(record);
         }
         endpoints_by_service_[record.service_].push_back(known);
--- a/src/gateway/head_rewrite.hpp
+++ b/src/gateway/head_rewrite.hpp
@@ -16,7 +16,8 @@
     double prompt_tokens_ = 0;
     double output_tokens_ = 0;                                 // limit of generated tokens
     std::vector<std::pair<std::string, double>> prompt_parts_; // id and number of tokens, in order
-    std::optional<time_ms> deadline_ms_;                       // time left when the request arrived
+    std::vector<std::string> shared_parts_; // names of the parts that other requests may have, in order
+    std::optional<time_ms> deadline_ms_;    // time left when the request arrived
     std::optional<std::int64_t> last_event_id_;
 };
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -26,8 +26,8 @@
 
 scoped_attempt::scoped_attempt(fleet_state& fleet, std::shared_ptr<endpoint> target, double prompt_tokens,
                                int urgency)
-    : started_at_(steady_now_ms()), fleet_(fleet), target_(std::move(target)),
-      pending_prompt_tokens_(prompt_tokens), urgency_(urgency) {
+    : started_at_(steady_now_ms()), incarnation_(target->record().incarnation_), fleet_(fleet),
+      target_(std::move(target)), pending_prompt_tokens_(prompt_tokens), urgency_(urgency) {
     fleet_.add_waiting(target_->record().service_, urgency_, 1);
     ++target_->in_flight_;
     ++target_->begun_since_report_;
@@ -61,6 +61,9 @@
     if (!find_route()) {
         return;
     }
+    if (refuse_if_quarantined()) {
+        return;
+    }
     const time_ms deadline = metadata_.deadline_ms_.value_or(default_timeout_ms);
     deadline_at_ = arrived_at_ + std::min(deadline, route_->timeout_ms_);
     returned_after_refusal_ = context_.fleet_.note_deadline(route_->name_, deadline);
@@ -82,6 +85,39 @@
     try_next_endpoint();
 }
 
+// Refuses the request if a part of its prompt is quarantined, or if it is not known yet which ones are. It
+// then counts neither in the demand nor in the retry budget.
+bool request_flow::refuse_if_quarantined() {
+    if (!service_->engine_ || metadata_.shared_parts_.empty()) {
+        return false;
+    }
+    quarantine::part_quarantine& parts = context_.fleet_.quarantine_;
+    if (!parts.informed()) {
+        refuse("quarantine_unknown", not_ready_retry_after_ms);
+        return true;
+    }
+    const auto part = parts.find_quarantined(metadata_.shared_parts_);
+    if (!part) {
+        return false;
+    }
+    on_trial_ = on_trial_ || (context_.tries_quarantined_() && parts.begin_trial(*part, boot_now_ms()));
+    context_.events_.write({event_kind::admission,
+                            "gateway",
+                            on_trial_ ? "tries_quarantined_part" : "has_quarantined_part",
+                            metadata_.id_,
+                            {{"part", *part}}});
+    if (on_trial_) {
+        return false;
+    }
+    refuse("part_quarantined", quarantine_retry_after_ms);
+    return true;
+}
+
+bool request_flow::is_quarantined() const {
+    return !on_trial_ && service_ != nullptr && service_->engine_ &&
+           context_.fleet_.quarantine_.find_quarantined(metadata_.shared_parts_).has_value();
+}
+
 bool request_flow::find_route() {
     configured_ = context_.fleet_.current();
     if (configured_ == nullptr) {
@@ -192,6 +228,10 @@
 }
 
 void request_flow::try_next_endpoint() {
+    if (is_quarantined()) {
+        refuse("part_quarantined", quarantine_retry_after_ms);
+        return;
+    }
     if (context_.fleet_.newer_view_is_due(boot_now_ms())) {
         wait_for_newer_view();
         return;
@@ -350,10 +390,11 @@
     request.gateway_count_ = context_.fleet_.gateway_count();
     request.may_send_ = [weak = weak_from_this(), id = target->record().id_] {
         const auto alive = weak.lock();
-        return alive != nullptr && alive->confirm_place(id);
+        return alive != nullptr && !alive->is_quarantined() && alive->confirm_place(id);
     };
     splitter_.restart();
     response_head_noted_ = false;
+    parts_proved_ = false;
     attempt_ =
         std::make_unique<scoped_attempt>(context_.fleet_, target, metadata_.prompt_tokens_, urgency(now));
     const auto self = shared_from_this();
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -27,9 +27,15 @@
     // Called when a response names another limit of its endpoint than the one known.
     std::function<void()> limit_changed_;
 
+    // Whether this gateway may send single requests with a quarantined part to see if it still ends engines.
+    std::function<bool()> tries_quarantined_;
+
     response_budget budget_ = {};
 };
 
+// Time after which a request with a quarantined part may be sent again, unless an operator releases it.
+inline constexpr time_ms quarantine_retry_after_ms = quarantine::later_trial_ms;
+
 // Counts one attempt in the load of its endpoint for as long as the object lives.
 class scoped_attempt {
 public:
@@ -43,6 +49,7 @@
 
     endpoint& target() { return *target_; }
     const time_ms started_at_;
+    const std::int64_t incarnation_; // of the endpoint when the attempt was made
 
 private:
     fleet_state& fleet_;
@@ -79,9 +86,14 @@
     void on_client_disconnected() override;
     void on_write_completed() override;
     void refuse_if_unsent() override;
+    void end_if_quarantined() override;
 
 private:
     bool find_route();
+    bool refuse_if_quarantined();
+    bool is_quarantined() const;
+    bool has_proved_parts() const;
+    void note_lost_request();
     void try_next_endpoint();
     std::vector<std::shared_ptr<endpoint>> usable_endpoints() const;
     std::vector<std::shared_ptr<endpoint>>
@@ -176,6 +188,8 @@
     std::optional<time_ms> reports_overdue_since_; // when all usable engines were first found unresponsive
     bool returned_after_refusal_ = false; // assumed if the deadline is shorter than usual for the route
     bool finished_ = false;
+    bool on_trial_ = false;     // has a quarantined part and is sent once nevertheless
+    bool parts_proved_ = false; // the current attempt has proved the parts of its prompt sound
     time_ms last_event_at_ = 0;
     endpoint_choice choice_;
     double expected_first_event_ms_ = 0; // expected at the chosen endpoint if it has the usual speed
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -119,6 +119,9 @@
                                              expected_first_event_ms_);
         }
         attempt_->record_first_event();
+        if (has_proved_parts() && !std::exchange(parts_proved_, true)) {
+            context_.fleet_.quarantine_.note_sound(metadata_.shared_parts_, boot_now_ms());
+        }
     }
     last_event_at_ = now;
     if (route_->repeatable()) {
@@ -126,6 +129,21 @@
     }
 }
 
+// Whether the engine has been writing the answer for so long that it cannot end under a part of the prompt.
+bool request_flow::has_proved_parts() const {
+    return attempt_ && attempt_->has_first_event() &&
+           steady_now_ms() - attempt_->first_event_at() >= quarantine::writing_proof_ms;
+}
+
+// The connection broke before the engine had written for that long. If the engine turns out to have ended, a
+// part of the prompt may be the cause.
+void request_flow::note_lost_request() {
+    if (service_->engine_ && !metadata_.shared_parts_.empty() && !has_proved_parts()) {
+        context_.fleet_.quarantine_.note_lost(attempt_->target().record().id_, attempt_->incarnation_,
+                                              metadata_.shared_parts_, boot_now_ms());
+    }
+}
+
 // If the engine sends nothing and its agent has stopped reporting as well or cannot reach it, moves the
 // request to another endpoint before the client leaves. Once the client has left, the gateway cannot cancel
 // the request at a hung instance. If the request cannot be moved, or the engine is only slow, the attempt
@@ -190,6 +208,9 @@
     }
     const auto ended = std::exchange(exchange_, nullptr);
     http::response_parser& response = ended->response();
+    if (outcome == exchange_outcome::broken) {
+        note_lost_request();
+    }
     if (outcome == exchange_outcome::complete) {
         note_response_head(response);
     }
@@ -210,6 +231,7 @@
         return false;
     }
     update_health(dispatch::send_end::answered, status_ok);
+    context_.fleet_.quarantine_.note_sound(metadata_.shared_parts_, boot_now_ms());
     const time_ms now = steady_now_ms();
     context_.fleet_.demand_.note_service(metadata_.model_, double(now - attempt_->started_at_));
     context_.fleet_.note_slot_time(service_->name_, now - attempt_->first_event_at());
@@ -245,8 +267,8 @@
 std::string request_flow::shared_parts_text() const {
     constexpr std::size_t max_bytes = 200;
     std::string text;
-    for (std::size_t index = 0; index + 1 < metadata_.prompt_parts_.size(); ++index) {
-        text += (index == 0 ? "" : ",") + metadata_.prompt_parts_[index].first;
+    for (const std::string& part : metadata_.shared_parts_) {
+        text += (text.empty() ? "" : ",") + part;
     }
     return text.substr(0, max_bytes);
 }
@@ -260,6 +282,7 @@
         // The request may wait for a place there.
         tried_endpoints_.erase(attempt_->target().record().id_);
     }
+    on_trial_ = on_trial_ && !arrived;
     const bool may_have_run_before = possible_runs_ > 0;
     arrived_attempts_ += arrived ? 1 : 0;
     possible_runs_ += arrived && end != dispatch::send_end::rejected ? 1 : 0;
@@ -328,6 +351,7 @@
         return;
     }
     if (response.status_ < first_unsuccessful_status && !metadata_.model_.empty()) {
+        context_.fleet_.quarantine_.note_sound(metadata_.shared_parts_, boot_now_ms());
         context_.fleet_.demand_.note_service(metadata_.model_,
                                              double(steady_now_ms() - attempt_->started_at_));
     }
@@ -443,6 +467,17 @@
     }
 }
 
+void request_flow::end_if_quarantined() {
+    if (finished_ || stream_begun_ || !is_quarantined()) {
+        return;
+    }
+    if (exchange_) {
+        possible_runs_ += exchange_->sent() ? 1 : 0;
+        std::exchange(exchange_, nullptr)->abandon();
+    }
+    refuse("part_quarantined", quarantine_retry_after_ms);
+}
+
 // The limit that the present endpoint names on its requests per second; -1 without one.
 double request_flow::limit_of_endpoint() const {
     return attempt_ ? context_.fleet_.limits_.limit(attempt_->target().record().id_).value_or(-1) : -1;
--- a/src/gateway/response_sink.hpp
+++ b/src/gateway/response_sink.hpp
@@ -36,6 +36,9 @@
 
     // Refuses the request if it was not sent to an endpoint yet. Called shortly before the process ends.
     virtual void refuse_if_unsent() = 0;
+
+    // Ends the request, unless its response has begun, if a part of its prompt has been quarantined.
+    virtual void end_if_quarantined() = 0;
 };
 
 } // namespace tamarack::gateway
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -36,7 +36,9 @@
       peers_(settings.id_, steady_now_ms()),
       agents_(fleet_, settings.id_, incarnation_, std::uint16_t(settings.agent_port_), events,
               {[this](const links::gateway_digest& digest) {
-                   apply_limits(digest, peers_.apply_digest(digest, steady_now_ms()));
+                   const time_ms late_ms = peers_.apply_digest(digest, steady_now_ms());
+                   apply_limits(digest, late_ms);
+                   apply_quarantine(digest, late_ms);
                },
                [this](const links::configuration_relay& relay) {
                    const auto& current = fleet_.current();
@@ -55,7 +57,8 @@
              [this](std::string_view endpoint, std::uint64_t number) {
                  agents_.release_adapter(endpoint, number);
              },
-             [this] { announce_limits(); }},
+             [this] { announce_limits(); },
+             [this] { return reader_rank_ == 0; }},
       started_at_(steady_now_ms()) {
     session_callbacks_.limits_ = [this] {
         return fleet_.current() ? fleet_.current()->configuration_->limits_ : fleet::client_limits();
@@ -136,6 +139,22 @@
     asio::post(context_, [this, data = std::move(data)] { agents_.relay_store_reading(data); });
 }
 
+void traffic::restore_quarantine(std::vector<std::string> parts) {
+    asio::post(context_, [this, parts = std::move(parts)] {
+        fleet_.quarantine_.restore(parts, boot_now_ms());
+        update_quarantine();
+    });
+}
+
+void traffic::release_parts(std::vector<std::string> parts) {
+    asio::post(context_, [this, parts = std::move(parts)] {
+        for (const std::string& part : parts) {
+            fleet_.quarantine_.release(part, boot_now_ms());
+        }
+        update_quarantine();
+    });
+}
+
 void traffic::send_orders(std::vector<planned_order> orders) {
     asio::post(context_, [this, orders = std::move(orders)] {
         for (const planned_order& one : orders) {
@@ -161,8 +180,10 @@
     fleet_.limits_.update(boot_now_ms(), !shutting_down_);
     measures_.set("tamarack_limited_endpoints", "Endpoints that name a limit on their requests", {},
                   double(fleet_.limits_.count()));
+    update_quarantine();
     const bool just_started = now - started_at_ < startup_digest_ms;
-    if (++ticks_ % ticks_per_digest == 0 || just_started || limits_changed_) {
+    if (++ticks_ % ticks_per_digest == 0 || just_started || limits_changed_ ||
+        fleet_.quarantine_.announcement_is_due()) {
         send_digest(now);
     }
     relay_configuration(now);
@@ -179,6 +200,7 @@
                        {},
                        {{"gateways", peers_.gateway_count(now)}}});
         handlers_.store_reader_changed_(reads, rank == 0);
+        handlers_.quarantine_changed_(fleet_.quarantine_.quarantined(), rank == 0);
     }
     const bool plans = peers_.is_planner(now, planning_) && !shutting_down_;
     if (plans != planning_) {
@@ -236,9 +258,89 @@
         limit->wanted_per_s = one.wanted_per_s_;
         digest.limits.push_back(std::move(limit));
     }
+    add_quarantine(digest);
     agents_.relay(links::make_frame(std::move(digest)));
 }
 
+// Adds what the others should know of engines that ended, and of the quarantined parts.
+void traffic::add_quarantine(links::gateway_digest& digest) {
+    const bool whole = reader_rank_ < store_reader_count;
+    const quarantine::announcement all = fleet_.quarantine_.announce(boot_now_ms(), whole);
+    for (const quarantine::engine_end& one : all.ends_) {
+        auto end = std::make_unique<links::engine_end>();
+        end->engine = one.engine_;
+        end->incarnation = one.incarnation_;
+        end->age_ms = one.age_ms_;
+        end->suspects = one.suspects_;
+        digest.ends.push_back(std::move(end));
+    }
+    for (const quarantine::part_state& one : all.parts_) {
+        auto part = std::make_unique<links::part_state>();
+        part->part = one.part_;
+        part->quarantined = one.quarantined_;
+        part->age_ms = one.age_ms_;
+        part->one_moment = one.one_moment_;
+        digest.parts.push_back(std::move(part));
+    }
+    digest.parts_complete = all.complete_;
+}
+
+void traffic::apply_quarantine(const links::gateway_digest& digest, time_ms late_ms) {
+    if (digest.from == settings_.id_) {
+        return;
+    }
+    quarantine::announcement announced;
+    for (const auto& one : digest.ends) {
+        announced.ends_.push_back({one->engine, one->incarnation, one->age_ms, one->suspects});
+    }
+    for (const auto& one : digest.parts) {
+        announced.parts_.push_back({one->part, one->quarantined, one->age_ms, one->one_moment});
+    }
+    announced.complete_ = digest.parts_complete;
+    if (!announced.empty()) {
+        fleet_.quarantine_.apply(announced, late_ms, boot_now_ms());
+        update_quarantine();
+    }
+}
+
+// Logs what has changed, and ends the requests that now have a quarantined part.
+void traffic::update_quarantine() {
+    const auto changes = fleet_.quarantine_.update(boot_now_ms());
+    if (fleet_.quarantine_.informed() && !std::exchange(quarantine_known_, true)) {
+        handlers_.quarantine_known_();
+    }
+    bool parts_changed = false;
+    for (const quarantine::change& one : changes) {
+        std::string engines;
+        for (const std::string& engine : one.engines_) {
+            engines += (engines.empty() ? "" : ",") + engine;
+        }
+        events_.write({event_kind::fleet_view,
+                       "gateway",
+                       std::string(quarantine::to_string(one.kind_)),
+                       {},
+                       {{"part", one.part_},
+                        {"engines", engines},
+                        {"suspects", one.suspects_},
+                        {"reason", one.reason_}}});
+        measures_.count("tamarack_quarantine_changes_total",
+                        "Engines that ended with requests, and parts of prompts quarantined and released",
+                        {{"change", std::string(quarantine::to_string(one.kind_))}});
+        parts_changed = parts_changed || one.kind_ != quarantine::change_kind::engine_ended;
+    }
+    if (!parts_changed) {
+        return;
+    }
+    const std::vector<std::string> parts = fleet_.quarantine_.quarantined();
+    measures_.set("tamarack_quarantined_parts", "Parts of prompts that are quarantined", {},
+                  double(parts.size()));
+    handlers_.quarantine_changed_(parts, reader_rank_ == 0);
+    const std::vector<std::shared_ptr<response_sink>> open(sessions_.begin(), sessions_.end());
+    for (const auto& one : open) {
+        std::static_pointer_cast<client_session>(one)->end_if_quarantined();
+    }
+}
+
 // Tells the other gateways at once that an endpoint changed its limit, unless they were told something just
 // before.
 void traffic::announce_limits() {
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -28,6 +28,11 @@
 
     // Whether this gateway is to read the store, and whether it is the first of those that do.
     std::function<void(bool reads, bool first)> store_reader_changed_;
+
+    // The quarantined parts, after each change of them or of the gateway that writes them to the store.
+    // `writes` tells whether this one does.
+    std::function<void(std::vector<std::string> parts, bool writes)> quarantine_changed_;
+    std::function<void()> quarantine_known_; // this gateway has learned which parts are quarantined
 };
 
 class traffic {
@@ -50,6 +55,10 @@
     void set_registry_freshness(const fleet::freshness& current);
 
     void relay_store_reading(fleet::relayed_data data);
+
+    // The parts that were quarantined before this process started, and those that an operator released.
+    void restore_quarantine(std::vector<std::string> parts);
+    void release_parts(std::vector<std::string> parts);
     void set_store_reachable(bool reachable) { store_reachable_ = reachable; }
     void send_orders(std::vector<planned_order> orders);
 
@@ -74,6 +83,9 @@
     void send_digest(time_ms now);
     void announce_limits();
     void apply_limits(const links::gateway_digest& digest, time_ms late_ms);
+    void add_quarantine(links::gateway_digest& digest);
+    void apply_quarantine(const links::gateway_digest& digest, time_ms late_ms);
+    void update_quarantine();
     void relay_configuration(time_ms now);
     void log_demand(const fleet_snapshot& seen);
     std::shared_ptr<const fleet_snapshot> snapshot(time_ms now) const;
@@ -104,6 +116,7 @@
     time_ms digest_sent_at_ = 0;
     time_ms peers_outdated_since_ = 0;
     int reader_rank_ = 0;
+    bool quarantine_known_ = false;
 };
 
 } // namespace tamarack::gateway
--- a/src/links/link_generated.h
+++ b/src/links/link_generated.h
@@ -57,6 +57,14 @@
 struct EndpointLimitBuilder;
 struct EndpointLimitT;
 
+struct EngineEnd;
+struct EngineEndBuilder;
+struct EngineEndT;
+
+struct PartState;
+struct PartStateBuilder;
+struct PartStateT;
+
 struct GatewayDigest;
 struct GatewayDigestBuilder;
 struct GatewayDigestT;
@@ -342,7 +350,6 @@
 struct Echo FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EchoT NativeTableType;
   typedef EchoBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SENT_AT = 4,
     VT_HELD_MS = 6
@@ -395,11 +402,6 @@
   return builder_.Finish();
 }
 
-struct Echo::Traits {
-  using type = Echo;
-  static auto constexpr Create = CreateEcho;
-};
-
 flatbuffers::Offset<Echo> CreateEcho(flatbuffers::FlatBufferBuilder &_fbb, const EchoT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct HelloT : public flatbuffers::NativeTable {
@@ -415,7 +417,6 @@
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloT NativeTableType;
   typedef HelloBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_PROTOCOL = 4,
     VT_ID = 6,
@@ -510,11 +511,6 @@
   return builder_.Finish();
 }
 
-struct Hello::Traits {
-  using type = Hello;
-  static auto constexpr Create = CreateHello;
-};
-
 inline flatbuffers::Offset<Hello> CreateHelloDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t protocol = 0,
@@ -546,7 +542,6 @@
 struct HeldModel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HeldModelT NativeTableType;
   typedef HeldModelBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NAME = 4,
     VT_ADAPTERS = 6
@@ -602,11 +597,6 @@
   return builder_.Finish();
 }
 
-struct HeldModel::Traits {
-  using type = HeldModel;
-  static auto constexpr Create = CreateHeldModel;
-};
-
 inline flatbuffers::Offset<HeldModel> CreateHeldModelDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *name = nullptr,
@@ -649,7 +639,6 @@
 struct EngineStatus FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EngineStatusT NativeTableType;
   typedef EngineStatusBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ENGINE = 4,
     VT_INCARNATION = 6,
@@ -859,11 +848,6 @@
   return builder_.Finish();
 }
 
-struct EngineStatus::Traits {
-  using type = EngineStatus;
-  static auto constexpr Create = CreateEngineStatus;
-};
-
 inline flatbuffers::Offset<EngineStatus> CreateEngineStatusDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *engine = nullptr,
@@ -922,7 +906,6 @@
 struct AdapterWanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef AdapterWantedT NativeTableType;
   typedef AdapterWantedBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
     VT_MODEL = 6,
@@ -997,11 +980,6 @@
   return builder_.Finish();
 }
 
-struct AdapterWanted::Traits {
-  using type = AdapterWanted;
-  static auto constexpr Create = CreateAdapterWanted;
-};
-
 inline flatbuffers::Offset<AdapterWanted> CreateAdapterWantedDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
@@ -1029,7 +1007,6 @@
 struct AdapterState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef AdapterStateT NativeTableType;
   typedef AdapterStateBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
     VT_READY = 6
@@ -1082,11 +1059,6 @@
   return builder_.Finish();
 }
 
-struct AdapterState::Traits {
-  using type = AdapterState;
-  static auto constexpr Create = CreateAdapterState;
-};
-
 flatbuffers::Offset<AdapterState> CreateAdapterState(flatbuffers::FlatBufferBuilder &_fbb, const AdapterStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct AdapterReleasedT : public flatbuffers::NativeTable {
@@ -1097,7 +1069,6 @@
 struct AdapterReleased FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef AdapterReleasedT NativeTableType;
   typedef AdapterReleasedBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4
   };
@@ -1140,11 +1111,6 @@
   return builder_.Finish();
 }
 
-struct AdapterReleased::Traits {
-  using type = AdapterReleased;
-  static auto constexpr Create = CreateAdapterReleased;
-};
-
 flatbuffers::Offset<AdapterReleased> CreateAdapterReleased(flatbuffers::FlatBufferBuilder &_fbb, const AdapterReleasedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct PlacementOrderT : public flatbuffers::NativeTable {
@@ -1165,7 +1131,6 @@
 struct PlacementOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PlacementOrderT NativeTableType;
   typedef PlacementOrderBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_PLANNER = 4,
     VT_LOAD = 6,
@@ -1316,11 +1281,6 @@
   return builder_.Finish();
 }
 
-struct PlacementOrder::Traits {
-  using type = PlacementOrder;
-  static auto constexpr Create = CreatePlacementOrder;
-};
-
 inline flatbuffers::Offset<PlacementOrder> CreatePlacementOrderDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *planner = nullptr,
@@ -1367,7 +1327,6 @@
 struct ModelDemand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ModelDemandT NativeTableType;
   typedef ModelDemandBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_MODEL = 4,
     VT_WORK = 6,
@@ -1431,11 +1390,6 @@
   return builder_.Finish();
 }
 
-struct ModelDemand::Traits {
-  using type = ModelDemand;
-  static auto constexpr Create = CreateModelDemand;
-};
-
 inline flatbuffers::Offset<ModelDemand> CreateModelDemandDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *model = nullptr,
@@ -1463,7 +1417,6 @@
 struct EndpointLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EndpointLimitT NativeTableType;
   typedef EndpointLimitBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ENDPOINT = 4,
     VT_INCARNATION = 6,
@@ -1547,11 +1500,6 @@
   return builder_.Finish();
 }
 
-struct EndpointLimit::Traits {
-  using type = EndpointLimit;
-  static auto constexpr Create = CreateEndpointLimit;
-};
-
 inline flatbuffers::Offset<EndpointLimit> CreateEndpointLimitDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *endpoint = nullptr,
@@ -1571,6 +1519,211 @@
 
 flatbuffers::Offset<EndpointLimit> CreateEndpointLimit(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EngineEndT : public flatbuffers::NativeTable {
+  typedef EngineEnd TableType;
+  std::string engine{};
+  int64_t incarnation = 0;
+  int64_t age_ms = 0;
+  std::vector<std::string> suspects{};
+};
+
+struct EngineEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EngineEndT NativeTableType;
+  typedef EngineEndBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENGINE = 4,
+    VT_INCARNATION = 6,
+    VT_AGE_MS = 8,
+    VT_SUSPECTS = 10
+  };
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  }
+  int64_t incarnation() const {
+    return GetField<int64_t>(VT_INCARNATION, 0);
+  }
+  int64_t age_ms() const {
+    return GetField<int64_t>(VT_AGE_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *suspects() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SUSPECTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
+           VerifyField<int64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           VerifyOffset(verifier, VT_SUSPECTS) &&
+           verifier.VerifyVector(suspects()) &&
+           verifier.VerifyVectorOfStrings(suspects()) &&
+           verifier.EndTable();
+  }
+  EngineEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EngineEndT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EngineEnd> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineEndT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EngineEndBuilder {
+  typedef EngineEnd Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(EngineEnd::VT_ENGINE, engine);
+  }
+  void add_incarnation(int64_t incarnation) {
+    fbb_.AddElement<int64_t>(EngineEnd::VT_INCARNATION, incarnation, 0);
+  }
+  void add_age_ms(int64_t age_ms) {
+    fbb_.AddElement<int64_t>(EngineEnd::VT_AGE_MS, age_ms, 0);
+  }
+  void add_suspects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> suspects) {
+    fbb_.AddOffset(EngineEnd::VT_SUSPECTS, suspects);
+  }
+  explicit EngineEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EngineEnd> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EngineEnd>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EngineEnd> CreateEngineEnd(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    int64_t incarnation = 0,
+    int64_t age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> suspects = 0) {
+  EngineEndBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_incarnation(incarnation);
+  builder_.add_suspects(suspects);
+  builder_.add_engine(engine);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<EngineEnd> CreateEngineEndDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *engine = nullptr,
+    int64_t incarnation = 0,
+    int64_t age_ms = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *suspects = nullptr) {
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
+  auto suspects__ = suspects ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*suspects) : 0;
+  return tamarack::links::fbs::CreateEngineEnd(
+      _fbb,
+      engine__,
+      incarnation,
+      age_ms,
+      suspects__);
+}
+
+flatbuffers::Offset<EngineEnd> CreateEngineEnd(flatbuffers::FlatBufferBuilder &_fbb, const EngineEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PartStateT : public flatbuffers::NativeTable {
+  typedef PartState TableType;
+  std::string part{};
+  bool quarantined = false;
+  int64_t age_ms = 0;
+  bool one_moment = false;
+};
+
+struct PartState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PartStateT NativeTableType;
+  typedef PartStateBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PART = 4,
+    VT_QUARANTINED = 6,
+    VT_AGE_MS = 8,
+    VT_ONE_MOMENT = 10
+  };
+  const flatbuffers::String *part() const {
+    return GetPointer<const flatbuffers::String *>(VT_PART);
+  }
+  bool quarantined() const {
+    return GetField<uint8_t>(VT_QUARANTINED, 0) != 0;
+  }
+  int64_t age_ms() const {
+    return GetField<int64_t>(VT_AGE_MS, 0);
+  }
+  bool one_moment() const {
+    return GetField<uint8_t>(VT_ONE_MOMENT, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PART) &&
+           verifier.VerifyString(part()) &&
+           VerifyField<uint8_t>(verifier, VT_QUARANTINED, 1) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ONE_MOMENT, 1) &&
+           verifier.EndTable();
+  }
+  PartStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PartStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PartState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PartStateBuilder {
+  typedef PartState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_part(flatbuffers::Offset<flatbuffers::String> part) {
+    fbb_.AddOffset(PartState::VT_PART, part);
+  }
+  void add_quarantined(bool quarantined) {
+    fbb_.AddElement<uint8_t>(PartState::VT_QUARANTINED, static_cast<uint8_t>(quarantined), 0);
+  }
+  void add_age_ms(int64_t age_ms) {
+    fbb_.AddElement<int64_t>(PartState::VT_AGE_MS, age_ms, 0);
+  }
+  void add_one_moment(bool one_moment) {
+    fbb_.AddElement<uint8_t>(PartState::VT_ONE_MOMENT, static_cast<uint8_t>(one_moment), 0);
+  }
+  explicit PartStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PartState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PartState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PartState> CreatePartState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> part = 0,
+    bool quarantined = false,
+    int64_t age_ms = 0,
+    bool one_moment = false) {
+  PartStateBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_part(part);
+  builder_.add_one_moment(one_moment);
+  builder_.add_quarantined(quarantined);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PartState> CreatePartStateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *part = nullptr,
+    bool quarantined = false,
+    int64_t age_ms = 0,
+    bool one_moment = false) {
+  auto part__ = part ? _fbb.CreateString(part) : 0;
+  return tamarack::links::fbs::CreatePartState(
+      _fbb,
+      part__,
+      quarantined,
+      age_ms,
+      one_moment);
+}
+
+flatbuffers::Offset<PartState> CreatePartState(flatbuffers::FlatBufferBuilder &_fbb, const PartStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct GatewayDigestT : public flatbuffers::NativeTable {
   typedef GatewayDigest TableType;
   std::string from{};
@@ -1583,6 +1736,9 @@
   std::vector<std::unique_ptr<tamarack::links::fbs::EndpointLimitT>> limits{};
   std::vector<std::string> planners{};
   bool plans = false;
+  std::vector<std::unique_ptr<tamarack::links::fbs::EngineEndT>> ends{};
+  std::vector<std::unique_ptr<tamarack::links::fbs::PartStateT>> parts{};
+  bool parts_complete = false;
   GatewayDigestT() = default;
   GatewayDigestT(const GatewayDigestT &o);
   GatewayDigestT(GatewayDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1592,7 +1748,6 @@
 struct GatewayDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef GatewayDigestT NativeTableType;
   typedef GatewayDigestBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FROM = 4,
     VT_INCARNATION = 6,
@@ -1603,7 +1758,10 @@
     VT_SENT_AT = 16,
     VT_LIMITS = 18,
     VT_PLANNERS = 20,
-    VT_PLANS = 22
+    VT_PLANS = 22,
+    VT_ENDS = 24,
+    VT_PARTS = 26,
+    VT_PARTS_COMPLETE = 28
   };
   const flatbuffers::String *from() const {
     return GetPointer<const flatbuffers::String *>(VT_FROM);
@@ -1635,6 +1793,15 @@
   bool plans() const {
     return GetField<uint8_t>(VT_PLANS, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>> *ends() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>> *>(VT_ENDS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::PartState>> *parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::PartState>> *>(VT_PARTS);
+  }
+  bool parts_complete() const {
+    return GetField<uint8_t>(VT_PARTS_COMPLETE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FROM) &&
@@ -1654,6 +1821,13 @@
            verifier.VerifyVector(planners()) &&
            verifier.VerifyVectorOfStrings(planners()) &&
            VerifyField<uint8_t>(verifier, VT_PLANS, 1) &&
+           VerifyOffset(verifier, VT_ENDS) &&
+           verifier.VerifyVector(ends()) &&
+           verifier.VerifyVectorOfTables(ends()) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.VerifyVectorOfTables(parts()) &&
+           VerifyField<uint8_t>(verifier, VT_PARTS_COMPLETE, 1) &&
            verifier.EndTable();
   }
   GatewayDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1695,6 +1869,15 @@
   void add_plans(bool plans) {
     fbb_.AddElement<uint8_t>(GatewayDigest::VT_PLANS, static_cast<uint8_t>(plans), 0);
   }
+  void add_ends(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>>> ends) {
+    fbb_.AddOffset(GatewayDigest::VT_ENDS, ends);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::PartState>>> parts) {
+    fbb_.AddOffset(GatewayDigest::VT_PARTS, parts);
+  }
+  void add_parts_complete(bool parts_complete) {
+    fbb_.AddElement<uint8_t>(GatewayDigest::VT_PARTS_COMPLETE, static_cast<uint8_t>(parts_complete), 0);
+  }
   explicit GatewayDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1717,26 +1900,27 @@
     int64_t sent_at = -1LL,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::EndpointLimit>>> limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> planners = 0,
-    bool plans = false) {
+    bool plans = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>>> ends = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::PartState>>> parts = 0,
+    bool parts_complete = false) {
   GatewayDigestBuilder builder_(_fbb);
   builder_.add_sent_at(sent_at);
   builder_.add_configuration_version(configuration_version);
   builder_.add_uptime_ms(uptime_ms);
   builder_.add_incarnation(incarnation);
+  builder_.add_parts(parts);
+  builder_.add_ends(ends);
   builder_.add_planners(planners);
   builder_.add_limits(limits);
   builder_.add_demand(demand);
   builder_.add_from(from);
+  builder_.add_parts_complete(parts_complete);
   builder_.add_plans(plans);
   builder_.add_store_reachable(store_reachable);
   return builder_.Finish();
 }
 
-struct GatewayDigest::Traits {
-  using type = GatewayDigest;
-  static auto constexpr Create = CreateGatewayDigest;
-};
-
 inline flatbuffers::Offset<GatewayDigest> CreateGatewayDigestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *from = nullptr,
@@ -1748,11 +1932,16 @@
     int64_t sent_at = -1LL,
     const std::vector<flatbuffers::Offset<tamarack::links::fbs::EndpointLimit>> *limits = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *planners = nullptr,
-    bool plans = false) {
+    bool plans = false,
+    const std::vector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>> *ends = nullptr,
+    const std::vector<flatbuffers::Offset<tamarack::links::fbs::PartState>> *parts = nullptr,
+    bool parts_complete = false) {
   auto from__ = from ? _fbb.CreateString(from) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>>(*demand) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::EndpointLimit>>(*limits) : 0;
   auto planners__ = planners ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*planners) : 0;
+  auto ends__ = ends ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>>(*ends) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::PartState>>(*parts) : 0;
   return tamarack::links::fbs::CreateGatewayDigest(
       _fbb,
       from__,
@@ -1764,7 +1953,10 @@
       sent_at,
       limits__,
       planners__,
-      plans);
+      plans,
+      ends__,
+      parts__,
+      parts_complete);
 }
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1784,7 +1976,6 @@
 struct StoreRelay FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StoreRelayT NativeTableType;
   typedef StoreRelayBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FROM = 4,
     VT_BYTES = 6,
@@ -1860,11 +2051,6 @@
   return builder_.Finish();
 }
 
-struct StoreRelay::Traits {
-  using type = StoreRelay;
-  static auto constexpr Create = CreateStoreRelay;
-};
-
 inline flatbuffers::Offset<StoreRelay> CreateStoreRelayDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *from = nullptr,
@@ -1892,7 +2078,6 @@
 struct ConfigurationRelay FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ConfigurationRelayT NativeTableType;
   typedef ConfigurationRelayBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VERSION = 4,
     VT_ENCODED = 6
@@ -1946,11 +2131,6 @@
   return builder_.Finish();
 }
 
-struct ConfigurationRelay::Traits {
-  using type = ConfigurationRelay;
-  static auto constexpr Create = CreateConfigurationRelay;
-};
-
 inline flatbuffers::Offset<ConfigurationRelay> CreateConfigurationRelayDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     int64_t version = 0,
@@ -1972,7 +2152,6 @@
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameT NativeTableType;
   typedef FrameBuilder Builder;
-  struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_BODY_TYPE = 4,
     VT_BODY = 6
@@ -2097,15 +2276,10 @@
   return builder_.Finish();
 }
 
-struct Frame::Traits {
-  using type = Frame;
-  static auto constexpr Create = CreateFrame;
-};
-
 flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 inline EchoT *Echo::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EchoT>();
+  auto _o = std::unique_ptr<EchoT>(new EchoT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2134,7 +2308,7 @@
 }
 
 inline HelloT *Hello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<HelloT>();
+  auto _o = std::unique_ptr<HelloT>(new HelloT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2175,7 +2349,7 @@
 }
 
 inline HeldModelT *HeldModel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<HeldModelT>();
+  auto _o = std::unique_ptr<HeldModelT>(new HeldModelT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2246,7 +2420,7 @@
 }
 
 inline EngineStatusT *EngineStatus::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EngineStatusT>();
+  auto _o = std::unique_ptr<EngineStatusT>(new EngineStatusT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2320,7 +2494,7 @@
 }
 
 inline AdapterWantedT *AdapterWanted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AdapterWantedT>();
+  auto _o = std::unique_ptr<AdapterWantedT>(new AdapterWantedT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2355,7 +2529,7 @@
 }
 
 inline AdapterStateT *AdapterState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AdapterStateT>();
+  auto _o = std::unique_ptr<AdapterStateT>(new AdapterStateT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2384,7 +2558,7 @@
 }
 
 inline AdapterReleasedT *AdapterReleased::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<AdapterReleasedT>();
+  auto _o = std::unique_ptr<AdapterReleasedT>(new AdapterReleasedT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2410,7 +2584,7 @@
 }
 
 inline PlacementOrderT *PlacementOrder::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<PlacementOrderT>();
+  auto _o = std::unique_ptr<PlacementOrderT>(new PlacementOrderT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2466,7 +2640,7 @@
 }
 
 inline ModelDemandT *ModelDemand::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ModelDemandT>();
+  auto _o = std::unique_ptr<ModelDemandT>(new ModelDemandT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2498,7 +2672,7 @@
 }
 
 inline EndpointLimitT *EndpointLimit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EndpointLimitT>();
+  auto _o = std::unique_ptr<EndpointLimitT>(new EndpointLimitT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2535,6 +2709,76 @@
       _wanted_per_s);
 }
 
+inline EngineEndT *EngineEnd::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<EngineEndT>(new EngineEndT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EngineEnd::UnPackTo(EngineEndT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = engine(); if (_e) _o->engine = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<EngineEnd> EngineEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEngineEnd(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EngineEnd> CreateEngineEnd(flatbuffers::FlatBufferBuilder &_fbb, const EngineEndT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineEndT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _engine = _o->engine.empty() ? 0 : _fbb.CreateString(_o->engine);
+  auto _incarnation = _o->incarnation;
+  auto _age_ms = _o->age_ms;
+  auto _suspects = _o->suspects.size() ? _fbb.CreateVectorOfStrings(_o->suspects) : 0;
+  return tamarack::links::fbs::CreateEngineEnd(
+      _fbb,
+      _engine,
+      _incarnation,
+      _age_ms,
+      _suspects);
+}
+
+inline PartStateT *PartState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<PartStateT>(new PartStateT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PartState::UnPackTo(PartStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = part(); if (_e) _o->part = _e->str(); }
+  { auto _e = quarantined(); _o->quarantined = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = one_moment(); _o->one_moment = _e; }
+}
+
+inline flatbuffers::Offset<PartState> PartState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePartState(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PartState> CreatePartState(flatbuffers::FlatBufferBuilder &_fbb, const PartStateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PartStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _part = _o->part.empty() ? 0 : _fbb.CreateString(_o->part);
+  auto _quarantined = _o->quarantined;
+  auto _age_ms = _o->age_ms;
+  auto _one_moment = _o->one_moment;
+  return tamarack::links::fbs::CreatePartState(
+      _fbb,
+      _part,
+      _quarantined,
+      _age_ms,
+      _one_moment);
+}
+
 inline GatewayDigestT::GatewayDigestT(const GatewayDigestT &o)
       : from(o.from),
         incarnation(o.incarnation),
@@ -2543,11 +2787,16 @@
         store_reachable(o.store_reachable),
         sent_at(o.sent_at),
         planners(o.planners),
-        plans(o.plans) {
+        plans(o.plans),
+        parts_complete(o.parts_complete) {
   demand.reserve(o.demand.size());
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new tamarack::links::fbs::ModelDemandT(*demand_) : nullptr); }
   limits.reserve(o.limits.size());
   for (const auto &limits_ : o.limits) { limits.emplace_back((limits_) ? new tamarack::links::fbs::EndpointLimitT(*limits_) : nullptr); }
+  ends.reserve(o.ends.size());
+  for (const auto &ends_ : o.ends) { ends.emplace_back((ends_) ? new tamarack::links::fbs::EngineEndT(*ends_) : nullptr); }
+  parts.reserve(o.parts.size());
+  for (const auto &parts_ : o.parts) { parts.emplace_back((parts_) ? new tamarack::links::fbs::PartStateT(*parts_) : nullptr); }
 }
 
 inline GatewayDigestT &GatewayDigestT::operator=(GatewayDigestT o) FLATBUFFERS_NOEXCEPT {
@@ -2561,11 +2810,14 @@
   std::swap(limits, o.limits);
   std::swap(planners, o.planners);
   std::swap(plans, o.plans);
+  std::swap(ends, o.ends);
+  std::swap(parts, o.parts);
+  std::swap(parts_complete, o.parts_complete);
   return *this;
 }
 
 inline GatewayDigestT *GatewayDigest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<GatewayDigestT>();
+  auto _o = std::unique_ptr<GatewayDigestT>(new GatewayDigestT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2583,6 +2835,9 @@
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = std::unique_ptr<tamarack::links::fbs::EndpointLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = planners(); if (_e) { _o->planners.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->planners[_i] = _e->Get(_i)->str(); } } }
   { auto _e = plans(); _o->plans = _e; }
+  { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = std::unique_ptr<tamarack::links::fbs::EngineEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = std::unique_ptr<tamarack::links::fbs::PartStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = parts_complete(); _o->parts_complete = _e; }
 }
 
 inline flatbuffers::Offset<GatewayDigest> GatewayDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2603,6 +2858,9 @@
   auto _limits = _o->limits.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::EndpointLimit>> (_o->limits.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointLimit(*__va->__fbb, __va->__o->limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _planners = _o->planners.size() ? _fbb.CreateVectorOfStrings(_o->planners) : 0;
   auto _plans = _o->plans;
+  auto _ends = _o->ends.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>> (_o->ends.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineEnd(*__va->__fbb, __va->__o->ends[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _parts = _o->parts.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::PartState>> (_o->parts.size(), [](size_t i, _VectorArgs *__va) { return CreatePartState(*__va->__fbb, __va->__o->parts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _parts_complete = _o->parts_complete;
   return tamarack::links::fbs::CreateGatewayDigest(
       _fbb,
       _from,
@@ -2614,7 +2872,10 @@
       _sent_at,
       _limits,
       _planners,
-      _plans);
+      _plans,
+      _ends,
+      _parts,
+      _parts_complete);
 }
 
 inline StoreRelayT::StoreRelayT(const StoreRelayT &o)
@@ -2633,7 +2894,7 @@
 }
 
 inline StoreRelayT *StoreRelay::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<StoreRelayT>();
+  auto _o = std::unique_ptr<StoreRelayT>(new StoreRelayT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2668,7 +2929,7 @@
 }
 
 inline ConfigurationRelayT *ConfigurationRelay::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ConfigurationRelayT>();
+  auto _o = std::unique_ptr<ConfigurationRelayT>(new ConfigurationRelayT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
@@ -2697,7 +2958,7 @@
 }
 
 inline FrameT *Frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<FrameT>();
+  auto _o = std::unique_ptr<FrameT>(new FrameT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
--- /dev/null
+++ b/src/quarantine/quarantine.cpp
@@ -0,0 +1,350 @@
+#include "tamarack/quarantine.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <limits>
+
+namespace tamarack::quarantine {
+
+namespace {
+
+constexpr time_ms long_ago = std::numeric_limits<time_ms>::min() / 2;
+
+std::string joined(std::span<const std::string> parts) {
+    constexpr std::size_t max_bytes = 400;
+    std::string text;
+    for (const std::string& part : parts) {
+        text += (text.empty() ? "" : ",") + part;
+        if (text.size() > max_bytes) {
+            return text.substr(0, max_bytes);
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+std::string_view to_string(change_kind kind) {
+    switch (kind) {
+    case change_kind::engine_ended:
+        return "engine_ended";
+    case change_kind::quarantined:
+        return "part_quarantined";
+    case change_kind::released:
+        return "part_released";
+    }
+    return "unknown";
+}
+
+std::string part_name(std::string_view id) {
+    constexpr std::size_t max_bytes = 64;
+    const bool plain =
+        std::all_of(id.begin(), id.end(), [](unsigned char letter) { return std::isalnum(letter); });
+    return plain && !id.empty() && id.size() <= max_bytes ? std::string(id)
+                                                          : "hash-" + std::to_string(hash64(id));
+}
+
+void part_quarantine::note_lost(std::string_view engine, std::int64_t incarnation,
+                                std::span<const std::string> parts, time_ms now) {
+    const engine_key key(engine, incarnation);
+    const auto known = ends_.find(key);
+    if (known == ends_.end()) {
+        auto& lost = lost_[key];
+        if (lost.size() < max_suspects) {
+            lost.push_back({now, {parts.begin(), parts.end()}});
+        }
+        return;
+    }
+    // The end was noticed before the connection broke.
+    for (const std::string& part : parts) {
+        if (add_suspect(known->second, part, now)) {
+            known->second.own_suspects_.push_back(part);
+            known->second.announced_until_ = now + announced_for_ms;
+            due_ = true;
+        }
+    }
+}
+
+void part_quarantine::note_ended(std::string_view engine, std::int64_t incarnation, time_ms now) {
+    const auto found = lost_.find(engine_key(engine, incarnation));
+    if (found == lost_.end()) {
+        return;
+    }
+    const auto lost = std::move(found->second);
+    lost_.erase(found);
+    const time_ms last = lost.back().at_;
+    if (now - last > end_notice_ms) {
+        return;
+    }
+    end_record& record = record_of(engine_key(engine, incarnation), last);
+    for (const lost_request& request : lost) {
+        if (last - request.at_ > lost_together_ms) {
+            continue;
+        }
+        for (const std::string& part : request.parts_) {
+            if (add_suspect(record, part, now)) {
+                record.own_suspects_.push_back(part);
+            }
+        }
+    }
+    record.announced_until_ = now + announced_for_ms;
+    due_ = true;
+    changes_.push_back(
+        {change_kind::engine_ended, "", {std::string(engine)}, joined(record.own_suspects_), "own"});
+}
+
+void part_quarantine::note_sound(std::span<const std::string> parts, time_ms now) {
+    for (const std::string& part : parts) {
+        note_proof(part, now, true);
+    }
+}
+
+void part_quarantine::note_proof(const std::string& part, time_ms at, bool own) {
+    const auto found = proofs_.find(part);
+    if (found != proofs_.end()) {
+        if (at >= found->second.at_) {
+            found->second.at_ = at;
+            found->second.own_ = own;
+            proofs_by_use_.splice(proofs_by_use_.begin(), proofs_by_use_, found->second.use_);
+        }
+        return;
+    }
+    if (proofs_.size() >= max_proofs) {
+        proofs_.erase(proofs_by_use_.back());
+        proofs_by_use_.pop_back();
+    }
+    proofs_by_use_.push_front(part);
+    proofs_[part] = {at, own, proofs_by_use_.begin()};
+}
+
+time_ms part_quarantine::proved_at(const std::string& part) const {
+    const auto found = proofs_.find(part);
+    return found == proofs_.end() ? long_ago : found->second.at_;
+}
+
+part_quarantine::end_record& part_quarantine::record_of(const engine_key& key, time_ms at) {
+    const auto [entry, added] = ends_.try_emplace(key);
+    if (added) {
+        entry->second.at_ = at;
+        entry->second.changed_at_ = at;
+        if (ends_.size() > max_ends) {
+            const auto oldest =
+                std::min_element(ends_.begin(), ends_.end(), [&](const auto& left, const auto& right) {
+                    return std::pair(left.first == key, left.second.at_) <
+                           std::pair(right.first == key, right.second.at_);
+                });
+            ends_.erase(oldest);
+        }
+    }
+    return ends_.at(key);
+}
+
+bool part_quarantine::add_suspect(end_record& record, const std::string& part, time_ms now) {
+    if (record.suspects_.size() >= max_suspects || !record.suspects_.insert(part).second) {
+        return false;
+    }
+    record.changed_at_ = now;
+    return true;
+}
+
+std::optional<std::string> part_quarantine::find_quarantined(std::span<const std::string> parts) const {
+    const auto found = std::find_if(parts.begin(), parts.end(),
+                                    [&](const std::string& part) { return is_quarantined(part); });
+    return found == parts.end() ? std::nullopt : std::optional(*found);
+}
+
+bool part_quarantine::begin_trial(std::string_view part, time_ms now) {
+    const auto found = quarantined_.find(part);
+    if (found == quarantined_.end() || now < found->second.trial_at_) {
+        return false;
+    }
+    found->second.trial_at_ = now + later_trial_ms;
+    return true;
+}
+
+std::vector<std::string> part_quarantine::quarantined() const {
+    std::vector<std::string> parts;
+    for (const auto& [part, one] : quarantined_) {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+void part_quarantine::quarantine(const std::string& part, time_ms since, bool one_moment, time_ms now) {
+    if (quarantined_.size() >= max_quarantined) {
+        return;
+    }
+    quarantined_[part] = {since, now + (one_moment ? first_trial_ms : later_trial_ms), 0, one_moment};
+}
+
+void part_quarantine::restore(std::span<const std::string> parts, time_ms now) {
+    informed_ = true;
+    for (const std::string& part : parts) {
+        if (!is_quarantined(part)) {
+            quarantine(part, now, false, now);
+            changes_.push_back({change_kind::quarantined, part, {}, "", "store"});
+        }
+    }
+}
+
+void part_quarantine::release(const std::string& part, time_ms now) {
+    note_proof(part, now, true);
+    contested_[part] = now;
+    due_ = true;
+}
+
+announcement part_quarantine::announce(time_ms now, bool whole) {
+    due_ = false;
+    announcement all;
+    std::set<std::string> questioned;
+    for (const auto& [key, record] : ends_) {
+        if (now < record.announced_until_) {
+            all.ends_.push_back({key.first, key.second, now - record.at_, record.own_suspects_});
+        }
+        if (now - record.changed_at_ < announced_for_ms) {
+            questioned.insert(record.suspects_.begin(), record.suspects_.end());
+        }
+    }
+    for (const auto& [part, since] : contested_) {
+        questioned.insert(part);
+    }
+    for (const std::string& part : questioned) {
+        const auto found = proofs_.find(part);
+        if (found != proofs_.end() && found->second.own_ && now - found->second.at_ < proof_validity_ms) {
+            all.parts_.push_back({part, false, now - found->second.at_, false});
+        }
+    }
+    for (const auto& [part, one] : quarantined_) {
+        if (whole || now < one.announced_until_) {
+            all.parts_.push_back({part, true, now - one.since_, one.one_moment_});
+        }
+    }
+    all.complete_ = whole && informed_;
+    return all;
+}
+
+void part_quarantine::apply(const announcement& announced, time_ms late_ms, time_ms now) {
+    informed_ = informed_ || announced.complete_;
+    for (const engine_end& end : announced.ends_) {
+        const engine_key key(end.engine_, end.incarnation_);
+        const time_ms at = now - end.age_ms_ - late_ms;
+        if (!ends_.contains(key)) {
+            changes_.push_back(
+                {change_kind::engine_ended, "", {end.engine_}, joined(end.suspects_), "announced"});
+        }
+        end_record& record = record_of(key, at);
+        record.at_ = std::min(record.at_, at);
+        for (const std::string& part : end.suspects_) {
+            add_suspect(record, part, now);
+        }
+        note_ended(end.engine_, end.incarnation_, now);
+    }
+    for (const part_state& one : announced.parts_) {
+        const time_ms at = now - one.age_ms_ - late_ms;
+        if (!one.quarantined_) {
+            note_proof(one.part_, at, false);
+        } else if (is_quarantined(one.part_)) {
+            quarantined_.find(one.part_)->second.announced_until_ = 0; // the others know it
+        } else if (proved_at(one.part_) >= at - proof_validity_ms) {
+            contested_[one.part_] = now;
+        } else {
+            quarantine(one.part_, at, one.one_moment_, now);
+            changes_.push_back({change_kind::quarantined, one.part_, {}, "", "announced"});
+        }
+    }
+}
+
+// Whether the end of the engine counts against the part.
+bool part_quarantine::speaks_against(const end_record& record, const std::string& part) const {
+    return record.suspects_.contains(part) && proved_at(part) < record.at_ - proof_validity_ms;
+}
+
+// Whether a part that is quarantined already accounts for the end of the engine.
+bool part_quarantine::is_explained(const end_record& record) const {
+    return std::any_of(record.suspects_.begin(), record.suspects_.end(),
+                       [&](const std::string& part) { return quarantined_.contains(part); });
+}
+
+// Quarantines the part that accounts for most of the unexplained ends, if it accounts for enough of them.
+// Returns whether there was one.
+bool part_quarantine::quarantine_next(time_ms now) {
+    std::vector<std::pair<const engine_key*, const end_record*>> open;
+    for (const auto& [key, record] : ends_) {
+        if (now - record.changed_at_ >= settling_ms && !is_explained(record)) {
+            open.emplace_back(&key, &record);
+        }
+    }
+    struct charge {
+        int ends_ = 0;
+        time_ms first_ = std::numeric_limits<time_ms>::max();
+        time_ms last_ = long_ago;
+        std::vector<std::string> engines_;
+    };
+    std::map<std::string, charge> charges;
+    for (const auto& [key, record] : open) {
+        for (const std::string& part : record->suspects_) {
+            if (speaks_against(*record, part)) {
+                charge& one = charges[part];
+                ++one.ends_;
+                one.first_ = std::min(one.first_, record->at_);
+                one.last_ = std::max(one.last_, record->at_);
+                one.engines_.push_back(key->first);
+            }
+        }
+    }
+    int most = 0;
+    int tied = 0;
+    for (const auto& [part, one] : charges) {
+        tied = one.ends_ > most ? 1 : tied + (one.ends_ == most ? 1 : 0);
+        most = std::max(most, one.ends_);
+    }
+    if (most < (tied > 1 ? least_ends_if_tied : least_ends)) {
+        return false;
+    }
+    bool found = false;
+    for (const auto& [part, one] : charges) {
+        // Of the ends since the first under this part, more than a third must be under it.
+        const auto since = std::count_if(open.begin(), open.end(),
+                                         [&](const auto& entry) { return entry.second->at_ >= one.first_; });
+        if (one.ends_ < most || 3 * one.ends_ <= since) {
+            continue;
+        }
+        quarantine(part, now, one.last_ - one.first_ <= one_moment_ms, now);
+        quarantined_[part].announced_until_ = now + announced_for_ms;
+        changes_.push_back({change_kind::quarantined, part, one.engines_, "", "own"});
+        due_ = true;
+        found = true;
+    }
+    return found;
+}
+
+void part_quarantine::release_proved(time_ms now) {
+    std::erase_if(quarantined_, [&](const auto& entry) {
+        const auto& [part, one] = entry;
+        const bool proved = proved_at(part) >= one.since_ - proof_validity_ms;
+        const bool expired = now - one.since_ >= max_quarantine_ms;
+        if (proved) {
+            contested_[part] = now;
+        }
+        if (proved || expired) {
+            changes_.push_back({change_kind::released, part, {}, "", proved ? "answered" : "expired"});
+        }
+        return proved || expired;
+    });
+}
+
+void part_quarantine::forget_old(time_ms now) {
+    std::erase_if(lost_, [&](const auto& entry) { return now - entry.second.back().at_ > end_notice_ms; });
+    std::erase_if(ends_, [&](const auto& entry) { return now - entry.second.at_ > evidence_ms; });
+    std::erase_if(contested_, [&](const auto& entry) { return now - entry.second > announced_for_ms; });
+}
+
+std::vector<change> part_quarantine::update(time_ms now) {
+    forget_old(now);
+    release_proved(now);
+    while (quarantine_next(now)) {
+    }
+    return std::exchange(changes_, {});
+}
+
+} // namespace tamarack::quarantine
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -50,6 +50,23 @@
     return all;
 }
 
+// The texts of a list that may be absent.
+std::vector<std::string> read_texts(row_reader& reader, const std::string& field) {
+    std::vector<std::string> all;
+    const nlohmann::json* listed = reader.has(field) ? reader.list(field) : nullptr;
+    if (listed == nullptr) {
+        return all;
+    }
+    for (const nlohmann::json& text : *listed) {
+        if (text.is_string()) {
+            all.push_back(text.get<std::string>());
+        } else {
+            reader.fault(field, "has an element that is not a text", "write it in quotes");
+        }
+    }
+    return all;
+}
+
 void read_duration(row_reader& reader, const std::string& field, std::int64_t& duration_ms) {
     duration_ms = reader.number(field, 1, max_duration_ms, duration_ms);
 }
@@ -142,6 +159,7 @@
     if (reader.has("peers")) {
         settings.peers_ = read_endpoint(reader, "peers");
     }
+    settings.released_parts_ = read_texts(reader, "released_parts");
     settings.platform_ = reader.text("platform", settings.platform_);
     settings.ready_path_ = reader.text("ready_path", settings.ready_path_);
     settings.agent_port_ = reader.number("agent_port", 1, max_port);
--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -114,7 +114,8 @@
         if (reads) {
             co_await wait_for_record(call);
         }
-        answer = reads ? read(call) : newest(call);
+        const bool appends = call.path() == "/api/log-append";
+        answer = reads ? read(call) : appends ? append(call) : newest(call);
     }
     if (active == fault::truncated && answer.body_.size() > 3) {
         answer.body_.resize(answer.body_.size() - 3);
@@ -188,6 +189,22 @@
     return {200, {}, body};
 }
 
+// Appends one record.
+http::response fake_store::append(const http::request& call) {
+    constexpr std::size_t length_bytes = 4;
+    const std::string& body = call.body_;
+    if (body.size() <= length_bytes || body.size() < length_bytes + 1 + std::uint8_t(body[length_bytes])) {
+        return http::json_response(400, "{}");
+    }
+    const std::size_t key_length = std::uint8_t(body[length_bytes]);
+    const std::string key = body.substr(length_bytes + 1, key_length);
+    const std::string value = body.substr(length_bytes + 1 + key_length);
+    const std::lock_guard lock(mutex_);
+    auto& records = topics_[std::string(call.query("topic").value_or(""))];
+    records.push_back({key, value.empty() ? std::nullopt : std::optional(value)});
+    return http::json_response(200, "{\"offset\":" + std::to_string(records.size() - 1) + "}");
+}
+
 fake_endpoint::fake_endpoint(std::string id) : id_(std::move(id)) {
     listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in local{};
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -63,6 +63,7 @@
     std::size_t end_of(const std::string& topic);
     http::response newest(const http::request& call);
     http::response read(const http::request& call);
+    http::response append(const http::request& call);
 
     boost::asio::io_context context_;
     http::server server_;
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -131,6 +131,7 @@
             other.source_->take_relayed(data);
         };
         handlers.skipped_ = [](const error&) {};
+        handlers.quarantine_ = [](std::vector<std::string>) {};
         receiver.source_ = (*registry<fleet::fleet_source_factory>::instance().find("log-store"))(
             context_, store_.address(), std::move(handlers));
     }
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -38,8 +38,7 @@
 } // namespace
 
 clients::clients(asio::io_context& context, fleet& parts, referee& judge, std::uint64_t seed)
-    : context_(context), fleet_(parts), judge_(judge), random_(seed), part_random_(seed + 3),
-      seed_(seed),
+    : context_(context), fleet_(parts), judge_(judge), random_(seed), part_random_(seed + 3), seed_(seed),
       idle_(parts.gateways().size()) {}
 
 void clients::start(double requests_per_s) {
--- a/tests/soak/engine_stand_in.hpp
+++ b/tests/soak/engine_stand_in.hpp
@@ -56,8 +56,8 @@
     // Names a limit on its requests per second in its responses from now on, or none.
     void set_limit(std::optional<double> per_s);
 
-    // Ends when it begins to answer a request with this part in its prompt: calls `crash`, which is to restart
-    // it. An empty part ends that.
+    // Ends when it begins to answer a request with this part in its prompt: calls `crash`, which is to
+    // restart it. An empty part ends that.
     void set_crashing_part(std::string part, std::function<void()> crash);
 
     // Forgets all but its disk, as after a crash; runs end without an answer.
--- a/tests/soak/referee.cpp
+++ b/tests/soak/referee.cpp
@@ -173,8 +173,7 @@
     if (part_crashes_.empty()) {
         return;
     }
-    const std::size_t deciding =
-        std::min(part_crashes_.size(), std::size_t(bounds_.crashes_of_part_)) - 1;
+    const std::size_t deciding = std::min(part_crashes_.size(), std::size_t(bounds_.crashes_of_part_)) - 1;
     const time_ms from = part_crashes_[deciding] + 2 * bounds_.stable_ms_;
     struct counts {
         int sent_ = 0;
--- a/tests/soak/referee.hpp
+++ b/tests/soak/referee.hpp
@@ -34,9 +34,9 @@
     std::string gateway_;
     bool repeatable_ = false;
     time_ms sent_at_ = 0;
-    time_ms limit_ms_ = 0;    // until the client wants a final answer
-    std::string first_part_;  // of its prompt; empty without a prompt
-    bool crashing_ = false;   // has the part that ends engines
+    time_ms limit_ms_ = 0;   // until the client wants a final answer
+    std::string first_part_; // of its prompt; empty without a prompt
+    bool crashing_ = false;  // has the part that ends engines
 };
 
 // What a client received.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -177,8 +177,8 @@
         --active_;
     }
 
-    // A part of prompts ends every engine that begins to answer it, while some requests have it. The part is the
-    // same each time. With random numbers of its own.
+    // A part of prompts ends every engine that begins to answer it, while some requests have it. The part is
+    // the same each time. With random numbers of its own.
     awaitable<void> crash_on_parts() {
         const auto draw = [this](time_ms least, time_ms most) {
             return std::uniform_int_distribution<time_ms>(least, most)(part_random_);
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -11,11 +11,11 @@
     double requests_per_s_ = 60;
     int gateways_ = 3;
     int engines_ = 4;
-    int limits_ = 1;     // endpoints that name a limit on their requests at a time
+    int limits_ = 1;         // endpoints that name a limit on their requests at a time
     int crashing_parts_ = 0; // spans in which a part of prompts ends engines, one after the other
-    bool drills_ = true; // whether the store returns from a copy now and then
-    bool faults_ = true; // otherwise only the limits and drills
-    std::string folder_; // for settings and logs
+    bool drills_ = true;     // whether the store returns from a copy now and then
+    bool faults_ = true;     // otherwise only the limits and drills
+    std::string folder_;     // for settings and logs
 };
 
 struct soak_outcome {
