--- a/include/tamarack/quarantine.hpp
+++ b/include/tamarack/quarantine.hpp
@@ -11,6 +11,7 @@
 
 #include "tamarack/kernel.hpp"
 
+#include <limits>
 #include <list>
 #include <map>
 #include <optional>
@@ -141,6 +142,8 @@
     std::vector<change> update(time_ms now);
 
 private:
+    static constexpr time_ms long_ago = std::numeric_limits<time_ms>::min() / 2;
+
     using engine_key = std::pair<std::string, std::int64_t>; // an engine and its incarnation
 
     struct lost_request {
@@ -156,6 +159,25 @@
         std::vector<std::string> own_suspects_;
     };
 
+    using end_entry = std::pair<const engine_key, end_record>;
+
+    // Ends of engines that followed each other shortly.
+    struct moment {
+        time_ms first_ = 0;
+        time_ms last_ = 0;
+        std::vector<const end_entry*> ends_;
+    };
+
+    // What speaks against one part.
+    struct charge {
+        int ends_ = 0;             // of engines, under this part
+        int unexplained_ends_ = 0; // those of them that no quarantined part accounts for
+        int moments_ = 0;          // groups of ends that count against it
+        time_ms first_ = std::numeric_limits<time_ms>::max();
+        time_ms last_ = long_ago;
+        std::vector<std::string> engines_;
+    };
+
     struct quarantined_part {
         time_ms since_ = 0;
         time_ms trial_at_ = 0;
@@ -169,6 +191,8 @@
         std::list<std::string>::iterator use_;
     };
 
+    void count_lost(std::span<const std::string> parts);
+    bool is_telling(const std::string& part, time_ms lost_at) const;
     end_record& record_of(const engine_key& key, time_ms at);
     bool add_suspect(end_record& record, const std::string& part, time_ms now);
     void note_proof(const std::string& part, time_ms at, bool own);
@@ -176,6 +200,9 @@
     bool speaks_against(const end_record& record, const std::string& part) const;
     bool is_explained(const end_record& record) const;
     void quarantine(const std::string& part, time_ms since, bool one_moment, time_ms now);
+    std::vector<moment> moments(time_ms now) const;
+    std::map<std::string, charge> charges(std::span<const moment> moments) const;
+    bool is_prevalent(const charge& one, std::span<const moment> moments) const;
     bool quarantine_next(time_ms now);
     void release_proved(time_ms now);
     void forget_old(time_ms now);
@@ -187,6 +214,9 @@
     std::list<std::string> proofs_by_use_;     // the latest first
     std::map<std::string, time_ms> contested_; // parts that others quarantined and that are proved here
     std::vector<change> changes_;
+    time_ms last_proof_at_ = long_ago;          // of any part
+    int lost_since_proof_ = 0;                  // requests lost with engines since then
+    std::map<std::string, int> lost_with_part_; // those of them that had a part
     bool informed_ = false;
     bool due_ = false;
 };
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr time_ms long_ago = std::numeric_limits<time_ms>::min() / 2;
-
 std::string joined(std::span<const std::string> parts) {
     constexpr std::size_t max_bytes = 400;
     std::string text;
@@ -56,8 +54,9 @@
         return;
     }
     // The end was noticed before the connection broke.
+    count_lost(parts);
     for (const std::string& part : parts) {
-        if (add_suspect(known->second, part, now)) {
+        if (is_telling(part, now) && add_suspect(known->second, part, now)) {
             known->second.own_suspects_.push_back(part);
             known->second.announced_until_ = now + announced_for_ms;
             due_ = true;
@@ -76,13 +75,16 @@
     if (now - last > end_notice_ms) {
         return;
     }
+    for (const lost_request& request : lost) {
+        count_lost(request.parts_);
+    }
     end_record& record = record_of(engine_key(engine, incarnation), last);
     for (const lost_request& request : lost) {
         if (last - request.at_ > lost_together_ms) {
             continue;
         }
         for (const std::string& part : request.parts_) {
-            if (add_suspect(record, part, now)) {
+            if (is_telling(part, last) && add_suspect(record, part, now)) {
                 record.own_suspects_.push_back(part);
             }
         }
@@ -93,6 +95,29 @@
         {change_kind::engine_ended, "", {std::string(engine)}, joined(record.own_suspects_), "own"});
 }
 
+void part_quarantine::count_lost(std::span<const std::string> parts) {
+    if (lost_with_part_.size() >= max_proofs) {
+        lost_with_part_.clear();
+        lost_since_proof_ = 0;
+    }
+    ++lost_since_proof_;
+    for (const std::string& part : parts) {
+        ++lost_with_part_[part];
+    }
+}
+
+// Whether a lost request speaks against a part. While no engine is known to have answered lately, nothing
+// could have proved a part sound, so only one that some of the lost requests had and others did not counts.
+bool part_quarantine::is_telling(const std::string& part, time_ms lost_at) const {
+    if (lost_at - last_proof_at_ < proof_validity_ms) {
+        return true;
+    }
+    constexpr int least_requests = 3;
+    const auto with_part = lost_with_part_.find(part);
+    return lost_since_proof_ >= least_requests && with_part != lost_with_part_.end() &&
+           with_part->second < lost_since_proof_;
+}
+
 void part_quarantine::note_sound(std::span<const std::string> parts, time_ms now) {
     for (const std::string& part : parts) {
         note_proof(part, now, true);
@@ -100,6 +125,9 @@
 }
 
 void part_quarantine::note_proof(const std::string& part, time_ms at, bool own) {
+    last_proof_at_ = std::max(last_proof_at_, at);
+    lost_with_part_.clear();
+    lost_since_proof_ = 0;
     const auto found = proofs_.find(part);
     if (found != proofs_.end()) {
         if (at >= found->second.at_) {
@@ -265,48 +293,94 @@
                        [&](const std::string& part) { return quarantined_.contains(part); });
 }
 
-// Quarantines the part that accounts for most of the unexplained ends, if it accounts for enough of them.
-// Returns whether there was one.
-bool part_quarantine::quarantine_next(time_ms now) {
-    std::vector<std::pair<const engine_key*, const end_record*>> open;
-    for (const auto& [key, record] : ends_) {
-        if (now - record.changed_at_ >= settling_ms && !is_explained(record)) {
-            open.emplace_back(&key, &record);
+// The ends that are settled, in groups of those that followed each other shortly. A group may have one common
+// cause, such as a loss of power.
+std::vector<part_quarantine::moment> part_quarantine::moments(time_ms now) const {
+    std::vector<std::pair<time_ms, const end_entry*>> settled;
+    for (const end_entry& entry : ends_) {
+        if (now - entry.second.changed_at_ >= settling_ms) {
+            settled.emplace_back(entry.second.at_, &entry);
+        }
+    }
+    std::sort(settled.begin(), settled.end());
+    std::vector<moment> all;
+    for (const auto& [at, entry] : settled) {
+        if (all.empty() || at - all.back().last_ > lost_together_ms) {
+            all.push_back({at, at, {}});
         }
+        all.back().last_ = at;
+        all.back().ends_.push_back(entry);
     }
-    struct charge {
-        int ends_ = 0;
-        time_ms first_ = std::numeric_limits<time_ms>::max();
-        time_ms last_ = long_ago;
-        std::vector<std::string> engines_;
-    };
-    std::map<std::string, charge> charges;
-    for (const auto& [key, record] : open) {
-        for (const std::string& part : record->suspects_) {
-            if (speaks_against(*record, part)) {
-                charge& one = charges[part];
-                ++one.ends_;
-                one.first_ = std::min(one.first_, record->at_);
-                one.last_ = std::max(one.last_, record->at_);
-                one.engines_.push_back(key->first);
+    return all;
+}
+
+// Counts the ends under each part that nothing speaks for. In a group of ends, a part must be among the
+// suspects of more than a third.
+std::map<std::string, part_quarantine::charge>
+part_quarantine::charges(std::span<const moment> moments) const {
+    std::map<std::string, charge> all;
+    for (const moment& group : moments) {
+        std::map<std::string, charge> in_group;
+        for (const end_entry* end : group.ends_) {
+            const auto& [key, record] = *end;
+            const bool explained = is_explained(record);
+            for (const std::string& part : record.suspects_) {
+                if (speaks_against(record, part)) {
+                    charge& one = in_group[part];
+                    ++one.ends_;
+                    one.unexplained_ends_ += explained ? 0 : 1;
+                    one.engines_.push_back(key.first);
+                }
             }
         }
+        for (const auto& [part, here] : in_group) {
+            if (3 * here.ends_ <= int(group.ends_.size())) {
+                continue;
+            }
+            charge& one = all[part];
+            one.ends_ += here.ends_;
+            one.unexplained_ends_ += here.unexplained_ends_;
+            one.engines_.insert(one.engines_.end(), here.engines_.begin(), here.engines_.end());
+            one.first_ = std::min(one.first_, group.first_);
+            one.last_ = std::max(one.last_, group.last_);
+            ++one.moments_;
+        }
     }
+    return all;
+}
+
+// Whether more than a third of the groups of ends since the first under this part count against it.
+bool part_quarantine::is_prevalent(const charge& one, std::span<const moment> moments) const {
+    const auto since = std::count_if(moments.begin(), moments.end(), [&](const moment& group) {
+        return group.first_ >= one.first_ &&
+               !std::all_of(group.ends_.begin(), group.ends_.end(),
+                            [&](const end_entry* end) { return is_explained(end->second); });
+    });
+    return 3 * one.moments_ > since;
+}
+
+// Quarantines the part that alone accounts for most of the unexplained ends, and parts that account for
+// nearly as many ends as any other, since two parts may be in flight at the same ends. Returns whether there
+// was one.
+bool part_quarantine::quarantine_next(time_ms now) {
+    const std::vector<moment> groups = moments(now);
+    const std::map<std::string, charge> all = charges(groups);
+    const bool answering = now - last_proof_at_ < proof_validity_ms;
     int most = 0;
+    int most_unexplained = 0;
     int tied = 0;
-    for (const auto& [part, one] : charges) {
-        tied = one.ends_ > most ? 1 : tied + (one.ends_ == most ? 1 : 0);
+    for (const auto& [part, one] : all) {
         most = std::max(most, one.ends_);
-    }
-    if (most < (tied > 1 ? least_ends_if_tied : least_ends)) {
-        return false;
+        tied =
+            one.unexplained_ends_ > most_unexplained ? 1 : tied + (one.unexplained_ends_ == most_unexplained);
+        most_unexplained = std::max(most_unexplained, one.unexplained_ends_);
     }
     bool found = false;
-    for (const auto& [part, one] : charges) {
-        // Of the ends since the first under this part, more than a third must be under it.
-        const auto since = std::count_if(open.begin(), open.end(),
-                                         [&](const auto& entry) { return entry.second->at_ >= one.first_; });
-        if (one.ends_ < most || 3 * one.ends_ <= since) {
+    for (const auto& [part, one] : all) {
+        const bool alone =
+            tied == 1 && one.unexplained_ends_ == most_unexplained && most_unexplained >= least_ends;
+        const bool among_most = answering && one.ends_ >= least_ends_if_tied && 3 * one.ends_ >= 2 * most;
+        if (is_quarantined(part) || (!alone && !among_most) || !is_prevalent(one, groups)) {
             continue;
         }
         quarantine(part, now, one.last_ - one.first_ <= one_moment_ms, now);
