Test responses that end with their connection

News of the platform: a response, a stream too, may have neither a length nor chunks. It is complete only if its connection ended in order, after the head, and, for a stream, not inside an event. The code held this already; a table of nine cases and a stream that another endpoint resumes show it.

--- a/tests/direct/direct_path_test.cpp
+++ b/tests/direct/direct_path_test.cpp
@@ -37,6 +37,72 @@
     }
 }
 
+namespace {
+
+struct unframed_case {
+    const char* name_;
+    const char* route_;
+    std::string text_; // after the status line and the stamp
+    bool reset_;
+    int status_; // 0 if the client's connection ends before the response does
+    std::string body_;
+};
+
+} // namespace
+
+// A response without length and chunks ends with its connection, and only its end in order makes it complete.
+TEST_CASE_FIXTURE(gateway_process,
+                  "direct_path_response_has_neither_length_nor_chunks_it_ends_with_its_connection") {
+    start_ready();
+    const std::string events = "id: 1\ndata: word\n\nid: 2\ndata: word\n\n";
+    const std::string type = "Content-Type: text/event-stream\r\n\r\n";
+    const unframed_case cases[] = {
+        {"body", "booking", "\r\ndone", false, 200, "done"},
+        {"no body", "booking", "\r\n", false, 200, ""},
+        {"body and reset", "booking", "\r\ndone", true, 502, ""},
+        {"part of the head", "booking", "Content-Ty", false, 502, ""},
+        {"whole events", "quote", type + events, false, 200, events},
+        {"whole events and reset", "quote", type + events, true, 0, ""},
+        {"part of an event", "quote", type + events + "id: 3\nda", false, 0, ""},
+        {"an event without its blank line", "quote", type + events + "id: 3\ndata: word\n", false, 0, ""},
+        {"no events", "quote", type, false, 502, ""},
+    };
+    for (const unframed_case& one : cases) {
+        CAPTURE(one.name_);
+        set_behaviours_of_both({behaviour::complete_stream});
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nTamarackbeam-Request-Id: ID\r\nTamarackbeam-Server-Stamp: s\r\n";
+        first_.set_last_reply({head + one.text_, one.reset_});
+        second_.set_last_reply({head + one.text_, one.reset_});
+        const auto response = call(port_, request(one.route_, "u-1"));
+        CHECK((ok(response) ? value(response).status_ : 0) == one.status_);
+        if (ok(response)) {
+            CHECK(value(response).body_ == one.body_);
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(gateway_process,
+                  "direct_path_stream_without_framing_ends_inside_an_event_another_endpoint_resumes_it") {
+    start_ready();
+    std::string whole;
+    for (int id = 1; id <= 5; ++id) {
+        whole += "id: " + std::to_string(id) + "\ndata: word\n\n";
+    }
+    constexpr int max_streams = 50;
+    set_behaviours_of_both({behaviour::complete_stream});
+    for (int stream = 0; stream < max_streams && first_.received_requests().empty(); ++stream) {
+        first_.set_last_reply(
+            {"HTTP/1.1 200 OK\r\nTamarackbeam-Request-Id: ID\r\nTamarackbeam-Server-Stamp: s\r\n"
+             "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: word\n\nid: 2\nda",
+             false});
+        const auto response = call(port_, request("chat", "u-" + std::to_string(stream)));
+        REQUIRE(ok(response));
+        CHECK(value(response).body_ == whole);
+    }
+    CHECK_FALSE(first_.received_requests().empty());
+}
+
 TEST_CASE_FIXTURE(gateway_process,
                   "direct_path_endpoint_silent_lookup_fails_over_within_half_the_clients_patience") {
     constexpr time_ms patience_ms = 2'000;
--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -265,6 +265,24 @@
     --endless_running_;
 }
 
+void fake_endpoint::set_last_reply(last_reply reply) {
+    const std::lock_guard lock(mutex_);
+    last_ = std::move(reply);
+}
+
+void fake_endpoint::send_and_close(int socket, last_reply reply, const std::string& request) {
+    const std::size_t id_at = reply.text_.find("ID");
+    if (id_at != std::string::npos) {
+        reply.text_.replace(id_at, 2, header_value(request, "Tamarackbeam-Request-Id"));
+    }
+    ::send(socket, reply.text_.data(), reply.text_.size(), MSG_NOSIGNAL);
+    if (reply.reset_) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50)); // so that the text is read before
+        const linger at_once{1, 0};
+        ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    }
+}
+
 void fake_endpoint::set_limit(std::string per_s) {
     const std::lock_guard lock(mutex_);
     limit_ = std::move(per_s);
@@ -321,15 +339,21 @@
         }
         std::string reply;
         std::optional<endless_reply> endless;
+        std::optional<last_reply> last;
         {
             const std::lock_guard lock(mutex_);
             endless = endless_;
+            last = std::exchange(last_, std::nullopt);
             reply = answer(selected, request);
         }
         if (endless) {
             send_endlessly(socket, *endless, request);
             break;
         }
+        if (last) {
+            send_and_close(socket, *last, request);
+            break;
+        }
         ::send(socket, reply.data(), reply.size(), MSG_NOSIGNAL);
         const bool ends = selected == behaviour::truncated || selected == behaviour::reset ||
                           selected == behaviour::garbage || selected == behaviour::truncated_stream;
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -112,6 +112,15 @@
     // Answers the following requests with it, instead of a behaviour.
     void set_endless(std::optional<endless_reply> reply);
 
+    // A reply that ends with its connection.
+    struct last_reply {
+        std::string text_;   // the text ID in it becomes the request's id
+        bool reset_ = false; // the connection is reset after it, instead of closed in order
+    };
+
+    // Answers the next request with it, instead of a behaviour.
+    void set_last_reply(last_reply reply);
+
     // Replies without end that are still being sent.
     int endless_running() const { return endless_running_; }
 
@@ -128,6 +137,7 @@
     void serve(int socket);
     behaviour next_behaviour();
     std::string answer(behaviour selected, const std::string& request) const;
+    static void send_and_close(int socket, last_reply reply, const std::string& request);
     void send_endlessly(int socket, endless_reply reply, const std::string& request);
 
     std::string id_;
@@ -138,6 +148,7 @@
     std::size_t next_ = 0;
     std::string limit_;
     std::optional<endless_reply> endless_;
+    std::optional<last_reply> last_;
     std::atomic<int> endless_running_ = 0;
     std::vector<std::string> received_requests_;
     std::vector<int> sockets_;
