--- a/include/tamarack/quarantine.hpp
+++ b/include/tamarack/quarantine.hpp
@@ -119,6 +119,9 @@
     bool is_quarantined(std::string_view part) const { return quarantined_.contains(part); }
     std::vector<std::string> quarantined() const;
 
+    // Why a part is quarantined: the engines that ended under it, or where this gateway learned it from.
+    std::string_view reason(std::string_view part) const;
+
     // Whether this gateway has learned which parts had been quarantined before it started.
     bool informed() const { return informed_; }
 
@@ -183,6 +186,7 @@
         time_ms trial_at_ = 0;
         time_ms announced_until_ = 0;
         bool one_moment_ = false;
+        std::string reason_;
     };
 
     struct proof {
@@ -199,7 +203,7 @@
     time_ms proved_at(const std::string& part) const;
     bool speaks_against(const end_record& record, const std::string& part) const;
     bool is_explained(const end_record& record) const;
-    void quarantine(const std::string& part, time_ms since, bool one_moment, time_ms now);
+    void quarantine(const std::string& part, time_ms since, bool one_moment, std::string reason, time_ms now);
     std::vector<moment> moments(time_ms now) const;
     std::map<std::string, charge> charges(std::span<const moment> moments) const;
     bool is_prevalent(const charge& one, std::span<const moment> moments) const;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -105,7 +105,7 @@
                             "gateway",
                             on_trial_ ? "tries_quarantined_part" : "has_quarantined_part",
                             metadata_.id_,
-                            {{"part", *part}}});
+                            {{"part", *part}, {"reason", parts.reason(*part)}}});
     if (on_trial_) {
         return false;
     }
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -198,18 +198,25 @@
     return parts;
 }
 
-void part_quarantine::quarantine(const std::string& part, time_ms since, bool one_moment, time_ms now) {
+std::string_view part_quarantine::reason(std::string_view part) const {
+    const auto found = quarantined_.find(part);
+    return found == quarantined_.end() ? std::string_view() : found->second.reason_;
+}
+
+void part_quarantine::quarantine(const std::string& part, time_ms since, bool one_moment, std::string reason,
+                                 time_ms now) {
     if (quarantined_.size() >= max_quarantined) {
         return;
     }
-    quarantined_[part] = {since, now + (one_moment ? first_trial_ms : later_trial_ms), 0, one_moment};
+    quarantined_[part] = {since, now + (one_moment ? first_trial_ms : later_trial_ms), 0, one_moment,
+                          std::move(reason)};
 }
 
 void part_quarantine::restore(std::span<const std::string> parts, time_ms now) {
     informed_ = true;
     for (const std::string& part : parts) {
         if (!is_quarantined(part)) {
-            quarantine(part, now, false, now);
+            quarantine(part, now, false, "store", now);
             changes_.push_back({change_kind::quarantined, part, {}, "", "store"});
         }
     }
@@ -276,7 +283,7 @@
         } else if (proved_at(one.part_) >= at - proof_validity_ms) {
             contested_[one.part_] = now;
         } else {
-            quarantine(one.part_, at, one.one_moment_, now);
+            quarantine(one.part_, at, one.one_moment_, "announced", now);
             changes_.push_back({change_kind::quarantined, one.part_, {}, "", "announced"});
         }
     }
@@ -383,7 +390,7 @@
         if (is_quarantined(part) || (!alone && !among_most) || !is_prevalent(one, groups)) {
             continue;
         }
-        quarantine(part, now, one.last_ - one.first_ <= one_moment_ms, now);
+        quarantine(part, now, one.last_ - one.first_ <= one_moment_ms, joined(one.engines_), now);
         quarantined_[part].announced_until_ = now + announced_for_ms;
         changes_.push_back({change_kind::quarantined, part, one.engines_, "", "own"});
         due_ = true;
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -87,6 +87,7 @@
 // Two fleet sources on one store. Each receives the messages that the other relays.
 struct relaying_sources {
     struct side {
+        std::optional<std::vector<std::string>> quarantined_; // as read from the store
         std::unique_ptr<fleet::fleet_source> source_;
         std::set<std::string> endpoints_;
         std::vector<platform::relay_message> relayed_; // messages about the registry that it has relayed
@@ -131,7 +132,7 @@
             other.source_->take_relayed(data);
         };
         handlers.skipped_ = [](const error&) {};
-        handlers.quarantine_ = [](std::vector<std::string>) {};
+        handlers.quarantine_ = [&receiver](std::vector<std::string> parts) { receiver.quarantined_ = parts; };
         receiver.source_ = (*registry<fleet::fleet_source_factory>::instance().find("log-store"))(
             context_, store_.address(), std::move(handlers));
     }
@@ -153,6 +154,35 @@
 
 } // namespace
 
+// After a start of all gateways, requests with a quarantined part went to engines until enough had ended
+// anew.
+TEST_CASE_FIXTURE(relaying_sources, "sources_quarantined_part_is_written_a_later_start_reads_it") {
+    REQUIRE(eventually([&] { return first_.quarantined_ && second_.quarantined_; }));
+    CHECK(first_.quarantined_->empty());
+    store_.set_fault(fake_store::fault::busy);
+    first_.source_->write_quarantine({"bad", "worse"});
+    context_.run_for(std::chrono::milliseconds(100));
+    CHECK(store_.record_count("keyed.quarantine") == 0);
+    store_.set_fault(fake_store::fault::none);
+    REQUIRE(eventually([&] { return store_.record_count("keyed.quarantine") == 2; }));
+    first_.source_->write_quarantine({"bad"});
+    REQUIRE(eventually([&] { return store_.record_count("keyed.quarantine") == 3; }));
+    side later;
+    connect(later, first_);
+    later.source_->start();
+    REQUIRE(eventually([&] { return later.quarantined_.has_value(); }));
+    CHECK(*later.quarantined_ == std::vector<std::string>{"bad"});
+}
+
+TEST_CASE_FIXTURE(relaying_sources,
+                  "sources_store_returns_without_the_quarantined_part_it_is_written_again") {
+    REQUIRE(eventually([&] { return first_.quarantined_ && first_.endpoints_.contains("i-1"); }));
+    first_.source_->write_quarantine({"bad"});
+    REQUIRE(eventually([&] { return store_.record_count("keyed.quarantine") == 1; }));
+    store_.roll_back("keyed.quarantine", 1);
+    CHECK(eventually([&] { return store_.record_count("keyed.quarantine") == 1; }));
+}
+
 TEST_CASE_FIXTURE(relaying_sources,
                   "sources_reader_changes_while_an_endpoint_is_removed_both_see_its_return") {
     const auto known = [this](const std::string& id) {
