--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -194,7 +194,9 @@
 void part_quarantine::quarantine(const std::string& part, time_ms since, bool one_moment, std::string reason,
                                  time_ms now) {
     if (quarantined_.size() >= max_quarantined) {
-        return;
+        quarantined_.erase(std::min_element(
+            quarantined_.begin(), quarantined_.end(),
+            [](const auto& left, const auto& right) { return left.second.since_ < right.second.since_; }));
     }
     quarantined_[part] = {since, now + (one_moment ? first_trial_ms : later_trial_ms), 0, one_moment,
                           std::move(reason)};
--- a/tests/direct/quarantine_test.cpp
+++ b/tests/direct/quarantine_test.cpp
@@ -348,6 +348,7 @@
 template <typename Change>
 void check_fleets(Change change) {
     std::vector<int> ended;
+    int sound_quarantined = 0;
     for (std::uint64_t seed = 1; seed <= fleet_count(); ++seed) {
         CAPTURE(seed);
         fleet_plan plan = random_plan(seed);
@@ -360,10 +361,11 @@
         const fleet_result result = fleet_model(plan).run();
         CHECK(result.sent_after_ <= sends_after_crashes);
         ended.push_back(result.ended_);
+        sound_quarantined += result.sound_quarantined_ > 0 ? 1 : 0;
     }
     std::sort(ended.begin(), ended.end());
     MESSAGE("engines ended: median ", ended[ended.size() / 2], ", 99th ", ended[ended.size() * 99 / 100],
-            ", most ", ended.back());
+            ", most ", ended.back(), "; fleets in which a sound part was quarantined: ", sound_quarantined);
 }
 
 part_quarantine informed_quarantine() {
@@ -400,7 +402,7 @@
 TEST_CASE("quarantine_gateways_restart_freeze_and_are_cut_off_at_most_three_requests_are_sent_later") {
     static constexpr int least_gateways = 6;
     check_fleets([](fleet_plan& plan) {
-        plan.gateways_ = std::max(least_gateways + 0, plan.gateways_);
+        plan.gateways_ = std::max(+least_gateways, plan.gateways_);
         plan.gateways_fail_ = true;
     });
 }
@@ -565,6 +567,15 @@
     CHECK(all.parts_.size() <= max_quarantined);
 }
 
+TEST_CASE("quarantine_more_parts_than_it_holds_the_oldest_is_dropped") {
+    part_quarantine parts = informed_quarantine();
+    for (std::size_t number = 0; number <= max_quarantined; ++number) {
+        parts.restore(part_list{"p" + std::to_string(number)}, time_ms(number));
+    }
+    CHECK(parts.quarantined().size() == max_quarantined);
+    CHECK_FALSE(parts.is_quarantined("p0"));
+}
+
 TEST_CASE("quarantine_part_names_are_ids_or_hashes_of_a_bounded_length") {
     CHECK(part_name("5c1e07a2") == "5c1e07a2");
     CHECK(part_name("a/b").starts_with("hash-"));
