Try a part that was quarantined without any answers soon after engines answer again

It is now tried after three seconds, once engines have answered others, and then after four times that. A trial waits for answers in any case, since one at an engine that ends under another part shows nothing.

--- a/include/tamarack/quarantine.hpp
+++ b/include/tamarack/quarantine.hpp
@@ -54,11 +54,13 @@
 inline constexpr time_ms evidence_ms = 600'000; // time for which an end counts
 inline constexpr time_ms max_quarantine_ms = 3'600'000;
 
-// A quarantine that rests on ends within `one_moment_ms`, which a common cause such as a loss of power may
-// explain, is put to the test by one request after the shorter time, others after the longer one.
+// A quarantined part is put to the test by one request after this time, and again after four times that. The
+// time is short where a sound part may have been quarantined: because engines answered nothing, or because
+// all ends were within `one_moment_ms`, which a common cause such as a loss of power may explain.
 inline constexpr time_ms one_moment_ms = 2'000;
-inline constexpr time_ms first_trial_ms = 60'000;
-inline constexpr time_ms later_trial_ms = 600'000;
+inline constexpr time_ms unanswered_trial_ms = 3'000;
+inline constexpr time_ms one_moment_trial_ms = 60'000;
+inline constexpr time_ms usual_trial_ms = 600'000;
 
 inline constexpr std::size_t max_ends = 64;
 inline constexpr std::size_t max_suspects = 64; // for each end
@@ -82,7 +84,7 @@
     std::string part_;
     bool quarantined_ = false; // otherwise proved sound
     time_ms age_ms_ = 0;       // of the quarantine or the proof
-    bool one_moment_ = false;  // of a quarantine: all its ends were at one moment
+    time_ms trial_ms_ = 0;     // time from a quarantine until its next trial
 };
 
 // What one gateway tells the others.
@@ -121,8 +123,8 @@
     // The first of the parts that is quarantined.
     std::optional<std::string> find_quarantined(std::span<const std::string> parts) const;
 
-    // Whether one request with the quarantined part may be sent now to see if it still ends its engine. To be
-    // called by one gateway of the fleet only.
+    // Whether one request with the quarantined part may be sent now to see if it still ends its engine.
+    // Engines must have answered others since the quarantine. To be called by one gateway of the fleet only.
     bool begin_trial(std::string_view part, time_ms now);
     bool is_quarantined(std::string_view part) const { return quarantined_.contains(part); }
     std::vector<std::string> quarantined() const;
@@ -192,8 +194,8 @@
     struct quarantined_part {
         time_ms since_ = 0;
         time_ms trial_at_ = 0;
+        time_ms trial_ms_ = 0; // time between the last trial and the next one
         time_ms announced_until_ = 0;
-        bool one_moment_ = false;
         std::string reason_;
     };
 
@@ -211,13 +213,14 @@
     time_ms proved_at(const std::string& part) const;
     bool speaks_against(const end_record& record, const std::string& part) const;
     bool is_explained(const end_record& record) const;
-    void quarantine(const std::string& part, time_ms since, bool one_moment, std::string reason, time_ms now);
+    void quarantine(const std::string& part, time_ms since, time_ms trial_ms, std::string reason,
+                    time_ms now);
     std::vector<moment> moments(time_ms now, bool unanswered) const;
     std::map<std::string, charge> charges(std::span<const moment> moments) const;
     bool is_prevalent(const charge& one, std::span<const moment> moments) const;
     bool quarantine_next(time_ms now);
     bool quarantine_unanswered(time_ms now);
-    void conclude(const std::string& part, const charge& against, time_ms now);
+    void conclude(const std::string& part, const charge& against, time_ms trial_ms, time_ms now);
     void release_proved(time_ms now);
     void forget_old(time_ms now);
 
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -34,7 +34,7 @@
 };
 
 // Time after which a request with a quarantined part may be sent again, unless an operator releases it.
-inline constexpr time_ms quarantine_retry_after_ms = quarantine::later_trial_ms;
+inline constexpr time_ms quarantine_retry_after_ms = quarantine::usual_trial_ms;
 
 // Counts one attempt in the load of its endpoint for as long as the object lives.
 class scoped_attempt {
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -279,7 +279,7 @@
         part->part = one.part_;
         part->quarantined = one.quarantined_;
         part->age_ms = one.age_ms_;
-        part->one_moment = one.one_moment_;
+        part->trial_ms = one.trial_ms_;
         digest.parts.push_back(std::move(part));
     }
     digest.parts_complete = all.complete_;
@@ -294,7 +294,7 @@
         announced.ends_.push_back({one->engine, one->incarnation, one->age_ms, one->suspects});
     }
     for (const auto& one : digest.parts) {
-        announced.parts_.push_back({one->part, one->quarantined, one->age_ms, one->one_moment});
+        announced.parts_.push_back({one->part, one->quarantined, one->age_ms, one->trial_ms});
     }
     announced.complete_ = digest.parts_complete;
     if (!announced.empty()) {
--- a/src/links/link_generated.h
+++ b/src/links/link_generated.h
@@ -1628,7 +1628,7 @@
   std::string part{};
   bool quarantined = false;
   int64_t age_ms = 0;
-  bool one_moment = false;
+  int64_t trial_ms = 0;
 };
 
 struct PartState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1638,7 +1638,7 @@
     VT_PART = 4,
     VT_QUARANTINED = 6,
     VT_AGE_MS = 8,
-    VT_ONE_MOMENT = 10
+    VT_TRIAL_MS = 10
   };
   const flatbuffers::String *part() const {
     return GetPointer<const flatbuffers::String *>(VT_PART);
@@ -1649,8 +1649,8 @@
   int64_t age_ms() const {
     return GetField<int64_t>(VT_AGE_MS, 0);
   }
-  bool one_moment() const {
-    return GetField<uint8_t>(VT_ONE_MOMENT, 0) != 0;
+  int64_t trial_ms() const {
+    return GetField<int64_t>(VT_TRIAL_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -1658,7 +1658,7 @@
            verifier.VerifyString(part()) &&
            VerifyField<uint8_t>(verifier, VT_QUARANTINED, 1) &&
            VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
-           VerifyField<uint8_t>(verifier, VT_ONE_MOMENT, 1) &&
+           VerifyField<int64_t>(verifier, VT_TRIAL_MS, 8) &&
            verifier.EndTable();
   }
   PartStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1679,8 +1679,8 @@
   void add_age_ms(int64_t age_ms) {
     fbb_.AddElement<int64_t>(PartState::VT_AGE_MS, age_ms, 0);
   }
-  void add_one_moment(bool one_moment) {
-    fbb_.AddElement<uint8_t>(PartState::VT_ONE_MOMENT, static_cast<uint8_t>(one_moment), 0);
+  void add_trial_ms(int64_t trial_ms) {
+    fbb_.AddElement<int64_t>(PartState::VT_TRIAL_MS, trial_ms, 0);
   }
   explicit PartStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1698,11 +1698,11 @@
     flatbuffers::Offset<flatbuffers::String> part = 0,
     bool quarantined = false,
     int64_t age_ms = 0,
-    bool one_moment = false) {
+    int64_t trial_ms = 0) {
   PartStateBuilder builder_(_fbb);
+  builder_.add_trial_ms(trial_ms);
   builder_.add_age_ms(age_ms);
   builder_.add_part(part);
-  builder_.add_one_moment(one_moment);
   builder_.add_quarantined(quarantined);
   return builder_.Finish();
 }
@@ -1712,14 +1712,14 @@
     const char *part = nullptr,
     bool quarantined = false,
     int64_t age_ms = 0,
-    bool one_moment = false) {
+    int64_t trial_ms = 0) {
   auto part__ = part ? _fbb.CreateString(part) : 0;
   return tamarack::links::fbs::CreatePartState(
       _fbb,
       part__,
       quarantined,
       age_ms,
-      one_moment);
+      trial_ms);
 }
 
 flatbuffers::Offset<PartState> CreatePartState(flatbuffers::FlatBufferBuilder &_fbb, const PartStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2756,7 +2756,7 @@
   { auto _e = part(); if (_e) _o->part = _e->str(); }
   { auto _e = quarantined(); _o->quarantined = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
-  { auto _e = one_moment(); _o->one_moment = _e; }
+  { auto _e = trial_ms(); _o->trial_ms = _e; }
 }
 
 inline flatbuffers::Offset<PartState> PartState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2770,13 +2770,13 @@
   auto _part = _o->part.empty() ? 0 : _fbb.CreateString(_o->part);
   auto _quarantined = _o->quarantined;
   auto _age_ms = _o->age_ms;
-  auto _one_moment = _o->one_moment;
+  auto _trial_ms = _o->trial_ms;
   return tamarack::links::fbs::CreatePartState(
       _fbb,
       _part,
       _quarantined,
       _age_ms,
-      _one_moment);
+      _trial_ms);
 }
 
 inline GatewayDigestT::GatewayDigestT(const GatewayDigestT &o)
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -171,10 +171,13 @@
 
 bool part_quarantine::begin_trial(std::string_view part, time_ms now) {
     const auto found = quarantined_.find(part);
-    if (found == quarantined_.end() || now < found->second.trial_at_) {
+    if (found == quarantined_.end() || now < found->second.trial_at_ || answers_.size() < least_answers ||
+        answers_.front() <= found->second.since_) {
         return false;
     }
-    found->second.trial_at_ = now + later_trial_ms;
+    constexpr time_ms growth = 4;
+    found->second.trial_ms_ = std::min(growth * found->second.trial_ms_, usual_trial_ms);
+    found->second.trial_at_ = now + found->second.trial_ms_;
     return true;
 }
 
@@ -191,22 +194,21 @@
     return found == quarantined_.end() ? std::string_view() : found->second.reason_;
 }
 
-void part_quarantine::quarantine(const std::string& part, time_ms since, bool one_moment, std::string reason,
+void part_quarantine::quarantine(const std::string& part, time_ms since, time_ms trial_ms, std::string reason,
                                  time_ms now) {
     if (quarantined_.size() >= max_quarantined) {
         quarantined_.erase(std::min_element(
             quarantined_.begin(), quarantined_.end(),
             [](const auto& left, const auto& right) { return left.second.since_ < right.second.since_; }));
     }
-    quarantined_[part] = {since, now + (one_moment ? first_trial_ms : later_trial_ms), 0, one_moment,
-                          std::move(reason)};
+    quarantined_[part] = {since, now + trial_ms, trial_ms, 0, std::move(reason)};
 }
 
 void part_quarantine::restore(std::span<const std::string> parts, time_ms now) {
     informed_ = true;
     for (const std::string& part : parts) {
         if (!is_quarantined(part)) {
-            quarantine(part, now, false, "store", now);
+            quarantine(part, now, usual_trial_ms, "store", now);
             changes_.push_back({change_kind::quarantined, part, {}, "", "store"});
         }
     }
@@ -236,12 +238,12 @@
     for (const std::string& part : questioned) {
         const auto found = proofs_.find(part);
         if (found != proofs_.end() && found->second.own_ && now - found->second.at_ < proof_validity_ms) {
-            all.parts_.push_back({part, false, now - found->second.at_, false});
+            all.parts_.push_back({part, false, now - found->second.at_, 0});
         }
     }
     for (const auto& [part, one] : quarantined_) {
         if (whole || now < one.announced_until_) {
-            all.parts_.push_back({part, true, now - one.since_, one.one_moment_});
+            all.parts_.push_back({part, true, now - one.since_, one.trial_ms_});
         }
     }
     all.complete_ = whole && informed_;
@@ -273,7 +275,7 @@
         } else if (proved_at(one.part_) >= at - proof_validity_ms) {
             contested_[one.part_] = now;
         } else {
-            quarantine(one.part_, at, one.one_moment_, "announced", now);
+            quarantine(one.part_, at, one.trial_ms_, "announced", now);
             changes_.push_back({change_kind::quarantined, one.part_, {}, "", "announced"});
         }
     }
@@ -386,7 +388,8 @@
         if (is_quarantined(part) || (!alone && !among_most) || !is_prevalent(one, groups)) {
             continue;
         }
-        conclude(part, one, now);
+        const bool one_moment = one.last_ - one.first_ <= one_moment_ms;
+        conclude(part, one, one_moment ? one_moment_trial_ms : usual_trial_ms, now);
         found = true;
     }
     return found;
@@ -418,12 +421,13 @@
         most->second.moments_ < least_moments_unanswered || !is_prevalent(most->second, groups)) {
         return false;
     }
-    conclude(most->first, most->second, now);
+    conclude(most->first, most->second, unanswered_trial_ms, now);
     return true;
 }
 
-void part_quarantine::conclude(const std::string& part, const charge& against, time_ms now) {
-    quarantine(part, now, against.last_ - against.first_ <= one_moment_ms, joined(against.engines_), now);
+void part_quarantine::conclude(const std::string& part, const charge& against, time_ms trial_ms,
+                               time_ms now) {
+    quarantine(part, now, trial_ms, joined(against.engines_), now);
     quarantined_[part].announced_until_ = now + announced_for_ms;
     changes_.push_back({change_kind::quarantined, part, against.engines_, "", "own"});
     due_ = true;
--- a/tests/direct/quarantine_test.cpp
+++ b/tests/direct/quarantine_test.cpp
@@ -171,7 +171,8 @@
         if (!runs(from)) {
             return;
         }
-        if (from.parts_->find_quarantined(one.parts_)) {
+        const auto quarantined = from.parts_->find_quarantined(one.parts_);
+        if (quarantined && (one.gateway_ != 0 || !from.parts_->begin_trial(*quarantined, now_))) {
             result_.sound_refused_ += bad ? 0 : 1;
             return;
         }
@@ -511,25 +512,48 @@
 }
 
 // A sound part that was quarantined stayed so, since no request with it could prove it sound any more.
-TEST_CASE("quarantine_sound_part_is_answered_elsewhere_or_on_trial_it_is_released") {
+TEST_CASE("quarantine_sound_part_is_answered_on_trial_all_gateways_release_it") {
     part_quarantine parts = informed_quarantine();
     for (int engine = 0; engine < 4; ++engine) {
         end_engine(parts, engine, {{"s"}}, 1'000);
     }
     parts.update(2'000);
     REQUIRE(parts.is_quarantined("s"));
-    CHECK_FALSE(parts.begin_trial("s", 2'000 + first_trial_ms - 1));
-    REQUIRE(parts.begin_trial("s", 2'000 + first_trial_ms));
-    CHECK_FALSE(parts.begin_trial("s", 2'000 + first_trial_ms));
+    const time_ms due = 2'000 + one_moment_trial_ms;
+    CHECK_FALSE(parts.begin_trial("s", due)); // engines answer nothing
+    for (std::size_t answer = 0; answer < least_answers; ++answer) {
+        parts.note_sound(part_list{"other"}, due - 1);
+    }
+    CHECK_FALSE(parts.begin_trial("s", due - 1));
+    REQUIRE(parts.begin_trial("s", due));
+    CHECK_FALSE(parts.begin_trial("s", due + one_moment_trial_ms));
     part_quarantine other = informed_quarantine();
-    other.note_sound(part_list{"s"}, 2'100 + first_trial_ms);
-    other.apply(parts.announce(2'200 + first_trial_ms, true), 0, 2'200 + first_trial_ms);
+    other.note_sound(part_list{"s"}, due + 100);
+    other.apply(parts.announce(due + 200, true), 0, due + 200);
     CHECK_FALSE(other.is_quarantined("s"));
-    parts.apply(other.announce(2'300 + first_trial_ms, false), 0, 2'300 + first_trial_ms);
-    parts.update(2'300 + first_trial_ms);
+    parts.apply(other.announce(due + 300, false), 0, due + 300);
+    parts.update(due + 300);
     CHECK_FALSE(parts.is_quarantined("s"));
 }
 
+// All engines ended before they answered anything, and a part that half of the requests share stayed refused.
+TEST_CASE("quarantine_of_a_part_without_any_answers_is_tried_soon_after_engines_answer") {
+    part_quarantine parts;
+    parts.restore(std::vector<std::string>(), 0);
+    for (int engine = 0; engine < least_ends_unanswered; ++engine) {
+        end_engine(parts, engine, {{"half"}, {"s" + std::to_string(engine)}}, 1'000 + engine * 1'000);
+    }
+    parts.update(9'000);
+    REQUIRE(parts.quarantined() == part_list{"half"});
+    for (std::size_t answer = 0; answer < least_answers; ++answer) {
+        parts.note_sound(part_list{"other"}, 9'100);
+    }
+    REQUIRE(parts.begin_trial("half", 9'000 + unanswered_trial_ms));
+    parts.note_sound(part_list{"half"}, 12'500);
+    parts.update(12'600);
+    CHECK(parts.quarantined().empty());
+}
+
 TEST_CASE("quarantine_operator_releases_a_part_all_gateways_release_it") {
     part_quarantine parts = informed_quarantine();
     parts.restore(part_list{"s"}, 1'000);
