--- a/tests/direct/quarantine_fleet_test.cpp
+++ b/tests/direct/quarantine_fleet_test.cpp
@@ -33,7 +33,7 @@
     int crashing_parts_ = 1;
     bool engines_crash_ = false;     // engines also end for other reasons, at times all at once
     bool gateways_fail_ = false;     // restarts, freezes, and cuts from the other gateways
-    bool all_gateways_fail_ = false; // at times all restart at once
+    bool all_gateways_fail_ = false; // all gateways restart at once now and then
     bool late_ = false;              // announcements that are late or lost
     time_ms duration_ms_ = 40'000;
 };
--- a/tests/soak/referee.cpp
+++ b/tests/soak/referee.cpp
@@ -179,7 +179,8 @@
         int sent_ = 0;
         int begun_ = 0;
     };
-    std::map<std::string, std::pair<counts, counts>> by_part; // before the first crash, and after `from`
+    std::map<std::string, std::pair<counts, counts>>
+        by_part; // counts before the first crash and after `from`
     for (const auto& [id, one] : requests_) {
         const sent_request& sent = one.sent_;
         const bool before = sent.sent_at_ + bounds_.stable_ms_ < part_crashes_.front();
--- a/tests/soak/referee.hpp
+++ b/tests/soak/referee.hpp
@@ -34,8 +34,8 @@
     std::string gateway_;
     bool repeatable_ = false;
     time_ms sent_at_ = 0;
-    time_ms limit_ms_ = 0;   // until the client wants a final answer
-    std::string first_part_; // of its prompt; empty without a prompt
+    time_ms limit_ms_ = 0;   // time within which the client wants a final answer
+    std::string first_part_; // id of the first part of its prompt; empty without one
     bool crashing_ = false;  // has the part that ends engines
 };
 
