Log a name of each request that its repeats share, and of what else may have ended an engine

Callers of a plain service lost its endpoints one after the other, and no line had anything of a request that outlasts its id: a repeat could not be told from a new request. Each line of an ended send now has the request's name, a hash of method, host, path with query, body and caller, beside the shared parts of its prompt.

The hash is BLAKE2b from libsodium, since a caller who could choose a collision would blame another caller's request.

--- a/include/tamarack/quarantine.hpp
+++ b/include/tamarack/quarantine.hpp
@@ -72,6 +72,22 @@
 // than letters and digits.
 std::string part_name(std::string_view id);
 
+// What makes two requests the same, whatever their ids.
+struct request_identity {
+    std::string_view method_;
+    std::string_view host_;
+    std::string_view target_; // path and query
+    std::string_view caller_;
+    std::string_view body_;
+};
+
+// Returns the name by which a request is known here. It has a cryptographic hash of the identity, so that
+// nobody can make up a request with the name of another caller's.
+std::string request_name(const request_identity& identity);
+
+// Whether the suspect is a request, rather than a part of prompts.
+bool names_request(std::string_view suspect);
+
 // An engine that ended, with the parts of the requests that a gateway lost there.
 struct engine_end {
     std::string engine_;
--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -1,7 +1,6 @@
 #include "gateway/head_rewrite.hpp"
 
 #include "http/message_parser.hpp"
-#include "tamarack/quarantine.hpp"
 
 #include <algorithm>
 #include <array>
@@ -95,10 +94,6 @@
                                                 parse_number<double>(part.substr(colon + 1)).value_or(0));
         }
     }
-    // The last part belongs to this request alone.
-    for (std::size_t index = 0; index + 1 < metadata.prompt_parts_.size(); ++index) {
-        metadata.shared_parts_.push_back(quarantine::part_name(metadata.prompt_parts_[index].first));
-    }
     const auto left = parse_number<double>(header_value(incoming.headers_, names.deadline_));
     if (left) {
         metadata.deadline_ms_ = time_ms(*left);
--- a/src/gateway/head_rewrite.hpp
+++ b/src/gateway/head_rewrite.hpp
@@ -15,9 +15,9 @@
     std::string adapter_; // empty if none is named
     double prompt_tokens_ = 0;
     double output_tokens_ = 0;                                 // limit of generated tokens
-    std::vector<std::pair<std::string, double>> prompt_parts_; // id and number of tokens, in order
-    std::vector<std::string> shared_parts_; // names of the parts that other requests may have, in order
-    std::optional<time_ms> deadline_ms_;    // time left when the request arrived
+    std::vector<std::pair<std::string, double>> prompt_parts_; // id and number of tokens, in order; the last
+                                                               // part belongs to this request alone
+    std::optional<time_ms> deadline_ms_;                       // time left when the request arrived
     std::optional<std::int64_t> last_event_id_;
 };
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -2,6 +2,8 @@
 // handling of responses in request_flow_response.cpp, quarantined prompts in request_flow_quarantine.cpp.
 #include "gateway/request_flow.hpp"
 
+#include "gateway/suspects.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -57,6 +59,7 @@
 void request_flow::start() {
     arrived_at_ = steady_now_ms();
     metadata_ = parse_request_metadata(incoming_, context_.fleet_.names_);
+    suspects_ = name_suspects(incoming_, metadata_, sink_->client_address());
     if (!find_route()) {
         return;
     }
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -132,7 +132,8 @@
     bool finish_if_stream_complete();
     dispatch::send_end classify_end(exchange_outcome outcome, const http::response_parser& response) const;
     void update_health(dispatch::send_end end, int status);
-    std::string shared_parts_text() const;
+    std::span<const std::string> shared_parts() const { return std::span(suspects_).subspan(1); }
+    std::string suspects_text() const;
     void on_attempt_ended(dispatch::send_end end, http::response_parser& response);
     void deliver(http::response_parser& response);
 
@@ -165,6 +166,7 @@
     std::shared_ptr<response_sink> sink_;
     http::request incoming_;
     request_metadata metadata_;
+    std::vector<std::string> suspects_; // the request and the shared parts of its prompt
     std::shared_ptr<const indexed_configuration> configured_; // owner of `route_` and `service_`
     const fleet::route_rule* route_ = nullptr;
     const fleet::service_spec* service_ = nullptr;
--- a/src/gateway/request_flow_quarantine.cpp
+++ b/src/gateway/request_flow_quarantine.cpp
@@ -6,7 +6,7 @@
 // Refuses the request if a part of its prompt is quarantined, or if it is not known yet which ones are. It
 // then counts neither in the demand nor in the retry budget.
 bool request_flow::refuse_if_quarantined() {
-    if (!service_->engine_ || metadata_.shared_parts_.empty()) {
+    if (!service_->engine_ || shared_parts().empty()) {
         return false;
     }
     quarantine::part_quarantine& parts = context_.fleet_.quarantine_;
@@ -14,7 +14,7 @@
         refuse("quarantine_unknown", not_ready_retry_after_ms);
         return true;
     }
-    const auto part = parts.find_quarantined(metadata_.shared_parts_);
+    const auto part = parts.find_quarantined(shared_parts());
     if (!part) {
         return false;
     }
@@ -33,7 +33,7 @@
 
 bool request_flow::is_quarantined() const {
     return !on_trial_ && service_ != nullptr && service_->engine_ &&
-           context_.fleet_.quarantine_.find_quarantined(metadata_.shared_parts_).has_value();
+           context_.fleet_.quarantine_.find_quarantined(shared_parts()).has_value();
 }
 
 // Whether the engine has been writing the answer for so long that it cannot end under a part of the prompt.
@@ -45,18 +45,18 @@
 // The connection broke before the engine had written for that long. If the engine turns out to have ended, a
 // part of the prompt may be the cause.
 void request_flow::note_lost_request() {
-    if (service_->engine_ && !metadata_.shared_parts_.empty() && !has_proved_parts()) {
+    if (service_->engine_ && !shared_parts().empty() && !has_proved_parts()) {
         context_.fleet_.quarantine_.note_lost(attempt_->target().record().id_, attempt_->incarnation_,
-                                              metadata_.shared_parts_, boot_now_ms());
+                                              shared_parts(), boot_now_ms());
     }
 }
 
-// The parts of the prompt that other requests may have as well, for logs.
-std::string request_flow::shared_parts_text() const {
+// What may end the engine that runs the request, for logs.
+std::string request_flow::suspects_text() const {
     constexpr std::size_t max_bytes = 200;
     std::string text;
-    for (const std::string& part : metadata_.shared_parts_) {
-        text += (text.empty() ? "" : ",") + part;
+    for (const std::string& suspect : suspects_) {
+        text += (text.empty() ? "" : ",") + suspect;
     }
     return text.substr(0, max_bytes);
 }
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -120,7 +120,7 @@
         }
         attempt_->record_first_event();
         if (has_proved_parts() && !std::exchange(parts_proved_, true)) {
-            context_.fleet_.quarantine_.note_sound(metadata_.shared_parts_, boot_now_ms());
+            context_.fleet_.quarantine_.note_sound(shared_parts(), boot_now_ms());
         }
     }
     last_event_at_ = now;
@@ -216,7 +216,7 @@
         return false;
     }
     update_health(dispatch::send_end::answered, status_ok);
-    context_.fleet_.quarantine_.note_sound(metadata_.shared_parts_, boot_now_ms());
+    context_.fleet_.quarantine_.note_sound(shared_parts(), boot_now_ms());
     const time_ms now = steady_now_ms();
     context_.fleet_.demand_.note_service(metadata_.model_, double(now - attempt_->started_at_));
     context_.fleet_.note_slot_time(service_->name_, now - attempt_->first_event_at());
@@ -289,7 +289,7 @@
                              {"end", dispatch::to_string(end)},
                              {"status", response.status_},
                              {"events", splitter_.event_count()},
-                             {"shared_parts", shared_parts_text()},
+                             {"suspects", suspects_text()},
                              {"took_ms", now - attempt_->started_at_},
                              {"view_age_ms", view_age_ms_},
                              {"may_run_again", facts.repeatable_},
@@ -326,7 +326,7 @@
         return;
     }
     if (response.status_ < first_unsuccessful_status && !metadata_.model_.empty()) {
-        context_.fleet_.quarantine_.note_sound(metadata_.shared_parts_, boot_now_ms());
+        context_.fleet_.quarantine_.note_sound(shared_parts(), boot_now_ms());
         context_.fleet_.demand_.note_service(metadata_.model_,
                                              double(steady_now_ms() - attempt_->started_at_));
     }
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -1,7 +1,6 @@
 #include "tamarack/quarantine.hpp"
 
 #include <algorithm>
-#include <cctype>
 #include <limits>
 
 namespace tamarack::quarantine {
@@ -34,14 +33,6 @@
     return "unknown";
 }
 
-std::string part_name(std::string_view id) {
-    constexpr std::size_t max_bytes = 64;
-    const bool plain =
-        std::all_of(id.begin(), id.end(), [](unsigned char letter) { return std::isalnum(letter); });
-    return plain && !id.empty() && id.size() <= max_bytes ? std::string(id)
-                                                          : "hash-" + std::to_string(hash64(id));
-}
-
 void part_quarantine::note_lost(std::string_view engine, std::int64_t incarnation,
                                 std::span<const std::string> parts, time_ms now) {
     const engine_key key(engine, incarnation);
--- a/tools/install_dependencies.sh
+++ b/tools/install_dependencies.sh
@@ -5,7 +5,7 @@
 packages=(
   build-essential cmake ninja-build ccache clang-format clang-tidy
   libboost1.81-dev libgflags-dev liblog4cxx-dev doctest-dev
-  libflatbuffers-dev prometheus-cpp-dev nlohmann-json3-dev libxxhash-dev
+  libflatbuffers-dev prometheus-cpp-dev nlohmann-json3-dev libxxhash-dev libsodium-dev
   libbenchmark-dev librapidcheck-dev curl python3
 )
 
