Reproduce endpoints that end under one request, failing

Callers of a plain service lost its endpoints one after the other, as a client repeated one request. No kind of trouble brings it, so the soak's stand-ins do: an endpoint, plain or a model engine, ends when it begins to answer a request with one path and comes back after one to three seconds. What it counts for a part of a prompt is unchanged.

--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -70,6 +70,18 @@
     check(1);
 }
 
+// A client repeated one request with new ids, and each endpoint that began to run it ended.
+TEST_CASE_FIXTURE(soak_fixture, "fleet_request_crashes_endpoints_gateways_together_stop_sending_it") {
+    settings_.faults_ = false;
+    settings_.drills_ = false;
+    settings_.limits_ = 0;
+    settings_.crashing_requests_ = 2;
+    settings_.plain_endpoints_ = 4;
+    settings_.gateways_ = 6;
+    settings_.requests_per_s_ = 80;
+    check(1);
+}
+
 TEST_CASE_FIXTURE(soak_fixture, "fleet_store_returns_from_copies_every_request_is_served") {
     settings_.faults_ = false;
     settings_.limits_ = 0;
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -128,7 +128,7 @@
     });
 }
 
-awaitable<void> clients::call_stream(std::size_t gateway, http::request outgoing) {
+awaitable<int> clients::call_stream(std::size_t gateway, http::request outgoing) {
     const std::string id(*outgoing.find("Tamarackbeam-Request-Id"));
     const asio::ip::tcp::endpoint remote = fleet_.gateways()[gateway].clients_->address();
     const http::call_limits limits{connect_limit, patience};
@@ -150,6 +150,37 @@
     seen.gapless_ = whole_stream(id, text);
     --open_;
     judge_.answered(id, seen, steady_now_ms());
+    co_return seen.status_;
+}
+
+awaitable<void> clients::repeat(http::request request, time_ms until, std::uint64_t seed) {
+    constexpr int most_at_once = 3;
+    constexpr time_ms least_pause_ms = 300;
+    constexpr time_ms most_pause_ms = 1'200;
+    std::mt19937_64 random(seed);
+    asio::steady_timer timer(context_);
+    while (steady_now_ms() < until) {
+        int status = 0;
+        for (int number = 0; number < most_at_once && (status == 0 || status == 502); ++number) {
+            sent_request sent;
+            sent.id_ = std::to_string(seed_) + "-" + std::to_string(next_id_++);
+            const std::size_t gateway = random() % fleet_.gateways().size();
+            sent.gateway_ = fleet_.gateways()[gateway].process_.name_;
+            sent.repeatable_ = true;
+            sent.sent_at_ = steady_now_ms();
+            sent.limit_ms_ = deadline_ms;
+            sent.crashing_request_ = std::string(request.path());
+            judge_.sent(sent);
+            ++open_;
+            http::request outgoing = request;
+            outgoing.headers_.push_back({"Tamarackbeam-Request-Id", sent.id_});
+            outgoing.headers_.push_back({"Tamarackbeam-Deadline-Ms", std::to_string(deadline_ms)});
+            status = co_await call_stream(gateway, std::move(outgoing));
+        }
+        const time_ms pause = std::uniform_int_distribution<time_ms>(least_pause_ms, most_pause_ms)(random);
+        timer.expires_after(std::chrono::milliseconds(pause));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
 }
 
 } // namespace tamarack::soak
--- a/tests/soak/clients.hpp
+++ b/tests/soak/clients.hpp
@@ -20,11 +20,16 @@
         crashing_share_ = share;
     }
 
+    // Sends one request again and again until the time, at any gateway and with another id each time: at once
+    // after a failure, and a while later after a refusal. With random numbers of its own.
+    boost::asio::awaitable<void> repeat(http::request request, time_ms until, std::uint64_t seed);
+
     int open() const { return open_; }
 
 private:
     boost::asio::awaitable<void> send_all(double requests_per_s);
-    boost::asio::awaitable<void> call_stream(std::size_t gateway, http::request outgoing);
+    // Returns the status of the response, or 0.
+    boost::asio::awaitable<int> call_stream(std::size_t gateway, http::request outgoing);
     void call_plain(std::size_t gateway, http::request outgoing);
     http::request make_request();
     void add_prompt(http::request& outgoing, sent_request& sent);
--- a/tests/soak/engine_stand_in.cpp
+++ b/tests/soak/engine_stand_in.cpp
@@ -90,16 +90,27 @@
     judge_.limits(id_, per_s, steady_now_ms());
 }
 
-void engine_stand_in::set_crashing_part(std::string part, std::function<void()> crash) {
-    crashing_part_ = std::move(part);
-    crash_ = std::move(crash);
-}
-
 bool engine_stand_in::has_crashing_part(const http::request& call) const {
     const std::string parts = "," + header_of(call, "Tamarackbeam-Prompt-Prefix");
     return !crashing_part_.empty() && parts.find("," + crashing_part_ + ":") != std::string::npos;
 }
 
+// Whether the request ends this engine, which then is on its way down.
+bool engine_stand_in::crashes_on(const http::request& call) {
+    const bool by_part = has_crashing_part(call);
+    const bool by_request = !crashing_path_.empty() && call.path() == crashing_path_;
+    if (by_part) {
+        judge_.crashed_by_part(steady_now_ms());
+    }
+    if (by_request) {
+        judge_.crashed_by_request(crashing_path_, steady_now_ms());
+    }
+    if (by_part || by_request) {
+        crash_();
+    }
+    return by_part || by_request;
+}
+
 // Adds the present limit on requests to a response.
 void engine_stand_in::name_limit(std::vector<http::header>& headers, const std::string& request_id) {
     if (limit_per_s_) {
@@ -166,7 +177,8 @@
     bool answered = false;
     if (fails || !has_models_) {
         co_await pause(plain_work_ms);
-        if (!lost && !gone && incarnation == incarnation_) {
+        const bool crashes = incarnation == incarnation_ && crashes_on(call.incoming());
+        if (!crashes && !lost && !gone && incarnation == incarnation_) {
             http::response answer{fails ? 500 : 200, {}, plain_answer(request_id)};
             answer.headers_ = {{"Tamarackbeam-Request-Id", request_id},
                                {"Tamarackbeam-Server-Stamp", stamp_of(id_)}};
@@ -201,9 +213,7 @@
                                          {"Content-Type", "text/event-stream"}};
     name_limit(headers, request_id);
     bool alive = co_await call.begin(200, std::move(headers));
-    if (incarnation == incarnation_ && has_crashing_part(call.incoming())) {
-        judge_.crashed_by_part(steady_now_ms());
-        crash_();
+    if (incarnation == incarnation_ && crashes_on(call.incoming())) {
         co_return false;
     }
     for (int number = first; alive && number <= end; ++number) {
--- a/tests/soak/engine_stand_in.hpp
+++ b/tests/soak/engine_stand_in.hpp
@@ -56,9 +56,11 @@
     // Names a limit on its requests per second in its responses from now on, or none.
     void set_limit(std::optional<double> per_s);
 
-    // Ends when it begins to answer a request with this part in its prompt: calls `crash`, which is to
-    // restart it. An empty part ends that.
-    void set_crashing_part(std::string part, std::function<void()> crash);
+    // Ends when it begins to answer a request with this part in its prompt, or one with this path: calls
+    // `crash`, which is to restart it. Empty texts match nothing.
+    void set_crashing_part(std::string part) { crashing_part_ = std::move(part); }
+    void set_crashing_path(std::string path) { crashing_path_ = std::move(path); }
+    void on_crash(std::function<void()> crash) { crash_ = std::move(crash); }
 
     // Forgets all but its disk, as after a crash; runs end without an answer.
     void restart();
@@ -71,6 +73,7 @@
 
     boost::asio::awaitable<void> handle(http::exchange& call);
     bool has_crashing_part(const http::request& call) const;
+    bool crashes_on(const http::request& call);
     void name_limit(std::vector<http::header>& headers, const std::string& request_id);
     boost::asio::awaitable<void> refuse(http::exchange& call, int status, const std::string& request_id);
     boost::asio::awaitable<void> run(http::exchange& call, const std::string& request_id);
@@ -94,6 +97,7 @@
     engine_faults faults_;
     std::optional<double> limit_per_s_;
     std::string crashing_part_;
+    std::string crashing_path_;
     std::function<void()> crash_;
     std::map<std::string, resident_model> models_;
     std::set<std::string> disk_;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -14,6 +14,8 @@
 DEFINE_int32(engines, 4, "model engines, each with an agent");
 DEFINE_int32(limits, 1, "endpoints that name a limit on their requests at a time");
 DEFINE_int32(crashing_parts, 0, "spans in which a part of prompts ends engines");
+DEFINE_int32(crashing_requests, 0, "spans in which a client repeats a request that ends endpoints");
+DEFINE_int32(plain_endpoints, 2, "endpoints of the plain service");
 DEFINE_bool(drills, true, "whether the store returns from a copy now and then");
 DEFINE_bool(faults, true, "whether there are faults beside the limits and drills");
 DEFINE_string(folder, "", "where the logs of failed soaks stay; a temporary folder if empty");
@@ -36,6 +38,8 @@
         settings.engines_ = FLAGS_engines;
         settings.limits_ = FLAGS_limits;
         settings.crashing_parts_ = FLAGS_crashing_parts;
+        settings.crashing_requests_ = FLAGS_crashing_requests;
+        settings.plain_endpoints_ = FLAGS_plain_endpoints;
         settings.drills_ = FLAGS_drills;
         settings.faults_ = FLAGS_faults;
         settings.folder_ = (base / ("seed-" + std::to_string(settings.seed_))).string();
--- a/tests/soak/referee.cpp
+++ b/tests/soak/referee.cpp
@@ -150,31 +150,49 @@
 }
 
 void referee::crashed_by_part(time_ms now) {
-    part_crashes_.push_back(now);
+    crashing_part_.crashes_.push_back(now);
+}
+
+void referee::crashed_by_request(const std::string& path, time_ms now) {
+    crashing_requests_[path].crashes_.push_back(now);
 }
 
 void referee::note_crashing_arrival(const request& one, time_ms now) {
-    const auto bound = std::size_t(bounds_.crashes_of_part_);
-    if (part_crashes_.size() < bound) {
+    if (one.sent_.crashing_) {
+        note_crashing_arrival("the part", crashing_part_, bounds_.crashes_of_part_, one, now);
+    }
+    if (const std::string& path = one.sent_.crashing_request_; !path.empty()) {
+        note_crashing_arrival(path, crashing_requests_[path], bounds_.crashes_of_request_, one, now);
+    }
+}
+
+// Counts an arrival later than `stable_ms_` after so many engines had ended for the cause.
+void referee::note_crashing_arrival(const std::string& name, crash_cause& cause, int crashes,
+                                    const request& one, time_ms now) {
+    if (cause.crashes_.size() < std::size_t(crashes)) {
         return;
     }
-    const time_ms from = part_crashes_[bound - 1] + bounds_.stable_ms_;
+    const time_ms from = cause.crashes_[std::size_t(crashes) - 1] + bounds_.stable_ms_;
     if (now <= from || disturbed(one.sent_.gateway_, from - bounds_.stable_ms_, now) ||
         disturbed("store", from - bounds_.stable_ms_, now)) {
         return;
     }
-    if (++sends_after_crashes_ == bounds_.sends_after_crashes_ + 1) {
-        broken("requests with the part under which " + std::to_string(bound) + " engines had ended arrived " +
-               std::to_string(sends_after_crashes_) + " times more, the last from " + one.sent_.gateway_);
+    // A request that is itself the cause counts once, however many engines it reaches.
+    const bool counted = one.sent_.crashing_request_.empty() || cause.counted_.insert(one.sent_.id_).second;
+    if (counted && ++cause.sends_after_ == bounds_.sends_after_crashes_ + 1) {
+        broken("requests with " + name + ", under which " + std::to_string(crashes) +
+               " engines had ended, arrived " + std::to_string(cause.sends_after_) +
+               " times more, the last from " + one.sent_.gateway_);
     }
 }
 
 void referee::check_sound_requests(time_ms now) {
-    if (part_crashes_.empty()) {
+    const std::vector<time_ms>& crashes = crashing_part_.crashes_;
+    if (crashes.empty()) {
         return;
     }
-    const std::size_t deciding = std::min(part_crashes_.size(), std::size_t(bounds_.crashes_of_part_)) - 1;
-    const time_ms from = part_crashes_[deciding] + 2 * bounds_.stable_ms_;
+    const std::size_t deciding = std::min(crashes.size(), std::size_t(bounds_.crashes_of_part_)) - 1;
+    const time_ms from = crashes[deciding] + 2 * bounds_.stable_ms_;
     struct counts {
         int sent_ = 0;
         int begun_ = 0;
@@ -183,7 +201,7 @@
         by_part; // counts before the first crash and after `from`
     for (const auto& [id, one] : requests_) {
         const sent_request& sent = one.sent_;
-        const bool before = sent.sent_at_ + bounds_.stable_ms_ < part_crashes_.front();
+        const bool before = sent.sent_at_ + bounds_.stable_ms_ < crashes.front();
         const bool after = sent.sent_at_ >= from && sent.sent_at_ + sent.limit_ms_ < now;
         if (sent.first_part_.empty() || sent.crashing_ || (!before && !after) ||
             disturbed(sent.gateway_, sent.sent_at_, sent.sent_at_) ||
@@ -210,7 +228,7 @@
 void referee::arrived(const std::string& id, const std::string& engine, time_ms now) {
     const auto found = limited_.find(engine);
     const auto sent = requests_.find(id);
-    if (sent != requests_.end() && sent->second.sent_.crashing_) {
+    if (sent != requests_.end()) {
         note_crashing_arrival(sent->second, now);
     }
     if (found == limited_.end() || sent == requests_.end()) {
--- a/tests/soak/referee.hpp
+++ b/tests/soak/referee.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace tamarack::soak {
 
@@ -24,6 +25,7 @@
     int limit_slack_ = 5;             // and requests beside it
     int crashes_of_part_ = 5;         // engines that may end under one part of a prompt
     int sends_after_crashes_ = 3;     // requests with it that may still arrive, `stable_ms_` after that
+    int crashes_of_request_ = 3;      // engines that may end under one request until the same bound holds
     int least_sound_requests_ = 20;   // fewer requests without it show nothing
     time_ms limit_told_ms_ = 500;     // until a gateway that got a response with the limit must keep it
 };
@@ -34,9 +36,10 @@
     std::string gateway_;
     bool repeatable_ = false;
     time_ms sent_at_ = 0;
-    time_ms limit_ms_ = 0;   // time within which the client wants a final answer
-    std::string first_part_; // id of the first part of its prompt; empty without one
-    bool crashing_ = false;  // has the part that ends engines
+    time_ms limit_ms_ = 0;         // time within which the client wants a final answer
+    std::string first_part_;       // id of the first part of its prompt; empty without one
+    bool crashing_ = false;        // has the part that ends engines
+    std::string crashing_request_; // path of a request that itself ends engines; empty for others
 };
 
 // What a client received.
@@ -80,6 +83,9 @@
     // An engine ended as it began to answer a request with the crashing part.
     void crashed_by_part(time_ms now);
 
+    // An engine ended as it began to answer a request with this path.
+    void crashed_by_request(const std::string& path, time_ms now);
+
     // Judges the requests without the crashing part that were sent until now. To be called in the end.
     void check_sound_requests(time_ms now);
 
@@ -132,7 +138,16 @@
         bool reported_ = false;
     };
 
+    // Engines that ended for one cause, and the requests with it that arrived afterwards.
+    struct crash_cause {
+        std::vector<time_ms> crashes_;
+        int sends_after_ = 0;
+        std::set<std::string> counted_; // ids of requests
+    };
+
     void note_crashing_arrival(const request& one, time_ms now);
+    void note_crashing_arrival(const std::string& name, crash_cause& cause, int crashes, const request& one,
+                               time_ms now);
     static double allowed_by(const limited_engine& one, time_ms from, time_ms until);
 
     void broken(std::string what) { broken_.push_back(std::move(what)); }
@@ -144,8 +159,8 @@
     std::map<std::string, time_ms> leaving_since_;
     std::deque<time_ms> store_loads_;
     std::map<std::string, limited_engine> limited_;
-    std::vector<time_ms> part_crashes_;
-    int sends_after_crashes_ = 0;
+    crash_cause crashing_part_;
+    std::map<std::string, crash_cause> crashing_requests_; // by path
     std::vector<span> disturbances_;
     std::vector<std::string> broken_;
     int served_ = 0;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -30,9 +30,10 @@
     explicit soak_run(const soak_settings& settings)
         : settings_(settings), random_(settings.seed_),
           fleet_(context_, judge_, settings.folder_, settings.seed_,
-                 {settings.gateways_, settings.engines_, 2}),
+                 {settings.gateways_, settings.engines_, settings.plain_endpoints_}),
           clients_(context_, fleet_, judge_, settings.seed_), limit_random_(settings.seed_ + 1),
-          drill_random_(settings.seed_ + 2), part_random_(settings.seed_ + 4) {}
+          drill_random_(settings.seed_ + 2), part_random_(settings.seed_ + 4),
+          request_random_(settings.seed_ + 5) {}
 
     soak_outcome run() {
         asio::co_spawn(context_, script(), asio::detached);
@@ -89,6 +90,17 @@
             ++active_;
             asio::co_spawn(context_, crash_on_parts(), asio::detached);
         }
+        for (endpoint_place& one : fleet_.endpoints()) {
+            one.engine_->on_crash([this, &one] {
+                note("crash of " + one.engine_->id() + " under a request");
+                const time_ms down = std::uniform_int_distribution<time_ms>(1'000, 3'000)(crash_random_);
+                asio::co_spawn(context_, take_down(one, down), asio::detached);
+            });
+        }
+        if (settings_.crashing_requests_ > 0) {
+            ++active_;
+            asio::co_spawn(context_, crash_on_requests(), asio::detached);
+        }
         if (settings_.drills_) {
             ++active_;
             asio::co_spawn(context_, drill_store(until), asio::detached);
@@ -185,10 +197,7 @@
         };
         const std::string part = "bad" + std::to_string(settings_.seed_);
         for (endpoint_place& one : fleet_.endpoints()) {
-            one.engine_->set_crashing_part(part, [this, &one, draw] {
-                note("crash of " + one.engine_->id() + " under a part of a prompt");
-                asio::co_spawn(context_, take_down(one, draw(1'000, 3'000)), asio::detached);
-            });
+            one.engine_->set_crashing_part(part);
         }
         for (int span = 0; span < settings_.crashing_parts_; ++span) {
             co_await pause(draw(5'500, 6'500));
@@ -203,6 +212,34 @@
         --active_;
     }
 
+    // A client repeats one request, under which every endpoint ends that begins to run it.
+    awaitable<void> crash_on_requests() {
+        const auto draw = [this](time_ms least, time_ms most) {
+            return std::uniform_int_distribution<time_ms>(least, most)(request_random_);
+        };
+        for (int span = 0; span < settings_.crashing_requests_; ++span) {
+            co_await pause(draw(2'000, 4'000));
+            const bool plain = span % 2 == 0;
+            const std::string path = (plain ? "/lookup/bad" : "/chat/bad") + std::to_string(span);
+            http::request request{
+                plain ? "GET" : "POST", path, {{"Host", "soak.example"}}, plain ? "" : "bad"};
+            if (!plain) {
+                request.headers_.push_back({"Tamarackbeam-Model", "m0"});
+                request.headers_.push_back({"Tamarackbeam-Token-Usage", "200,100"});
+                request.headers_.push_back(
+                    {"Tamarackbeam-Prompt-Prefix", "f0:80,51:60,own" + std::to_string(span) + ":60"});
+            }
+            for (endpoint_place& one : fleet_.endpoints()) {
+                one.engine_->set_crashing_path(path);
+            }
+            note("a request that ends endpoints: " + path);
+            const time_ms until = steady_now_ms() + draw(11'000, 14'000);
+            co_await clients_.repeat(std::move(request), until, settings_.seed_ + std::uint64_t(span));
+        }
+        note("no more requests that end endpoints");
+        --active_;
+    }
+
     awaitable<void> recover() {
         const time_ms from = steady_now_ms();
         while (steady_now_ms() < from + recovery_limit_ms) {
@@ -455,6 +492,8 @@
     std::mt19937_64 limit_random_;
     std::mt19937_64 drill_random_;
     std::mt19937_64 part_random_;
+    std::mt19937_64 request_random_;
+    std::mt19937_64 crash_random_{1};
     soak_outcome outcome_;
     time_ms started_at_ = 0;
     int active_ = 0;
