Quarantine requests under which endpoints end, and keep what is known of ends over a restart of all

Callers of a plain service lost its endpoints one after the other, as a client repeated one request with new ids. The quarantine knew a request only by the shared parts of its prompt; a plain service has none, and both the loss of a request and its refusal left out services without models. Ends of plain endpoints were known from the registry alone, 3.6 s later.

There is one evidence of ends, one list and one exchange for both. A request is quarantined after three ends, or four if others were lost together with it each time, unless something else accounts for these ends better. A probe tells an end at once where no agent does: a process that ended refuses connections. What ended an endpoint alone is never tried again in its 24 hours, anything else at most twice.

The store keeps the ends as well now, with whether engines answered enough around them, and a gateway that starts judges from them. One that does not know the list yet waits for it 0.2 s and then serves with one attempt each, where it refused everything with a shared part.

--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -241,8 +241,8 @@
     std::function<void(relayed_data)> relay_;         // data for gateways that do not read the store
     std::function<void(const error&)> skipped_;       // a record could not be used
 
-    // The quarantined parts of prompts in the store, read once after the start.
-    std::function<void(std::vector<std::string>)> quarantine_;
+    // The records of the quarantine in the store, read once after the start.
+    std::function<void(std::map<std::string, std::string>)> quarantine_;
 };
 
 // Follows the operator's configuration and the registry of endpoints.
@@ -262,9 +262,9 @@
     // unreachable.
     virtual std::vector<relayed_data> snapshot() const = 0;
 
-    // Sets which parts of prompts the store lists as quarantined. Writes the differences to what is known to
-    // be there, and repeats that until the store accepts them. All are written again after a rollback.
-    virtual void write_quarantine(std::set<std::string> parts) = 0;
+    // Sets the records that the store keeps of the quarantine. Writes the differences to what is known to be
+    // there, and repeats that until the store accepts them. All are written again after a rollback.
+    virtual void write_quarantine(std::map<std::string, std::string> records) = 0;
 
     // Decodes a configuration that a peer relayed. Fails with `invalid`.
     virtual result<std::shared_ptr<const configuration>> decode(const std::string& encoded) const = 0;
--- a/include/tamarack/quarantine.hpp
+++ b/include/tamarack/quarantine.hpp
@@ -1,12 +1,13 @@
-// Quarantine: finds the part of a prompt under which engines end, and tells which requests not to send.
+// Quarantine: finds what ends the engines that run it, and tells which requests not to send.
 //
-// An engine that ends loses its whole batch, so each request that it had not begun to answer is a suspect.
-// Gateways announce the parts of these requests to each other. A part is quarantined once several engines
-// have ended under it, it accounts for more of these ends than any other part, and no gateway has seen an
-// engine answer a request with it shortly before or at any time after. Such a proof later also ends a
-// quarantine.
+// A suspect is anything that requests have in common and that may end an engine: the request itself, which
+// its caller sends again with another id, or a part of a prompt. An engine that ends loses its whole batch,
+// so all suspects of the requests that it had not begun to answer are under suspicion. Gateways announce them
+// to each other. A suspect is quarantined once several engines have ended under it, no other suspect accounts
+// for these ends as well, and no gateway has seen an engine answer it shortly before or at any time after.
+// Such a proof later also ends a quarantine.
 //
-// Nothing here does I/O or reads a clock: times are those of `boot_now_ms`.
+// Nothing here does I/O or reads a clock: times are those of `boot_now_ms`. "Engine" stands for any endpoint.
 #pragma once
 
 #include "tamarack/kernel.hpp"
@@ -19,23 +20,25 @@
 #include <set>
 #include <span>
 #include <unordered_map>
+#include <utility>
 
 namespace tamarack::quarantine {
 
-// Ends of engines after which a part is quarantined, and the number if several parts account for as many.
+// Ends of engines after which a suspect is quarantined, and the number if several account for as many.
 inline constexpr int least_ends = 3;
 inline constexpr int least_ends_if_tied = 4;
 
-// Time for which an engine must have written an answer to prove its parts sound.
+// Time for which an engine must have written an answer to prove its suspects sound.
 inline constexpr time_ms writing_proof_ms = 100;
 
-// Time before an end within which a proof still speaks for a part.
+// Time before an end within which a proof still speaks for a suspect.
 inline constexpr time_ms proof_validity_ms = 10'000;
 
 // Answers that this gateway must have seen, since `proof_validity_ms` before an end, for that end to count.
 inline constexpr std::size_t least_answers = 6;
 
-// Ends after which a part is quarantined although engines answer nothing, and the number of separate moments.
+// Ends after which a suspect is quarantined although engines answer nothing, and the number of separate
+// moments.
 inline constexpr int least_ends_unanswered = 6;
 inline constexpr int least_moments_unanswered = 3;
 
@@ -52,19 +55,25 @@
 inline constexpr time_ms announced_for_ms = 2'000;
 
 inline constexpr time_ms evidence_ms = 600'000; // time for which an end counts
+
+// Longest quarantines of parts and of requests.
 inline constexpr time_ms max_quarantine_ms = 3'600'000;
+inline constexpr time_ms max_request_quarantine_ms = 86'400'000;
 
-// A quarantined part is put to the test by one request after this time, and again after four times that. The
-// time is short where a sound part may have been quarantined: because engines answered nothing, or because
-// all ends were within `one_moment_ms`, which a common cause such as a loss of power may explain.
+// What is quarantined is put to the test by one request after this time. A part is tested again after four
+// times that, and so on; a request only once more, after `usual_trial_ms`, since each test of one that does
+// end engines costs an engine. The time is short where something sound may have been quarantined: because
+// engines answered nothing, because all ends were within `one_moment_ms`, which a common cause such as a loss
+// of power may explain, or because no engine ended with the request alone.
 inline constexpr time_ms one_moment_ms = 2'000;
 inline constexpr time_ms unanswered_trial_ms = 3'000;
 inline constexpr time_ms one_moment_trial_ms = 60'000;
 inline constexpr time_ms usual_trial_ms = 600'000;
+inline constexpr time_ms no_trial = -1;
 
 // Bounds of what a gateway keeps.
 inline constexpr std::size_t max_ends = 64;
-inline constexpr std::size_t max_suspects = 64; // parts that are kept for each end
+inline constexpr std::size_t max_suspects = 256; // that are kept for each end
 inline constexpr std::size_t max_proofs = 8'192;
 inline constexpr std::size_t max_quarantined = 64;
 
@@ -88,78 +97,114 @@
 // Whether the suspect is a request, rather than a part of prompts.
 bool names_request(std::string_view suspect);
 
-// An engine that ended, with the parts of the requests that a gateway lost there.
+// An engine that ended, with the suspects of the requests that a gateway lost there.
 struct engine_end {
     std::string engine_;
     std::int64_t incarnation_ = 0;
     time_ms age_ms_ = 0;
     std::vector<std::string> suspects_;
+
+    // Whether engines answered so much around it that a sound part would have been proved so. Kept in stores,
+    // and not announced: each gateway sees other answers.
+    bool answered_ = false;
 };
 
-// What a gateway knows of one part.
-struct part_state {
-    std::string part_;
+// What a gateway knows of one suspect.
+struct suspect_state {
+    std::string suspect_;
     bool quarantined_ = false; // otherwise proved sound
     time_ms age_ms_ = 0;       // time since the quarantine or the proof
-    time_ms trial_ms_ = 0;     // time from a quarantine until its next trial
+    time_ms trial_ms_ = 0;     // time from a quarantine until its next trial, or `no_trial`
 };
 
-// What one gateway tells the others.
+// What one gateway tells the others, or a store keeps for those that start later.
 struct announcement {
     std::vector<engine_end> ends_;
-    std::vector<part_state> parts_;
-    bool complete_ = false; // whether `parts_` has all quarantined parts
-    bool empty() const { return ends_.empty() && parts_.empty() && !complete_; }
+    std::vector<suspect_state> states_;
+    bool complete_ = false; // whether `states_` has all that is quarantined
+    bool empty() const { return ends_.empty() && states_.empty() && !complete_; }
+};
+
+// An announcement as records of a store, and back. A record that cannot be read is left out. `unix_ms` is the
+// time of day.
+std::map<std::string, std::string> to_records(const announcement& known, std::int64_t unix_ms);
+announcement from_records(const std::map<std::string, std::string>& records, std::int64_t unix_ms);
+
+// Times of the last answers of engines that this gateway has seen.
+class recent_answers {
+public:
+    void note(time_ms now);
+
+    // Whether `least_answers` came at this time or later.
+    bool has_enough_since(time_ms from) const;
+
+private:
+    std::deque<time_ms> times_;
 };
 
 enum class change_kind { engine_ended, quarantined, released };
 
 std::string_view to_string(change_kind kind);
 
+// The names separated by commas, cut off after some 400 bytes.
+std::string join_names(std::span<const std::string> names);
+
 // A change to be logged.
 struct change {
     change_kind kind_ = change_kind::engine_ended;
-    std::string part_;                 // empty for `engine_ended`
+    std::string suspect_;              // empty for `engine_ended`
     std::vector<std::string> engines_; // engines that ended
-    std::string suspects_;             // suspects of `engine_ended`, cut off after 400 bytes
+    std::string suspects_;             // those of `engine_ended`, cut off after 400 bytes
     std::string reason_;
 };
 
-class part_quarantine {
+class suspect_quarantine {
 public:
-    // A request with these shared parts was lost before its engine had answered for `writing_proof_ms`.
-    void note_lost(std::string_view engine, std::int64_t incarnation, std::span<const std::string> parts,
+    // A request with these suspects was lost before its engine had answered for `writing_proof_ms`.
+    void note_lost(std::string_view engine, std::int64_t incarnation, std::span<const std::string> suspects,
                    time_ms now);
 
     // The engine has ended in this incarnation. May be called several times.
     void note_ended(std::string_view engine, std::int64_t incarnation, time_ms now);
 
-    // An engine answered a request with these parts, or has been writing the answer for `writing_proof_ms`.
-    void note_sound(std::span<const std::string> parts, time_ms now);
+    // An engine answered a request with these suspects, or has been writing the answer for
+    // `writing_proof_ms`.
+    void note_sound(std::span<const std::string> suspects, time_ms now);
 
-    // The first of the parts that is quarantined.
-    std::optional<std::string> find_quarantined(std::span<const std::string> parts) const;
+    // The first of the suspects that is quarantined.
+    std::optional<std::string> find_quarantined(std::span<const std::string> suspects) const;
 
-    // Whether one request with the quarantined part may be sent now to see if it still ends its engine.
+    // Whether one request with what is quarantined may be sent now to see if it still ends its engine.
     // Engines must have answered others since the quarantine. To be called by one gateway of the fleet only.
-    bool begin_trial(std::string_view part, time_ms now);
-    bool is_quarantined(std::string_view part) const { return quarantined_.contains(part); }
+    bool begin_trial(std::string_view suspect, time_ms now);
+
+    // The request of the trial was not sent; another one may take its place.
+    void cancel_trial(std::string_view suspect, time_ms now);
+
+    bool is_quarantined(std::string_view suspect) const { return quarantined_.contains(suspect); }
     std::vector<std::string> quarantined() const;
 
-    // Why a part is quarantined: the engines that ended under it, or where this gateway learned it from.
-    std::string_view reason(std::string_view part) const;
+    // Why a suspect is quarantined: the engines that ended under it, or where this gateway learned it from.
+    std::string_view reason(std::string_view suspect) const;
 
-    // Whether this gateway has learned which parts had been quarantined before it started.
+    // Whether this gateway has learned what had been quarantined before it started.
     bool informed() const { return informed_; }
 
-    // The parts that were quarantined before, from the store.
-    void restore(std::span<const std::string> parts, time_ms now);
+    // What a store should keep for gateways that start later: the quarantined suspects, and the ends that may
+    // still speak against others. A restart of all gateways loses everything else.
+    announcement memory(time_ms now) const;
 
-    // An operator declares the part sound.
-    void release(const std::string& part, time_ms now);
+    // Whether `memory` differs from what the last call of this function found.
+    bool take_memory_changed() { return std::exchange(memory_changed_, false); }
 
-    // What to tell the others now. `whole` adds all quarantined parts; a few gateways should pass it, so that
-    // one that has just started learns them.
+    // Takes what a store has kept.
+    void restore(const announcement& stored, time_ms now);
+
+    // An operator declares the suspect sound.
+    void release(const std::string& suspect, time_ms now);
+
+    // What to tell the others now. `whole` adds all that is quarantined; a few gateways should pass it, so
+    // that one that has just started learns it.
     announcement announce(time_ms now, bool whole);
 
     // Whether there is something that the others should learn at once.
@@ -178,7 +223,7 @@
 
     struct lost_request {
         time_ms at_ = 0;
-        std::vector<std::string> parts_;
+        std::vector<std::string> suspects_;
     };
 
     struct end_record {
@@ -187,6 +232,9 @@
         time_ms announced_until_ = 0;
         std::set<std::string> suspects_;
         std::vector<std::string> own_suspects_;
+        bool settled_ = false;      // nothing was added for `settling_ms`
+        bool answered_ = false;     // see `engine_end`
+        bool answered_any_ = false; // the same of all answers, also those to requests without parts
     };
 
     using end_entry = std::pair<const engine_key, end_record>;
@@ -198,20 +246,20 @@
         std::vector<const end_entry*> ends_;
     };
 
-    // What speaks against one part.
+    // What speaks against one suspect.
     struct charge {
-        int ends_ = 0;             // engines that ended under this part
-        int unexplained_ends_ = 0; // those of them that no quarantined part accounts for
+        int ends_ = 0;             // engines that ended under it
+        int unexplained_ends_ = 0; // those of them that nothing quarantined accounts for
         int moments_ = 0;          // groups of ends that count against it
         time_ms first_ = std::numeric_limits<time_ms>::max();
         time_ms last_ = long_ago;
         std::vector<std::string> engines_;
     };
 
-    struct quarantined_part {
+    struct quarantine_entry {
         time_ms since_ = 0;
         time_ms trial_at_ = 0;
-        time_ms trial_ms_ = 0; // time between the last trial and the next one
+        time_ms trial_ms_ = 0; // time between the last trial and the next one, or `no_trial`
         time_ms announced_until_ = 0;
         std::string reason_;
     };
@@ -222,37 +270,55 @@
         std::list<std::string>::iterator use_;
     };
 
-    void count_lost(std::span<const std::string> parts);
-    bool could_be_disproved(const end_record& record) const;
+    using ends_by_suspect = std::map<std::string, std::vector<const end_entry*>>;
+
+    // How well something else accounts for the ends under a request.
+    enum class rivalry { none, equal, better };
+
+    void count_lost(std::span<const std::string> suspects);
     end_record& record_of(const engine_key& key, time_ms at);
-    bool add_suspect(end_record& record, const std::string& part, time_ms now);
-    void note_proof(const std::string& part, time_ms at, bool own);
-    time_ms proved_at(const std::string& part) const;
-    bool speaks_against(const end_record& record, const std::string& part) const;
-    bool is_explained(const end_record& record) const;
-    void quarantine(const std::string& part, time_ms since, time_ms trial_ms, std::string reason,
+    bool add_suspect(end_record& record, const std::string& suspect, time_ms now);
+    void note_proof(const std::string& suspect, time_ms at, bool own);
+    time_ms proved_at(const std::string& suspect) const;
+    void quarantine(const std::string& suspect, time_ms since, time_ms trial_ms, std::string reason,
                     time_ms now);
-    std::vector<moment> moments(time_ms now, bool unanswered) const;
+    void delay_trial(quarantine_entry& entry, time_ms trial_ms, time_ms now);
+    void release_proved(time_ms now);
+    void settle(time_ms now);
+    void forget_old(time_ms now);
+    void forget_old_proofs(time_ms now);
+
+    // Conclusions, in judgement.cpp.
+    bool speaks_against(const end_record& record, const std::string& suspect) const;
+    bool is_explained(const end_record& record) const;
+    bool concerns_parts(const end_record& record) const;
+    std::vector<moment> moments(bool unanswered) const;
     std::map<std::string, charge> charges(std::span<const moment> moments) const;
     bool is_prevalent(const charge& one, std::span<const moment> moments) const;
-    bool quarantine_next(time_ms now);
+    ends_by_suspect unexplained_ends() const;
+    rivalry strongest_rival(const std::string& request, const ends_by_suspect& all) const;
+    bool is_only_request(const end_record& record, const std::string& request) const;
+    bool quarantine_requests(time_ms now);
+    bool quarantine_parts(time_ms now);
     bool quarantine_unanswered(time_ms now);
-    void conclude(const std::string& part, const charge& against, time_ms trial_ms, time_ms now);
-    void release_proved(time_ms now);
-    void forget_old(time_ms now);
+    void conclude(const std::string& suspect, const std::vector<std::string>& engines, time_ms trial_ms,
+                  time_ms now);
 
     std::map<engine_key, std::vector<lost_request>> lost_; // keyed by engines not known to have ended
     std::map<engine_key, end_record> ends_;
-    std::map<std::string, quarantined_part, std::less<>> quarantined_;
+    std::map<std::string, quarantine_entry, std::less<>> quarantined_;
     std::unordered_map<std::string, proof> proofs_;
     std::list<std::string> proofs_by_use_;     // the latest first
-    std::map<std::string, time_ms> contested_; // parts that others quarantined and that are proved here
+    std::map<std::string, time_ms> contested_; // suspects that others quarantined and that are proved here
     std::vector<change> changes_;
     std::size_t lost_unanswered_ = 0; // requests of this gateway that were lost since an engine last answered
-    std::map<std::string, std::size_t> lost_with_part_; // those of them that had a part
-    std::deque<time_ms> answers_;                       // times of the last ones that this gateway has seen
+    std::map<std::string, std::size_t> lost_with_suspect_; // those of them that had it
+    recent_answers answers_;
+    recent_answers answers_with_parts_; // those of them to requests whose prompts have shared parts
     bool informed_ = false;
     bool due_ = false;
+    bool memory_changed_ = false;
+    bool judge_ = false; // what is known of the ends has changed
 };
 
 } // namespace tamarack::quarantine
--- a/include/tamarack/settings.hpp
+++ b/include/tamarack/settings.hpp
@@ -56,8 +56,9 @@
     boost::asio::ip::tcp::endpoint store_;   // address of the platform's store
     boost::asio::ip::tcp::endpoint peers_;   // address for gateways that cannot reach the store; optional
     std::vector<boost::asio::ip::tcp::endpoint> seeds_; // peer addresses of other gateways, perhaps stale
-    std::vector<std::string> released_parts_; // ids of parts of prompts to be released from quarantine
-    std::string platform_ = "log-store";      // name of the platform plug-in
+    std::vector<std::string>
+        released_suspects_; // names of requests and parts of prompts to be released from quarantine
+    std::string platform_ = "log-store"; // name of the platform plug-in
     std::string ready_path_ = "/readyz";
     std::int64_t agent_port_ = 0; // listening port of every engine agent
     double shutdown_grace_s_ = 8; // time from SIGTERM until the platform kills the process
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -52,10 +52,10 @@
                 [this](bool reads, bool first) {
                     asio::post(context_, [this, reads, first] { source_->set_reads_store(reads, first); });
                 },
-                [this](std::vector<std::string> parts, bool writes) {
-                    asio::post(context_, [this, parts = std::move(parts), writes] {
+                [this](std::map<std::string, std::string> records, bool writes) {
+                    asio::post(context_, [this, records = std::move(records), writes] {
                         if (writes && quarantine_known_) {
-                            source_->write_quarantine({parts.begin(), parts.end()});
+                            source_->write_quarantine(records);
                         }
                     });
                 },
@@ -85,8 +85,8 @@
         events_.write({event_kind::fleet_view, "gateway", "record_skipped", {}, {{"why", to_string(why)}}});
     };
     handlers.relay_ = [this](fleet::relayed_data data) { traffic_.relay_store_reading(std::move(data)); };
-    handlers.quarantine_ = [this](std::vector<std::string> parts) {
-        traffic_.restore_quarantine(std::move(parts));
+    handlers.quarantine_ = [this](std::map<std::string, std::string> records) {
+        traffic_.restore_quarantine(std::move(records));
     };
     source_ = (*registry<fleet::fleet_source_factory>::instance().find(settings.platform_))(
         context_, settings.store_, std::move(handlers));
@@ -217,7 +217,7 @@
     });
 }
 
-// Reports whether the settings file is valid and differs. The released parts take effect at once, other
+// Reports whether the settings file is valid and differs. The released suspects take effect at once, other
 // changes at the next start; an invalid file changes nothing.
 void control::check_settings() {
     const auto settings = load_gateway_settings(settings_path_);
@@ -226,7 +226,7 @@
                                                                : "in force at the next start";
     events_.write({event_kind::process, "gateway", "settings_read", {}, {{"outcome", outcome}}});
     if (ok(settings)) {
-        traffic_.release_parts(value(settings).released_parts_);
+        traffic_.release_suspects(value(settings).released_suspects_);
     }
 }
 
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -110,7 +110,7 @@
     const header_names names_;
     demand_meter demand_;
     limits::shared_limits limits_;
-    quarantine::part_quarantine quarantine_;
+    quarantine::suspect_quarantine quarantine_;
 
 private:
     const fleet::model_spec* find_model(std::string_view service, std::string_view model) const;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -198,7 +198,11 @@
 
 void request_flow::try_next_endpoint() {
     if (is_quarantined()) {
-        refuse("part_quarantined", quarantine_retry_after_ms);
+        refuse("quarantined", quarantine_retry_after_ms);
+        return;
+    }
+    if (quarantine_is_due()) {
+        wait_for_quarantine();
         return;
     }
     if (context_.fleet_.newer_view_is_due(boot_now_ms())) {
@@ -359,11 +363,15 @@
     request.gateway_count_ = context_.fleet_.gateway_count();
     request.may_send_ = [weak = weak_from_this(), id = target->record().id_] {
         const auto alive = weak.lock();
-        return alive != nullptr && !alive->is_quarantined() && alive->confirm_place(id);
+        const bool may_send = alive != nullptr && !alive->is_quarantined() && alive->confirm_place(id);
+        if (may_send) {
+            alive->trial_sent_ = alive->on_trial_.has_value();
+        }
+        return may_send;
     };
     splitter_.restart();
     response_head_noted_ = false;
-    parts_proved_ = false;
+    proved_suspects_ = 0;
     attempt_ =
         std::make_unique<scoped_attempt>(context_.fleet_, target, metadata_.prompt_tokens_, urgency(now));
     const auto self = shared_from_this();
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -27,16 +27,19 @@
     // Called when a response names another limit of its endpoint than the one known.
     std::function<void()> limit_changed_;
 
-    // Whether this gateway may send single requests with a quarantined part to see if it still ends engines.
+    // Whether this gateway may send single requests that are quarantined to see if they still end engines.
     std::function<bool()> tries_quarantined_;
 
+    // Finds out whether an endpoint has ended that no agent watches.
+    std::function<void(const std::shared_ptr<endpoint>&)> probe_;
+
     response_budget budget_ = {};
 };
 
 inline constexpr time_ms not_ready_retry_after_ms =
     400; // expected time until a gateway has learned the fleet's state
 
-// Time after which a request with a quarantined part may be sent again, unless an operator releases it.
+// Time after which a request that is quarantined may be sent again, unless an operator releases it.
 inline constexpr time_ms quarantine_retry_after_ms = quarantine::usual_trial_ms;
 
 // Counts one attempt in the load of its endpoint for as long as the object lives.
@@ -95,7 +98,12 @@
     bool find_route();
     bool refuse_if_quarantined();
     bool is_quarantined() const;
-    bool has_proved_parts() const;
+    void end_trial();
+    bool quarantine_is_due() const;
+    void wait_for_quarantine();
+    int max_attempts() const;
+    void note_writing();
+    std::span<const std::string> unproved_suspects() const;
     void note_lost_request();
     void try_next_endpoint();
     std::vector<std::shared_ptr<endpoint>> usable_endpoints() const;
@@ -132,7 +140,6 @@
     bool finish_if_stream_complete();
     dispatch::send_end classify_end(exchange_outcome outcome, const http::response_parser& response) const;
     void update_health(dispatch::send_end end, int status);
-    std::span<const std::string> shared_parts() const { return std::span(suspects_).subspan(1); }
     std::string suspects_text() const;
     void on_attempt_ended(dispatch::send_end end, http::response_parser& response);
     void deliver(http::response_parser& response);
@@ -193,8 +200,9 @@
     std::optional<time_ms> reports_overdue_since_; // when all usable engines were first found unresponsive
     bool returned_after_refusal_ = false; // assumed if the deadline is shorter than usual for the route
     bool finished_ = false;
-    bool on_trial_ = false;     // has a quarantined part and is sent once nevertheless
-    bool parts_proved_ = false; // the current attempt has proved the parts of its prompt sound
+    std::size_t proved_suspects_ = 0; // that the current attempt has proved sound
+    bool trial_sent_ = false;
+    std::optional<std::string> on_trial_; // the quarantined suspect for which it is sent once nevertheless
     time_ms last_event_at_ = 0;
     endpoint_choice choice_;
     double expected_first_event_ms_ = 0; // expected at the chosen endpoint if it has the usual speed
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -119,9 +119,7 @@
                                              expected_first_event_ms_);
         }
         attempt_->record_first_event();
-        if (has_proved_parts() && !std::exchange(parts_proved_, true)) {
-            context_.fleet_.quarantine_.note_sound(shared_parts(), boot_now_ms());
-        }
+        note_writing();
     }
     last_event_at_ = now;
     if (route_->repeatable()) {
@@ -156,7 +154,7 @@
 bool request_flow::can_fail_over() const {
     const time_ms now = steady_now_ms();
     return is_endpoint_lost(attempt_->target(), now, context_.fleet_.gateway_count()) &&
-           possible_runs_ + 1 < route_->max_attempts_ && left_ms(now) > min_retry_time_ms &&
+           possible_runs_ + 1 < max_attempts() && left_ms(now) > min_retry_time_ms &&
            context_.fleet_.retries(service_->name_).available(now, context_.fleet_.budget_sharers()) &&
            has_other_endpoint();
 }
@@ -216,7 +214,7 @@
         return false;
     }
     update_health(dispatch::send_end::answered, status_ok);
-    context_.fleet_.quarantine_.note_sound(shared_parts(), boot_now_ms());
+    context_.fleet_.quarantine_.note_sound(suspects_, boot_now_ms());
     const time_ms now = steady_now_ms();
     context_.fleet_.demand_.note_service(metadata_.model_, double(now - attempt_->started_at_));
     context_.fleet_.note_slot_time(service_->name_, now - attempt_->first_event_at());
@@ -257,7 +255,9 @@
         // The request may wait for a place there.
         tried_endpoints_.erase(attempt_->target().record().id_);
     }
-    on_trial_ = on_trial_ && !arrived;
+    if (arrived) {
+        end_trial();
+    }
     const bool may_have_run_before = possible_runs_ > 0;
     arrived_attempts_ += arrived ? 1 : 0;
     possible_runs_ += arrived && end != dispatch::send_end::rejected ? 1 : 0;
@@ -275,7 +275,7 @@
     facts.may_have_run_before_ = may_have_run_before;
     facts.failure_status_ = response.status_ >= first_server_error_status;
     facts.sends_that_may_have_run_ = possible_runs_;
-    facts.max_attempts_ = route_->max_attempts_;
+    facts.max_attempts_ = max_attempts();
     facts.budget_left_ = arrived_attempts_ == 0 || retries.available(now, context_.fleet_.budget_sharers());
     facts.time_left_ = left_ms(now) > min_retry_time_ms;
     facts.other_endpoint_ = has_other_endpoint() || end == dispatch::send_end::withheld;
@@ -325,8 +325,12 @@
         fail("stream_not_resumed");
         return;
     }
+    // A model engine that fails a request may not have begun it.
+    const int first_unproved = service_->engine_ ? first_unsuccessful_status : first_server_error_status;
+    if (response.status_ < first_unproved) {
+        context_.fleet_.quarantine_.note_sound(suspects_, boot_now_ms());
+    }
     if (response.status_ < first_unsuccessful_status && !metadata_.model_.empty()) {
-        context_.fleet_.quarantine_.note_sound(shared_parts(), boot_now_ms());
         context_.fleet_.demand_.note_service(metadata_.model_,
                                              double(steady_now_ms() - attempt_->started_at_));
     }
@@ -455,6 +459,7 @@
     stop_waiting_for_model();
     stop_waiting_for_place();
     release_place();
+    end_trial();
     deadline_timer_.cancel();
     wait_timer_.cancel();
     const time_ms now = steady_now_ms();
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -47,6 +47,11 @@
                    }
                },
                [this](fleet::relayed_data data) { handlers_.store_relay_(std::move(data)); }}),
+      probes_(context_.get_executor(),
+              [this](endpoint& at, std::int64_t incarnation) {
+                  at.health_.note_unreachable(steady_now_ms());
+                  fleet_.quarantine_.note_ended(at.record().id_, incarnation, boot_now_ms());
+              }),
       flows_{fleet_,
              measures,
              events,
@@ -58,7 +63,8 @@
                  agents_.release_adapter(endpoint, number);
              },
              [this] { announce_limits(); },
-             [this] { return reader_rank_ == 0; }},
+             [this] { return reader_rank_ == 0; },
+             [this](const std::shared_ptr<endpoint>& at) { probes_.start(at); }},
       started_at_(steady_now_ms()) {
     session_callbacks_.limits_ = [this] {
         return fleet_.current() ? fleet_.current()->configuration_->limits_ : fleet::client_limits();
@@ -184,7 +190,7 @@
                        {},
                        {{"gateways", peers_.gateway_count(now)}}});
         handlers_.store_reader_changed_(reads, rank == 0);
-        handlers_.quarantine_changed_(fleet_.quarantine_.quarantined(), rank == 0);
+        tell_quarantine_memory();
     }
     const bool plans = peers_.is_planner(now, planning_) && !shutting_down_;
     if (plans != planning_) {
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/agent_links.hpp"
 #include "gateway/client_session.hpp"
+#include "gateway/end_probe.hpp"
 #include "gateway/peers.hpp"
 #include "gateway/planner.hpp"
 #include "gateway/request_flow.hpp"
@@ -29,10 +30,10 @@
     // Whether this gateway is to read the store, and whether it is the first of those that do.
     std::function<void(bool reads, bool first)> store_reader_changed_;
 
-    // The quarantined parts, after each change of them or of the gateway that writes them to the store.
+    // What the store should keep of the quarantine, after each change of it or of the gateway that writes it.
     // `writes` tells whether this one does.
-    std::function<void(std::vector<std::string> parts, bool writes)> quarantine_changed_;
-    std::function<void()> quarantine_known_; // this gateway has learned which parts are quarantined
+    std::function<void(std::map<std::string, std::string> records, bool writes)> quarantine_changed_;
+    std::function<void()> quarantine_known_; // this gateway has learned what is quarantined
 };
 
 class traffic {
@@ -56,9 +57,9 @@
 
     void relay_store_reading(fleet::relayed_data data);
 
-    // The parts that were quarantined before this process started, and those that an operator released.
-    void restore_quarantine(std::vector<std::string> parts);
-    void release_parts(std::vector<std::string> parts);
+    // What the store kept of the quarantine, and the suspects that an operator released.
+    void restore_quarantine(std::map<std::string, std::string> records);
+    void release_suspects(std::vector<std::string> suspects);
     void set_store_reachable(bool reachable) { store_reachable_ = reachable; }
     void send_orders(std::vector<planned_order> orders);
 
@@ -86,6 +87,7 @@
     void add_quarantine(links::gateway_digest& digest);
     void apply_quarantine(const links::gateway_digest& digest, time_ms late_ms);
     void update_quarantine();
+    void tell_quarantine_memory();
     void relay_configuration(time_ms now);
     void log_demand(const fleet_snapshot& seen);
     std::shared_ptr<const fleet_snapshot> snapshot(time_ms now) const;
@@ -102,6 +104,7 @@
     fleet_state fleet_;
     peers peers_;
     agent_links agents_;
+    end_probe probes_;
     flow_context flows_;
     session_callbacks session_callbacks_;
     std::unordered_set<std::shared_ptr<response_sink>> sessions_;
--- a/src/gateway/traffic_quarantine.cpp
+++ b/src/gateway/traffic_quarantine.cpp
@@ -1,29 +1,46 @@
-// traffic: what the gateways tell each other of parts of prompts that end engines.
+// traffic: what the gateways tell each other of engines that end, and of what ends them.
 #include "gateway/traffic.hpp"
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <chrono>
+
 namespace tamarack::gateway {
 
 namespace asio = boost::asio;
 
-void traffic::restore_quarantine(std::vector<std::string> parts) {
-    asio::post(context_, [this, parts = std::move(parts)] {
-        fleet_.quarantine_.restore(parts, boot_now_ms());
+namespace {
+
+// Time of day as of the start of this process, on the clock of `boot_now_ms`. A later step of the time of day
+// does not change what the store is to keep.
+std::int64_t unix_ms(time_ms boot_now) {
+    using namespace std::chrono;
+    static const std::int64_t unix_of_boot =
+        duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count() - boot_now_ms();
+    return unix_of_boot + boot_now;
+}
+
+} // namespace
+
+void traffic::restore_quarantine(std::map<std::string, std::string> records) {
+    asio::post(context_, [this, records = std::move(records)] {
+        const time_ms now = boot_now_ms();
+        fleet_.quarantine_.restore(quarantine::from_records(records, unix_ms(now)), now);
         update_quarantine();
     });
 }
 
-void traffic::release_parts(std::vector<std::string> parts) {
-    asio::post(context_, [this, parts = std::move(parts)] {
-        for (const std::string& part : parts) {
-            fleet_.quarantine_.release(part, boot_now_ms());
+void traffic::release_suspects(std::vector<std::string> suspects) {
+    asio::post(context_, [this, suspects = std::move(suspects)] {
+        for (const std::string& suspect : suspects) {
+            fleet_.quarantine_.release(suspect, boot_now_ms());
         }
         update_quarantine();
     });
 }
 
-// Adds what the others should know of engines that ended, and of the quarantined parts.
+// Adds what the others should know of engines that ended, and of what is quarantined.
 void traffic::add_quarantine(links::gateway_digest& digest) {
     const bool whole = reader_rank_ < store_reader_count;
     const quarantine::announcement all = fleet_.quarantine_.announce(boot_now_ms(), whole);
@@ -35,9 +52,9 @@
         end->suspects = one.suspects_;
         digest.ends.push_back(std::move(end));
     }
-    for (const quarantine::part_state& one : all.parts_) {
+    for (const quarantine::suspect_state& one : all.states_) {
         auto part = std::make_unique<links::part_state>();
-        part->part = one.part_;
+        part->part = one.suspect_;
         part->quarantined = one.quarantined_;
         part->age_ms = one.age_ms_;
         part->trial_ms = one.trial_ms_;
@@ -55,7 +72,7 @@
         announced.ends_.push_back({one->engine, one->incarnation, one->age_ms, one->suspects});
     }
     for (const auto& one : digest.parts) {
-        announced.parts_.push_back({one->part, one->quarantined, one->age_ms, one->trial_ms});
+        announced.states_.push_back({one->part, one->quarantined, one->age_ms, one->trial_ms});
     }
     announced.complete_ = digest.parts_complete;
     if (!announced.empty()) {
@@ -64,13 +81,13 @@
     }
 }
 
-// Logs what has changed, and ends the requests that now have a quarantined part.
+// Logs what has changed, and ends the requests that are now quarantined.
 void traffic::update_quarantine() {
     const auto changes = fleet_.quarantine_.update(boot_now_ms());
     if (fleet_.quarantine_.informed() && !std::exchange(quarantine_known_, true)) {
         handlers_.quarantine_known_();
     }
-    bool parts_changed = false;
+    bool list_changed = false;
     for (const quarantine::change& one : changes) {
         std::string engines;
         for (const std::string& engine : one.engines_) {
@@ -80,26 +97,40 @@
                        "gateway",
                        std::string(quarantine::to_string(one.kind_)),
                        {},
-                       {{"part", one.part_},
+                       {{"suspect", one.suspect_},
                         {"engines", engines},
                         {"suspects", one.suspects_},
                         {"reason", one.reason_}}});
         measures_.count("tamarack_quarantine_changes_total",
-                        "Engines that ended with requests, and parts of prompts quarantined and released",
+                        "Engines that ended with requests, and suspects quarantined and released",
                         {{"change", std::string(quarantine::to_string(one.kind_))}});
-        parts_changed = parts_changed || one.kind_ != quarantine::change_kind::engine_ended;
+        list_changed = list_changed || one.kind_ != quarantine::change_kind::engine_ended;
+    }
+    if (fleet_.quarantine_.take_memory_changed()) {
+        tell_quarantine_memory();
     }
-    if (!parts_changed) {
+    if (!list_changed) {
         return;
     }
-    const std::vector<std::string> parts = fleet_.quarantine_.quarantined();
-    measures_.set("tamarack_quarantined_parts", "Parts of prompts that are quarantined", {},
-                  double(parts.size()));
-    handlers_.quarantine_changed_(parts, reader_rank_ == 0);
+    const std::vector<std::string> suspects = fleet_.quarantine_.quarantined();
+    const auto requests = std::count_if(suspects.begin(), suspects.end(), quarantine::names_request);
+    const auto set = [&](const char* kind, std::int64_t count) {
+        measures_.set("tamarack_quarantined", "Requests and parts of prompts that are quarantined",
+                      {{"kind", kind}}, double(count));
+    };
+    set("request", requests);
+    set("part", std::int64_t(suspects.size()) - requests);
     const std::vector<std::shared_ptr<response_sink>> open(sessions_.begin(), sessions_.end());
     for (const auto& one : open) {
         std::static_pointer_cast<client_session>(one)->end_if_quarantined();
     }
 }
 
+// Tells the control thread what the store should keep.
+void traffic::tell_quarantine_memory() {
+    const time_ms now = boot_now_ms();
+    handlers_.quarantine_changed_(quarantine::to_records(fleet_.quarantine_.memory(now), unix_ms(now)),
+                                  reader_rank_ == 0);
+}
+
 } // namespace tamarack::gateway
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -159,7 +159,7 @@
     if (reader.has("peers")) {
         settings.peers_ = read_endpoint(reader, "peers");
     }
-    settings.released_parts_ = read_texts(reader, "released_parts");
+    settings.released_suspects_ = read_texts(reader, "released_suspects");
     settings.platform_ = reader.text("platform", settings.platform_);
     settings.ready_path_ = reader.text("ready_path", settings.ready_path_);
     settings.agent_port_ = reader.number("agent_port", 1, max_port);
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -87,7 +87,7 @@
 // Two fleet sources on one store. Each receives the messages that the other relays.
 struct relaying_sources {
     struct side {
-        std::optional<std::vector<std::string>> quarantined_; // parts read from the store
+        std::optional<std::map<std::string, std::string>> quarantined_; // records read from the store
         std::unique_ptr<fleet::fleet_source> source_;
         std::set<std::string> endpoints_;
         std::vector<platform::relay_message> relayed_; // messages about the registry that it has relayed
@@ -132,7 +132,9 @@
             other.source_->take_relayed(data);
         };
         handlers.skipped_ = [](const error&) {};
-        handlers.quarantine_ = [&receiver](std::vector<std::string> parts) { receiver.quarantined_ = parts; };
+        handlers.quarantine_ = [&receiver](std::map<std::string, std::string> records) {
+            receiver.quarantined_ = std::move(records);
+        };
         receiver.source_ = (*registry<fleet::fleet_source_factory>::instance().find("log-store"))(
             context_, store_.address(), std::move(handlers));
     }
@@ -160,24 +162,24 @@
     REQUIRE(eventually([&] { return first_.quarantined_ && second_.quarantined_; }));
     CHECK(first_.quarantined_->empty());
     store_.set_fault(fake_store::fault::busy);
-    first_.source_->write_quarantine({"bad", "worse"});
+    first_.source_->write_quarantine({{"bad", "1"}, {"worse", "2"}});
     context_.run_for(std::chrono::milliseconds(100));
     CHECK(store_.record_count("keyed.quarantine") == 0);
     store_.set_fault(fake_store::fault::none);
     REQUIRE(eventually([&] { return store_.record_count("keyed.quarantine") == 2; }));
-    first_.source_->write_quarantine({"bad"});
+    first_.source_->write_quarantine({{"bad", "1"}});
     REQUIRE(eventually([&] { return store_.record_count("keyed.quarantine") == 3; }));
     side later;
     connect(later, first_);
     later.source_->start();
     REQUIRE(eventually([&] { return later.quarantined_.has_value(); }));
-    CHECK(*later.quarantined_ == std::vector<std::string>{"bad"});
+    CHECK(*later.quarantined_ == std::map<std::string, std::string>{{"bad", "1"}});
 }
 
 TEST_CASE_FIXTURE(relaying_sources,
                   "sources_store_returns_without_the_quarantined_part_it_is_written_again") {
     REQUIRE(eventually([&] { return first_.quarantined_ && first_.endpoints_.contains("i-1"); }));
-    first_.source_->write_quarantine({"bad"});
+    first_.source_->write_quarantine({{"bad", "1"}});
     REQUIRE(eventually([&] { return store_.record_count("keyed.quarantine") == 1; }));
     store_.roll_back("keyed.quarantine", 1);
     CHECK(eventually([&] { return store_.record_count("keyed.quarantine") == 1; }));
--- a/tests/direct/quarantine_fleet_test.cpp
+++ b/tests/direct/quarantine_fleet_test.cpp
@@ -56,7 +56,7 @@
         for (gateway& one : gateways_) {
             one.announces_at_ = below(announcement_ms);
             one.updates_at_ = below(update_ms);
-            one.parts_.emplace().restore(std::vector<std::string>(), 0);
+            one.parts_.emplace().restore({}, 0);
         }
     }
 
@@ -97,7 +97,7 @@
         std::vector<request> batch_;
     };
     struct gateway {
-        std::optional<part_quarantine> parts_; // nothing while the process is down
+        std::optional<suspect_quarantine> parts_; // nothing while the process is down
         time_ms announces_at_ = 0;
         time_ms updates_at_ = 0;
         time_ms down_until_ = 0;
@@ -261,8 +261,7 @@
     void act(std::size_t index) {
         gateway& one = gateways_[index];
         if (!one.parts_ && now_ >= one.down_until_) {
-            const std::vector<std::string> stored(stored_.begin(), stored_.end());
-            one.parts_.emplace().restore(stored, now_);
+            one.parts_.emplace().restore(from_records(stored_, now_), now_);
         }
         if (!runs(one)) {
             return;
@@ -273,16 +272,16 @@
                 note(one, current);
             }
         }
-        if (index < 2) {
-            const auto listed = one.parts_->quarantined();
-            stored_ = {listed.begin(), listed.end()};
+        // One gateway writes to the store; another one takes over while it is away.
+        if (one.parts_->take_memory_changed() && writes_store(index)) {
+            stored_ = to_records(one.parts_->memory(now_), now_);
         }
         if (now_ < one.announces_at_ && !one.parts_->announcement_is_due()) {
             return;
         }
         one.announces_at_ = now_ + announcement_ms;
         const auto content = std::make_shared<const announcement>(one.parts_->announce(now_, index < 2));
-        if ((content->ends_.empty() && content->parts_.empty()) || !connected(one)) {
+        if ((content->ends_.empty() && content->states_.empty()) || !connected(one)) {
             return;
         }
         for (std::size_t to = 0; to < gateways_.size(); ++to) {
@@ -294,14 +293,20 @@
         }
     }
 
+    bool writes_store(std::size_t index) const {
+        const auto first = std::find_if(gateways_.begin(), gateways_.end(),
+                                        [&](const gateway& one) { return connected(one); });
+        return first != gateways_.end() && std::size_t(first - gateways_.begin()) == index;
+    }
+
     void note(gateway& one, const change& current) {
-        if (current.part_.empty() || crashes(current.part_)) {
+        if (current.suspect_.empty() || crashes(current.suspect_)) {
             return;
         }
         if (current.kind_ == change_kind::quarantined) {
-            sound_quarantined_.insert(current.part_);
-            one.sound_held_since_[current.part_] = now_;
-        } else if (const auto held = one.sound_held_since_.find(current.part_);
+            sound_quarantined_.insert(current.suspect_);
+            one.sound_held_since_[current.suspect_] = now_;
+        } else if (const auto held = one.sound_held_since_.find(current.suspect_);
                    held != one.sound_held_since_.end()) {
             result_.sound_held_ms_ = std::max(result_.sound_held_ms_, now_ - held->second);
             one.sound_held_since_.erase(held);
@@ -317,7 +322,7 @@
     std::map<std::string, std::vector<time_ms>> ends_under_;
     std::map<std::string, int> sent_after_;
     std::set<std::string> sound_quarantined_;
-    std::set<std::string> stored_;
+    std::map<std::string, std::string> stored_;
     fleet_result result_;
     time_ms now_ = 0;
 };
--- a/tests/direct/quarantine_test.cpp
+++ b/tests/direct/quarantine_test.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-part_quarantine informed_quarantine() {
-    part_quarantine parts;
-    parts.restore(std::vector<std::string>(), 0);
+suspect_quarantine informed_quarantine() {
+    suspect_quarantine parts;
+    parts.restore({}, 0);
     for (std::size_t answer = 0; answer < least_answers; ++answer) {
         parts.note_sound(std::vector<std::string>{"other"}, 0);
     }
@@ -18,8 +18,17 @@
 
 using part_list = std::vector<std::string>;
 
+// What a store has kept if these were quarantined just now.
+announcement stored_list(const part_list& quarantined) {
+    announcement stored;
+    for (const std::string& one : quarantined) {
+        stored.states_.push_back({one, true, 0, usual_trial_ms});
+    }
+    return stored;
+}
+
 // Ends engine number `engine` with requests of these parts, which this gateway lost there.
-void end_engine(part_quarantine& parts, int engine, const std::vector<part_list>& lost, time_ms now) {
+void end_engine(suspect_quarantine& parts, int engine, const std::vector<part_list>& lost, time_ms now) {
     const std::string name = "e" + std::to_string(engine);
     for (const part_list& one : lost) {
         parts.note_lost(name, 1, one, now);
@@ -31,7 +40,7 @@
 
 // All engines lost power at once, and parts that were in flight everywhere were refused from then on.
 TEST_CASE("quarantine_all_engines_end_at_once_answered_part_is_not_suspected") {
-    part_quarantine parts = informed_quarantine();
+    suspect_quarantine parts = informed_quarantine();
     parts.note_sound(part_list{"first"}, 1'000);
     for (int engine = 0; engine < 9; ++engine) {
         end_engine(parts, engine, {{"first", "s" + std::to_string(engine)}}, 5'000);
@@ -41,7 +50,7 @@
 }
 
 TEST_CASE("quarantine_part_is_in_flight_at_three_ends_it_is_found_and_the_victims_are_not") {
-    part_quarantine parts = informed_quarantine();
+    suspect_quarantine parts = informed_quarantine();
     for (int engine = 0; engine < 3; ++engine) {
         end_engine(parts, engine, {{"first", "bad"}, {"first", "s" + std::to_string(engine)}}, 1'000);
     }
@@ -57,8 +66,8 @@
 // After a start of all gateways, a part that half of the requests share was refused, since no answer had
 // proved it.
 TEST_CASE("quarantine_engines_end_before_any_answer_nothing_is_quarantined_until_some_came") {
-    part_quarantine parts;
-    parts.restore(std::vector<std::string>(), 0);
+    suspect_quarantine parts;
+    parts.restore({}, 0);
     for (int engine = 0; engine < 4; ++engine) {
         end_engine(parts, engine, {{"first", "bad"}}, 1'000 + engine * 400);
     }
@@ -72,7 +81,7 @@
 }
 
 TEST_CASE("quarantine_two_gateways_report_the_same_end_it_counts_once") {
-    part_quarantine parts = informed_quarantine();
+    suspect_quarantine parts = informed_quarantine();
     for (int report = 0; report < 5; ++report) {
         parts.apply({{{"e1", 1, 0, {"bad"}}}, {}, false}, 0, 1'000 + report);
     }
@@ -81,7 +90,7 @@
 }
 
 TEST_CASE("quarantine_connections_break_and_no_engine_ended_nothing_is_suspected") {
-    part_quarantine parts = informed_quarantine();
+    suspect_quarantine parts = informed_quarantine();
     for (int engine = 0; engine < 9; ++engine) {
         parts.note_lost("e" + std::to_string(engine), 1, part_list{"s"}, 1'000);
     }
@@ -95,7 +104,7 @@
 
 // A sound part that was quarantined stayed so, since no request with it could prove it sound any more.
 TEST_CASE("quarantine_sound_part_is_answered_on_trial_all_gateways_release_it") {
-    part_quarantine parts = informed_quarantine();
+    suspect_quarantine parts = informed_quarantine();
     for (int engine = 0; engine < 4; ++engine) {
         end_engine(parts, engine, {{"s"}}, 1'000);
     }
@@ -109,7 +118,7 @@
     CHECK_FALSE(parts.begin_trial("s", due - 1));
     REQUIRE(parts.begin_trial("s", due));
     CHECK_FALSE(parts.begin_trial("s", due + one_moment_trial_ms));
-    part_quarantine other = informed_quarantine();
+    suspect_quarantine other = informed_quarantine();
     other.note_sound(part_list{"s"}, due + 100);
     other.apply(parts.announce(due + 200, true), 0, due + 200);
     CHECK_FALSE(other.is_quarantined("s"));
@@ -120,8 +129,8 @@
 
 // All engines ended before they answered anything, and a part that half of the requests share stayed refused.
 TEST_CASE("quarantine_of_a_part_without_any_answers_is_tried_soon_after_engines_answer") {
-    part_quarantine parts;
-    parts.restore(std::vector<std::string>(), 0);
+    suspect_quarantine parts;
+    parts.restore({}, 0);
     for (int engine = 0; engine < least_ends_unanswered; ++engine) {
         end_engine(parts, engine, {{"half"}, {"s" + std::to_string(engine)}}, 1'000 + engine * 1'000);
     }
@@ -137,10 +146,10 @@
 }
 
 TEST_CASE("quarantine_operator_releases_a_part_all_gateways_release_it") {
-    part_quarantine parts = informed_quarantine();
-    parts.restore(part_list{"s"}, 1'000);
-    part_quarantine other = informed_quarantine();
-    other.restore(part_list{"s"}, 1'000);
+    suspect_quarantine parts = informed_quarantine();
+    parts.restore(stored_list({"s"}), 1'000);
+    suspect_quarantine other = informed_quarantine();
+    other.restore(stored_list({"s"}), 1'000);
     other.release("s", 60'000);
     other.update(60'000);
     CHECK_FALSE(other.is_quarantined("s"));
@@ -150,19 +159,19 @@
 }
 
 TEST_CASE("quarantine_gateway_starts_it_learns_the_whole_list_from_an_informed_one") {
-    part_quarantine parts;
+    suspect_quarantine parts;
     CHECK_FALSE(parts.informed());
-    part_quarantine other;
+    suspect_quarantine other;
     parts.apply(other.announce(1'000, true), 0, 1'000);
     CHECK_FALSE(parts.informed());
-    other.restore(part_list{"bad"}, 1'000);
+    other.restore(stored_list({"bad"}), 1'000);
     parts.apply(other.announce(1'000, true), 0, 1'000);
     CHECK(parts.informed());
     CHECK(parts.is_quarantined("bad"));
 }
 
 TEST_CASE("quarantine_thousands_of_parts_a_second_memory_stays_bounded") {
-    part_quarantine parts = informed_quarantine();
+    suspect_quarantine parts = informed_quarantine();
     for (int number = 0; number < 100'000; ++number) {
         parts.note_sound(part_list{"p" + std::to_string(number)}, number / 10);
         parts.note_lost("e", number, part_list{"q" + std::to_string(number)}, number / 10);
@@ -170,13 +179,13 @@
     }
     const announcement all = parts.announce(10'000, true);
     CHECK(all.ends_.size() <= max_ends);
-    CHECK(all.parts_.size() <= max_quarantined);
+    CHECK(all.states_.size() <= max_quarantined);
 }
 
 TEST_CASE("quarantine_more_parts_than_it_holds_the_oldest_is_dropped") {
-    part_quarantine parts = informed_quarantine();
+    suspect_quarantine parts = informed_quarantine();
     for (std::size_t number = 0; number <= max_quarantined; ++number) {
-        parts.restore(part_list{"p" + std::to_string(number)}, time_ms(number));
+        parts.restore(stored_list({"p" + std::to_string(number)}), time_ms(number));
     }
     CHECK(parts.quarantined().size() == max_quarantined);
     CHECK_FALSE(parts.is_quarantined("p0"));
