Name a request without its client's address, and find a request among others that end endpoints too

An address may be a proxy's or change with each connection anyway. The caller is now the one that the credentials name, or none.

Five ends without an answer now suffice whatever else was lost with it.

--- a/include/tamarack/quarantine.hpp
+++ b/include/tamarack/quarantine.hpp
@@ -28,6 +28,10 @@
 inline constexpr int least_ends = 3;
 inline constexpr int least_ends_if_tied = 4;
 
+// Ends after which a request is quarantined even if another one accounts for them as well or better. A sound
+// request is not lost so often without an answer, and two that end engines may be sent at the same times.
+inline constexpr int least_ends_despite_rivals = 5;
+
 // Time for which an engine must have written an answer to prove its suspects sound.
 inline constexpr time_ms writing_proof_ms = 100;
 
@@ -295,7 +299,8 @@
     std::vector<moment> moments(bool unanswered) const;
     std::map<std::string, charge> charges(std::span<const moment> moments) const;
     bool is_prevalent(const charge& one, std::span<const moment> moments) const;
-    ends_by_suspect unexplained_ends() const;
+    ends_by_suspect settled_ends(bool unexplained) const;
+    bool accounts_for(const std::string& request, const ends_by_suspect& unexplained) const;
     rivalry strongest_rival(const std::string& request, const ends_by_suspect& all) const;
     bool is_only_request(const end_record& record, const std::string& request) const;
     bool quarantine_requests(time_ms now);
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -271,12 +271,6 @@
     }
 }
 
-std::string client_session::client_address() const {
-    boost::system::error_code failed;
-    const asio::ip::tcp::endpoint remote = socket_.remote_endpoint(failed);
-    return failed ? std::string() : remote.address().to_string();
-}
-
 void client_session::end_if_quarantined() {
     if (const auto request = request_) {
         request->end_if_quarantined();
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -38,7 +38,6 @@
     void end_stream() override;
     void abort() override;
     std::size_t unsent_bytes() const override { return queued_.size() + writing_.size(); }
-    std::string client_address() const override;
 
 private:
     void read_next_request();
--- a/src/gateway/end_probe.cpp
+++ b/src/gateway/end_probe.cpp
@@ -28,9 +28,9 @@
     int connects_ = 0;
 };
 
-end_probe::end_probe(asio::any_io_executor executor,
+end_probe::end_probe(asio::any_io_executor executor, event_log& events,
                      std::function<void(endpoint&, std::int64_t incarnation)> ended)
-    : executor_(std::move(executor)), ended_(std::move(ended)) {}
+    : executor_(std::move(executor)), events_(events), ended_(std::move(ended)) {}
 
 void end_probe::start(const std::shared_ptr<endpoint>& target) {
     if (pending_.insert(target->record().id_).second) {
@@ -52,6 +52,13 @@
             one->timer_.cancel();
             boost::system::error_code ignored;
             one->socket_.close(ignored);
+            events_.write({event_kind::fleet_view,
+                           "gateway",
+                           "endpoint_probed",
+                           {},
+                           {{"endpoint", one->target_->record().id_},
+                            {"incarnation", one->incarnation_},
+                            {"result", failed ? failed.message() : "accepted"}}});
             if (failed == asio::error::connection_refused) {
                 ended_(*one->target_, one->incarnation_);
             }
--- a/src/gateway/end_probe.hpp
+++ b/src/gateway/end_probe.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/endpoint.hpp"
+#include "tamarack/events.hpp"
 
 namespace tamarack::gateway {
 
@@ -11,8 +12,8 @@
 public:
     // `ended` is called if the endpoint refuses the connection, with its incarnation at the start of the
     // probe.
-    explicit end_probe(boost::asio::any_io_executor executor,
-                       std::function<void(endpoint&, std::int64_t incarnation)> ended);
+    end_probe(boost::asio::any_io_executor executor, event_log& events,
+              std::function<void(endpoint&, std::int64_t incarnation)> ended);
 
     // Does nothing if a probe of the endpoint is under way.
     void start(const std::shared_ptr<endpoint>& target);
@@ -22,6 +23,7 @@
     void connect(const std::shared_ptr<probe>& one);
 
     boost::asio::any_io_executor executor_;
+    event_log& events_;
     std::function<void(endpoint&, std::int64_t incarnation)> ended_;
     std::set<std::string, std::less<>> pending_; // ids of endpoints
 };
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -59,7 +59,7 @@
 void request_flow::start() {
     arrived_at_ = steady_now_ms();
     metadata_ = parse_request_metadata(incoming_, context_.fleet_.names_);
-    suspects_ = name_suspects(incoming_, metadata_, sink_->client_address());
+    suspects_ = name_suspects(incoming_, metadata_);
     if (!find_route()) {
         return;
     }
--- a/src/gateway/response_sink.hpp
+++ b/src/gateway/response_sink.hpp
@@ -21,9 +21,6 @@
 
     // Number of bytes that are queued or being written to the client.
     virtual std::size_t unsent_bytes() const = 0;
-
-    // The client's address without its port; empty if there is none.
-    virtual std::string client_address() const = 0;
 };
 
 // A request in service, as its connection sees it.
--- a/src/gateway/suspects.cpp
+++ b/src/gateway/suspects.cpp
@@ -5,14 +5,13 @@
 
 namespace tamarack::gateway {
 
-std::vector<std::string> name_suspects(const http::request& incoming, const request_metadata& metadata,
-                                       std::string_view client_address) {
+std::vector<std::string> name_suspects(const http::request& incoming, const request_metadata& metadata) {
     const http::header* credentials = http::find_header(incoming.headers_, "Authorization");
     quarantine::request_identity identity;
     identity.method_ = incoming.method_;
     identity.host_ = metadata.host_;
     identity.target_ = incoming.target_;
-    identity.caller_ = credentials == nullptr ? client_address : std::string_view(credentials->value_);
+    identity.caller_ = credentials == nullptr ? std::string_view() : credentials->value_;
     identity.body_ = incoming.body_;
     std::vector<std::string> suspects = {quarantine::request_name(identity)};
     for (std::size_t index = 0; index + 1 < metadata.prompt_parts_.size(); ++index) {
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -47,7 +47,7 @@
                    }
                },
                [this](fleet::relayed_data data) { handlers_.store_relay_(std::move(data)); }}),
-      probes_(context_.get_executor(),
+      probes_(context_.get_executor(), events,
               [this](endpoint& at, std::int64_t incarnation) {
                   at.health_.note_unreachable(steady_now_ms());
                   fleet_.quarantine_.note_ended(at.record().id_, incarnation, boot_now_ms());
--- a/src/quarantine/judgement.cpp
+++ b/src/quarantine/judgement.cpp
@@ -94,12 +94,13 @@
     return 3 * one.moments_ > since;
 }
 
-// The settled ends under each request that nothing speaks for and nothing quarantined accounts for.
-suspect_quarantine::ends_by_suspect suspect_quarantine::unexplained_ends() const {
+// The settled ends under each suspect that nothing speaks for; either all, or those that nothing quarantined
+// accounts for.
+suspect_quarantine::ends_by_suspect suspect_quarantine::settled_ends(bool unexplained) const {
     ends_by_suspect all;
     for (const end_entry& end : ends_) {
         const end_record& record = end.second;
-        if (!record.settled_ || is_explained(record)) {
+        if (!record.settled_ || (unexplained && is_explained(record))) {
             continue;
         }
         for (const std::string& suspect : record.suspects_) {
@@ -136,26 +137,33 @@
     return strongest;
 }
 
-// Quarantines the requests that account for several ends, and nothing else for these ends better. Requests
-// that were lost together and came again together account for the same ones; it takes one end more to
-// quarantine all of them. Returns whether there was one.
+// Whether these ends show that the request ends engines. Requests that were lost together and came again
+// together account for the same ends; it takes one end more to quarantine all of them.
+bool suspect_quarantine::accounts_for(const std::string& request, const ends_by_suspect& unexplained) const {
+    const std::vector<const end_entry*>& ends = unexplained.at(request);
+    const int count = int(ends.size());
+    const auto answered = std::count_if(ends.begin(), ends.end(),
+                                        [](const end_entry* end) { return end->second.answered_any_; });
+    if (count < least_ends || (answered < least_ends && count < least_ends_unanswered)) {
+        return false;
+    }
+    const rivalry rival = strongest_rival(request, unexplained);
+    return rival == rivalry::none || (rival == rivalry::equal && count >= least_ends_if_tied);
+}
+
+// Quarantines the requests that account for several ends. Returns whether there was one.
 bool suspect_quarantine::quarantine_requests(time_ms now) {
-    const ends_by_suspect all = unexplained_ends();
+    const ends_by_suspect all = settled_ends(false);
+    const ends_by_suspect unexplained = settled_ends(true);
     bool found = false;
-    for (const auto& [suspect, ends] : all) {
-        if (!names_request(suspect) || int(ends.size()) < least_ends) {
-            continue;
-        }
-        const auto answered = std::count_if(ends.begin(), ends.end(),
-                                            [&](const end_entry* end) { return end->second.answered_any_; });
-        const bool known_well = answered >= least_ends;
-        if (!known_well && int(ends.size()) < least_ends_unanswered) {
-            continue;
-        }
-        const rivalry rival = strongest_rival(suspect, all);
-        if (rival == rivalry::better || (rival == rivalry::equal && int(ends.size()) < least_ends_if_tied)) {
+    for (const auto& [suspect, some] : unexplained) {
+        const std::vector<const end_entry*>& ends = all.at(suspect);
+        const bool many = int(ends.size()) >= least_ends_despite_rivals;
+        if (!names_request(suspect) || (!many && !accounts_for(suspect, unexplained))) {
             continue;
         }
+        const bool known_well = std::all_of(ends.begin(), ends.end(),
+                                            [](const end_entry* end) { return end->second.answered_any_; });
         const bool was_alone = std::any_of(ends.begin(), ends.end(), [&](const end_entry* end) {
             return is_only_request(end->second, suspect);
         });
--- a/tests/direct/quarantine_fleet_test.cpp
+++ b/tests/direct/quarantine_fleet_test.cpp
@@ -1,4 +1,5 @@
-// Parts of prompts under which engines end, found by gateways that only announce to each other.
+// Parts of prompts, and requests, under which engines end, found by gateways that only announce to each
+// other.
 #include "tamarack/quarantine.hpp"
 
 #include <doctest/doctest.h>
@@ -18,10 +19,12 @@
 constexpr time_ms announcement_ms = 500;
 constexpr time_ms update_ms = 250;
 constexpr time_ms stable_ms = 3'000;
+constexpr time_ms crashing_from = 6'000; // when the first request comes that ends engines
 
 // So many requests with a part may be sent later than `stable_ms` after so many engines have ended under it.
 constexpr int sends_after_crashes = 3;
 constexpr int crashes_of_part = 5;
+constexpr int crashes_of_request = 3;
 
 struct fleet_plan {
     std::uint64_t seed_ = 1;
@@ -36,6 +39,13 @@
     bool all_gateways_fail_ = false; // all gateways restart at once now and then
     bool late_ = false;              // announcements that are late or lost
     time_ms duration_ms_ = 40'000;
+
+    // A plain service instead: requests without prompts, which are sent again when they are lost, at once by
+    // their gateway and then by their client. The crashing parts are requests that come again and again.
+    bool plain_ = false;
+    double repeats_per_s_ = 1; // of each crashing request, from 6 s
+    double popular_share_ = 0; // of the sound requests that are all alike
+    bool runs_once_ = false;   // only the client sends a lost request again
 };
 
 struct fleet_result {
@@ -66,8 +76,9 @@
         for (now_ = 0; now_ < plan_.duration_ms_; now_ += step_ms) {
             disturb();
             for (due += sends_per_step; due >= 1; due -= 1) {
-                send();
+                plan_.plain_ ? send_plain() : send();
             }
+            send_again();
             for (std::size_t index = 0; index < engines_.size(); ++index) {
                 work(index);
             }
@@ -80,13 +91,20 @@
             result_.sent_after_ = std::max(result_.sent_after_, sent);
         }
         result_.sound_quarantined_ = int(sound_quarantined_.size());
+        for (const gateway& one : gateways_) {
+            for (const auto& [suspect, since] : one.sound_held_since_) {
+                result_.sound_held_ms_ = std::max(result_.sound_held_ms_, now_ - since);
+            }
+        }
         return result_;
     }
 
 private:
     struct request {
         std::size_t gateway_ = 0;
-        std::vector<std::string> parts_;
+        std::vector<std::string> parts_; // what it is suspected of by name
+        std::string crashing_;           // the one of them that ends engines, or empty
+        int sends_ = 0;
         time_ms writes_at_ = 0;
         time_ms ends_at_ = 0;
         bool proved_ = false;
@@ -121,7 +139,7 @@
     double chance() { return std::uniform_real_distribution<>(0, 1)(random_); }
     time_ms below(time_ms bound) { return std::uniform_int_distribution<time_ms>(0, bound - 1)(random_); }
     static std::string engine_name(std::size_t index) { return "e" + std::to_string(index); }
-    static bool crashes(const std::string& part) { return part.starts_with("bad"); }
+    static bool crashes(const std::string& part) { return part.find("bad") != std::string::npos; }
 
     bool runs(const gateway& one) const { return one.parts_ && now_ >= one.frozen_until_; }
     bool connected(const gateway& one) const { return runs(one) && now_ >= one.cut_until_; }
@@ -160,16 +178,54 @@
     }
 
     void send() {
-        constexpr time_ms crashing_from = 6'000;
-        gateway& from = gateways_[std::size_t(below(plan_.gateways_))];
         request one;
-        one.gateway_ = std::size_t(&from - gateways_.data());
         const bool bad = now_ >= crashing_from && chance() < plan_.crashing_share_;
         const auto subject = time_ms(double(plan_.subjects_) * std::pow(chance(), 1.5));
         const std::string middle =
             bad ? "bad" + std::to_string(below(plan_.crashing_parts_)) : "s" + std::to_string(subject);
         one.parts_ = {"first", middle};
-        result_.sound_ += !bad && runs(from) ? 1 : 0;
+        one.crashing_ = bad ? middle : "";
+        one.gateway_ = std::size_t(below(plan_.gateways_));
+        place(std::move(one));
+    }
+
+    void send_plain() {
+        request one;
+        one.parts_ = {chance() < plan_.popular_share_ ? "request-popular"
+                                                      : "request-" + std::to_string(++last_request_)};
+        one.gateway_ = std::size_t(below(plan_.gateways_));
+        place(std::move(one));
+        for (int number = 0; number < plan_.crashing_parts_; ++number) {
+            if (now_ >= crashing_from && chance() < plan_.repeats_per_s_ / plan_.requests_per_s_) {
+                request bad;
+                bad.crashing_ = "request-bad" + std::to_string(number);
+                bad.parts_ = {bad.crashing_};
+                bad.gateway_ = std::size_t(below(plan_.gateways_));
+                place(std::move(bad));
+            }
+        }
+    }
+
+    // Lost requests are sent again: by the gateway that sent them first, and then by the client to any
+    // gateway.
+    void send_again() {
+        for (std::size_t count = lost_.size(); count > 0; --count) {
+            request one = std::move(lost_.front());
+            lost_.pop_front();
+            if (one.sends_ % sends_of_attempt() == 0) {
+                one.gateway_ = std::size_t(below(plan_.gateways_));
+            }
+            place(std::move(one));
+        }
+    }
+
+    int sends_of_attempt() const { return plan_.runs_once_ ? 1 : 2; }
+
+    void place(request one) {
+        gateway& from = gateways_[one.gateway_];
+        const bool bad = !one.crashing_.empty();
+        const bool first_of_attempt = one.sends_ % sends_of_attempt() == 0;
+        result_.sound_ += !bad && one.sends_ == 0 && runs(from) ? 1 : 0;
         if (!runs(from)) {
             return;
         }
@@ -187,14 +243,16 @@
         if (up.empty()) {
             return;
         }
-        one.writes_at_ = now_ + 20 + below(300);
-        one.ends_at_ = one.writes_at_ + 20 + below(3'000);
-        if (bad) {
-            const auto& ends = ends_under_[middle];
-            const bool judged = ends.size() >= crashes_of_part &&
-                                now_ > ends[crashes_of_part - 1] + stable_ms &&
+        one.writes_at_ = now_ + (plan_.plain_ ? below(bad ? 100 : 60) : 20 + below(300));
+        one.ends_at_ = one.writes_at_ + (plan_.plain_ ? 10 : 20 + below(3'000));
+        one.proved_ = false;
+        ++one.sends_;
+        if (bad && (first_of_attempt || !plan_.plain_)) {
+            const auto& ends = ends_under_[one.crashing_];
+            const std::size_t bound = plan_.plain_ ? crashes_of_request : crashes_of_part;
+            const bool judged = ends.size() >= bound && now_ > ends[bound - 1] + stable_ms &&
                                 now_ > from.disturbed_until_ + stable_ms;
-            sent_after_[middle] += judged ? 1 : 0;
+            sent_after_[one.crashing_] += judged ? 1 : 0;
         }
         up[std::size_t(below(time_ms(up.size())))]->batch_.push_back(std::move(one));
     }
@@ -202,8 +260,8 @@
     void work(std::size_t index) {
         engine& one = engines_[index];
         for (request& current : one.batch_) {
-            if (now_ >= current.writes_at_ && crashes(current.parts_[1])) {
-                ends_under_[current.parts_[1]].push_back(now_);
+            if (now_ >= current.writes_at_ && !current.crashing_.empty()) {
+                ends_under_[current.crashing_].push_back(now_);
                 ++result_.ended_;
                 end_engine(index);
                 return;
@@ -228,6 +286,9 @@
             if (runs(from) && now_ < lost.writes_at_ + writing_proof_ms) {
                 from.parts_->note_lost(engine_name(index), one.incarnation_, lost.parts_, now_);
             }
+            if (plan_.plain_ && lost.sends_ < 2 * sends_of_attempt()) {
+                lost_.push_back(lost);
+            }
         }
         for (std::size_t to = 0; to < gateways_.size(); ++to) {
             const time_ms noticed = now_ + 50 + below(300);
@@ -319,6 +380,8 @@
     std::vector<engine> engines_;
     std::priority_queue<message> messages_;
     std::uint64_t next_message_ = 0;
+    std::uint64_t last_request_ = 0;
+    std::deque<request> lost_; // to be sent again
     std::map<std::string, std::vector<time_ms>> ends_under_;
     std::map<std::string, int> sent_after_;
     std::set<std::string> sound_quarantined_;
@@ -344,6 +407,17 @@
     return plan;
 }
 
+// The endpoints of a plain service, which run many requests at once or few.
+void make_plain(fleet_plan& plan) {
+    std::mt19937_64 random(plan.seed_ + 1'000'000);
+    plan.plain_ = true;
+    plan.engines_ = 2 + int(random() % 11);
+    plan.repeats_per_s_ = any(random, {0.25, 1.0, 5.0});
+    plan.popular_share_ = any(random, {0.0, 0.3, 0.9});
+    plan.requests_per_s_ = any(random, {20.0, 60.0, 400.0, 2'000.0});
+    plan.runs_once_ = random() % 3 == 0;
+}
+
 // Number of random fleets in each test; more by hand.
 std::uint64_t fleet_count() {
     constexpr std::uint64_t usual = 60;
@@ -357,6 +431,7 @@
 void check_fleets(Change change) {
     std::vector<int> ended;
     int sound_quarantined = 0;
+    time_ms sound_held = 0;
     for (std::uint64_t seed = 1; seed <= fleet_count(); ++seed) {
         CAPTURE(seed);
         fleet_plan plan = random_plan(seed);
@@ -368,12 +443,15 @@
         CAPTURE(plan.crashing_share_);
         const fleet_result result = fleet_model(plan).run();
         CHECK(result.sent_after_ <= sends_after_crashes);
+        CHECK(result.sound_refused_ <= result.sound_ / 50);
+        sound_held = std::max(sound_held, result.sound_held_ms_);
         ended.push_back(result.ended_);
         sound_quarantined += result.sound_quarantined_ > 0 ? 1 : 0;
     }
     std::sort(ended.begin(), ended.end());
     MESSAGE("engines ended: median ", ended[ended.size() / 2], ", 99th ", ended[ended.size() * 99 / 100],
-            ", most ", ended.back(), "; fleets in which a sound part was quarantined: ", sound_quarantined);
+            ", most ", ended.back(), "; fleets in which something sound was quarantined: ", sound_quarantined,
+            ", for ", sound_held, " ms at most");
 }
 
 } // namespace
@@ -425,6 +503,49 @@
     MESSAGE("fleets in which a sound part was quarantined: ", quarantined);
 }
 
+// Requests with new ids and the same path, caller and body still went to one endpoint after the other.
+TEST_CASE("quarantine_request_ends_endpoints_in_random_fleets_at_most_three_repeats_are_sent_later") {
+    check_fleets([](fleet_plan& plan) {
+        make_plain(plan);
+        plan.engines_crash_ = plan.seed_ % 2 == 0;
+        plan.late_ = plan.seed_ % 3 == 0;
+    });
+}
+
+TEST_CASE("quarantine_request_and_gateways_fail_at_most_three_repeats_are_sent_later") {
+    check_fleets([](fleet_plan& plan) {
+        make_plain(plan);
+        plan.gateways_fail_ = true;
+        plan.all_gateways_fail_ = plan.seed_ % 2 == 0;
+    });
+}
+
+TEST_CASE("quarantine_two_requests_end_endpoints_at_once_both_are_found") {
+    check_fleets([](fleet_plan& plan) {
+        make_plain(plan);
+        plan.crashing_parts_ = 2;
+    });
+}
+
+// Requests that are all alike were in flight whenever an endpoint ended for another reason.
+TEST_CASE("quarantine_endpoints_crash_for_other_reasons_equal_requests_are_served") {
+    check_fleets([](fleet_plan& plan) {
+        make_plain(plan);
+        plan.crashing_parts_ = 0;
+        plan.engines_crash_ = true;
+    });
+}
+
+TEST_CASE("quarantine_of_1000_gateways_request_ends_endpoints_at_most_three_repeats_are_sent_later") {
+    fleet_plan plan;
+    make_plain(plan);
+    plan.gateways_ = 1'000;
+    plan.engines_ = 12;
+    plan.requests_per_s_ = 2'000;
+    plan.duration_ms_ = 14'000;
+    CHECK(fleet_model(plan).run().sent_after_ <= sends_after_crashes);
+}
+
 TEST_CASE("quarantine_of_1000_gateways_part_ends_engines_at_most_three_requests_are_sent_later") {
     fleet_plan plan;
     plan.gateways_ = 1'000;
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -22,7 +22,6 @@
     void end_stream() override {}
     void abort() override { status_ = -1; }
     std::size_t unsent_bytes() const override { return 0; }
-    std::string client_address() const override { return "192.0.2.1"; }
 };
 
 // Two engines that hold a model, and requests for one of its adapters. The test plays the engines' agents.
