Quarantine a few requests at once that were lost together thrice, and test the judgement of requests

Up to eight requests that were lost at three ends without an answer are now quarantined together, and tried after 3 s; more of them are told apart by further ends, as before. 300 random fleets of each of four kinds keep the bound.

--- a/include/tamarack/quarantine.hpp
+++ b/include/tamarack/quarantine.hpp
@@ -32,6 +32,10 @@
 // request is not lost so often without an answer, and two that end engines may be sent at the same times.
 inline constexpr int least_ends_despite_rivals = 5;
 
+// So few requests with `least_ends` are all quarantined at once, though some may have been lost together with
+// one that ends engines. More are told apart by further ends.
+inline constexpr int few_requests = 8;
+
 // Time for which an engine must have written an answer to prove its suspects sound.
 inline constexpr time_ms writing_proof_ms = 100;
 
@@ -276,8 +280,8 @@
 
     using ends_by_suspect = std::map<std::string, std::vector<const end_entry*>>;
 
-    // How well something else accounts for the ends under a request.
-    enum class rivalry { none, equal, better };
+    // What else accounts for the ends under a request, as well or better.
+    enum class rivalry { none, equal_request, better_request, better_part };
 
     void count_lost(std::span<const std::string> suspects);
     end_record& record_of(const engine_key& key, time_ms at);
@@ -300,7 +304,7 @@
     std::map<std::string, charge> charges(std::span<const moment> moments) const;
     bool is_prevalent(const charge& one, std::span<const moment> moments) const;
     ends_by_suspect settled_ends(bool unexplained) const;
-    bool accounts_for(const std::string& request, const ends_by_suspect& unexplained) const;
+    bool accounts_for(const std::string& request, const ends_by_suspect& unexplained, bool few) const;
     rivalry strongest_rival(const std::string& request, const ends_by_suspect& all) const;
     bool is_only_request(const end_record& record, const std::string& request) const;
     bool quarantine_requests(time_ms now);
--- a/src/quarantine/judgement.cpp
+++ b/src/quarantine/judgement.cpp
@@ -112,9 +112,8 @@
     return all;
 }
 
-// How well something else accounts for the ends under a request: not at all, as well, or better. A part of
-// its prompt was at all these ends too, and accounts for them better only if engines ended under other
-// requests with that part.
+// What else accounts for all ends under a request. A part of its prompt was at these ends too, and accounts
+// for them better only if engines ended under other requests with that part.
 suspect_quarantine::rivalry suspect_quarantine::strongest_rival(const std::string& request,
                                                                 const ends_by_suspect& all) const {
     const std::vector<const end_entry*>& ends = all.at(request);
@@ -127,19 +126,21 @@
         const bool at_all = std::all_of(ends.begin(), ends.end(), [&](const end_entry* end) {
             return speaks_against(end->second, rival);
         });
-        if (at_all && found->second.size() > ends.size()) {
-            return rivalry::better;
-        }
-        if (at_all && names_request(rival)) {
-            strongest = rivalry::equal;
+        const bool better = found->second.size() > ends.size();
+        if (!at_all || (!better && !names_request(rival))) {
+            continue;
         }
+        strongest = std::max(strongest, !names_request(rival) ? rivalry::better_part
+                                        : better              ? rivalry::better_request
+                                                              : rivalry::equal_request);
     }
     return strongest;
 }
 
-// Whether these ends show that the request ends engines. Requests that were lost together and came again
-// together account for the same ends; it takes one end more to quarantine all of them.
-bool suspect_quarantine::accounts_for(const std::string& request, const ends_by_suspect& unexplained) const {
+// Whether the unexplained ends show that the request ends engines. Requests that were lost together and came
+// again together account for the same ends, which matters less if only a few are under suspicion.
+bool suspect_quarantine::accounts_for(const std::string& request, const ends_by_suspect& unexplained,
+                                      bool few) const {
     const std::vector<const end_entry*>& ends = unexplained.at(request);
     const int count = int(ends.size());
     const auto answered = std::count_if(ends.begin(), ends.end(),
@@ -147,19 +148,32 @@
     if (count < least_ends || (answered < least_ends && count < least_ends_unanswered)) {
         return false;
     }
-    const rivalry rival = strongest_rival(request, unexplained);
-    return rival == rivalry::none || (rival == rivalry::equal && count >= least_ends_if_tied);
+    switch (strongest_rival(request, unexplained)) {
+    case rivalry::none:
+        return true;
+    case rivalry::equal_request:
+        return few || count >= least_ends_if_tied;
+    case rivalry::better_request:
+        return few;
+    case rivalry::better_part:
+        return false;
+    }
+    return false;
 }
 
 // Quarantines the requests that account for several ends. Returns whether there was one.
 bool suspect_quarantine::quarantine_requests(time_ms now) {
     const ends_by_suspect all = settled_ends(false);
     const ends_by_suspect unexplained = settled_ends(true);
+    const auto suspected = std::count_if(unexplained.begin(), unexplained.end(), [](const auto& entry) {
+        return names_request(entry.first) && int(entry.second.size()) >= least_ends;
+    });
+    const bool few = suspected <= few_requests;
     bool found = false;
     for (const auto& [suspect, some] : unexplained) {
         const std::vector<const end_entry*>& ends = all.at(suspect);
         const bool many = int(ends.size()) >= least_ends_despite_rivals;
-        if (!names_request(suspect) || (!many && !accounts_for(suspect, unexplained))) {
+        if (!names_request(suspect) || (!many && !accounts_for(suspect, unexplained, few))) {
             continue;
         }
         const bool known_well = std::all_of(ends.begin(), ends.end(),
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -43,7 +43,9 @@
                             return std::uint64_t(adapters_.size());
                         },
                         [](std::string_view, std::uint64_t) {},
-                        [] {}};
+                        [] {},
+                        [] { return false; },
+                        [](const std::shared_ptr<endpoint>&) {}};
     fake_endpoint first_{"e-1"};
     fake_endpoint second_{"e-2"};
     std::map<std::string, fleet::endpoint_record, std::less<>> records_;
@@ -73,6 +75,7 @@
             record.models_ = {{"m", {}}};
         }
         fleet_.apply_endpoints(records_);
+        fleet_.quarantine_.restore({}, boot_now_ms());
     }
 
     std::shared_ptr<request_flow> start(const std::string& model) {
@@ -273,4 +276,37 @@
     CHECK(sent <= 25); // 9 a second within the objective of 2 s, and what may be sent at once
 }
 
+// A gateway that had just started refused everything with a shared part until the store answered.
+TEST_CASE_FIXTURE(flow_fixture, "request_quarantine_is_not_known_waits_a_moment_and_is_served") {
+    fleet_.quarantine_ = {};
+    const time_ms began = boot_now_ms();
+    const auto flow = start("m");
+    run();
+    CHECK(sink_->status_ == 200);
+    CHECK(boot_now_ms() - began >= 200);
+}
+
+// A request went to a second endpoint after the first had ended, though it was not known what is quarantined.
+TEST_CASE_FIXTURE(flow_fixture, "request_quarantine_is_not_known_and_endpoint_breaks_is_sent_once") {
+    auto configuration = std::make_shared<fleet::configuration>(*fleet_.current()->configuration_);
+    configuration->version_ = 2;
+    configuration->routes_[0].repeat_ = fleet::repeat_rule::idempotent;
+    configuration->routes_[0].max_attempts_ = 2;
+    fleet_.apply_configuration(std::make_shared<const indexed_configuration>(configuration));
+    for (const bool known : {true, false}) {
+        CAPTURE(known);
+        for (fake_endpoint* one : {&first_, &second_}) {
+            one->set_behaviours({fake_endpoint::behaviour::reset});
+        }
+        if (!known) {
+            fleet_.quarantine_ = {};
+        }
+        const auto flow = start("m");
+        run();
+        CHECK(sink_->status_ == 502);
+        CHECK(received_by("e-1") + received_by("e-2") == (known ? 2 : 1));
+        context_.restart();
+    }
+}
+
 } // namespace tamarack::gateway
