--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -4,6 +4,7 @@
 #include "tamarack/configuration.hpp"
 #include "tamarack/membership.hpp"
 #include "tamarack/placement.hpp"
+#include "tamarack/quarantine.hpp"
 #include "tamarack/routing.hpp"
 #include "tamarack/wire.hpp"
 
@@ -282,6 +283,16 @@
 }
 BENCHMARK(admit_and_finish);
 
+// The name of a request by the size of its body, which each request gets.
+void request_name(benchmark::State& state) {
+    const std::string body(std::size_t(state.range(0)), 'b');
+    const quarantine::request_identity identity{"POST", "shop.example", "/drafts/5c1e07a2", "", body};
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(quarantine::request_name(identity));
+    }
+}
+BENCHMARK(request_name)->Arg(0)->Arg(5'000)->Arg(1'048'576);
+
 } // namespace
 
 } // namespace tamarack
