--- a/include/tamarack/quarantine.hpp
+++ b/include/tamarack/quarantine.hpp
@@ -79,9 +79,9 @@
 inline constexpr time_ms usual_trial_ms = 600'000;
 inline constexpr time_ms no_trial = -1;
 
-// Bounds of what a gateway keeps.
+// Bounds of what a gateway keeps. The suspects are those of one end.
 inline constexpr std::size_t max_ends = 64;
-inline constexpr std::size_t max_suspects = 256; // that are kept for each end
+inline constexpr std::size_t max_suspects = 256;
 inline constexpr std::size_t max_proofs = 8'192;
 inline constexpr std::size_t max_quarantined = 64;
 
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -200,7 +200,7 @@
     std::optional<time_ms> reports_overdue_since_; // when all usable engines were first found unresponsive
     bool returned_after_refusal_ = false; // assumed if the deadline is shorter than usual for the route
     bool finished_ = false;
-    std::size_t proved_suspects_ = 0; // that the current attempt has proved sound
+    std::size_t proved_suspects_ = 0; // number of suspects that the current attempt has proved sound
     bool trial_sent_ = false;
     std::optional<std::string> on_trial_; // the quarantined suspect for which it is sent once nevertheless
     time_ms last_event_at_ = 0;
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -21,6 +21,15 @@
     }
     ~soak_fixture() { std::filesystem::remove_all(settings_.folder_); }
 
+    // No faults but those that a test asks for, among as many gateways as in a small deployment.
+    void use_calm_fleet() {
+        settings_.faults_ = false;
+        settings_.drills_ = false;
+        settings_.limits_ = 0;
+        settings_.gateways_ = 6;
+        settings_.requests_per_s_ = 80;
+    }
+
     soak_outcome check(std::uint64_t seed) {
         settings_.seed_ = seed;
         const soak_outcome outcome = run_soak(settings_);
@@ -50,35 +59,24 @@
 
 // Endpoints that had named a limit on their requests got several times as many from six gateways together.
 TEST_CASE_FIXTURE(soak_fixture, "fleet_endpoints_name_request_limits_gateways_together_keep_them") {
-    settings_.faults_ = false;
-    settings_.drills_ = false;
+    use_calm_fleet();
     settings_.limits_ = 2;
-    settings_.gateways_ = 6;
-    settings_.requests_per_s_ = 80;
     check(1);
 }
 
 // Requests with one part in their prompts ended one engine after the other for as long as they came.
 TEST_CASE_FIXTURE(soak_fixture, "fleet_prompt_part_crashes_engines_gateways_together_stop_sending_it") {
-    settings_.faults_ = false;
-    settings_.drills_ = false;
-    settings_.limits_ = 0;
+    use_calm_fleet();
     settings_.crashing_parts_ = 1;
-    settings_.gateways_ = 6;
     settings_.engines_ = 6;
-    settings_.requests_per_s_ = 80;
     check(1);
 }
 
 // A client repeated one request with new ids, and each endpoint that began to run it ended.
 TEST_CASE_FIXTURE(soak_fixture, "fleet_request_crashes_endpoints_gateways_together_stop_sending_it") {
-    settings_.faults_ = false;
-    settings_.drills_ = false;
-    settings_.limits_ = 0;
+    use_calm_fleet();
     settings_.crashing_requests_ = 2;
     settings_.plain_endpoints_ = 4;
-    settings_.gateways_ = 6;
-    settings_.requests_per_s_ = 80;
     check(1);
 }
 
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -37,6 +37,19 @@
 
 } // namespace
 
+http::request make_repeated_request(const std::string& path, bool plain) {
+    if (plain) {
+        return {"GET", path, {{"Host", "soak.example"}}, ""};
+    }
+    return {"POST",
+            path,
+            {{"Host", "soak.example"},
+             {"Tamarackbeam-Model", "m0"},
+             {"Tamarackbeam-Token-Usage", "200,100"},
+             {"Tamarackbeam-Prompt-Prefix", "f0:80,51:60,own:60"}},
+            "bad"};
+}
+
 clients::clients(asio::io_context& context, fleet& parts, referee& judge, std::uint64_t seed)
     : context_(context), fleet_(parts), judge_(judge), random_(seed), part_random_(seed + 3), seed_(seed),
       idle_(parts.gateways().size()) {}
--- a/tests/soak/clients.hpp
+++ b/tests/soak/clients.hpp
@@ -6,6 +6,9 @@
 
 namespace tamarack::soak {
 
+// A request that a client repeats, to the plain service or for a model, without the headers of one attempt.
+http::request make_repeated_request(const std::string& path, bool plain);
+
 class clients {
 public:
     clients(boost::asio::io_context& context, fleet& parts, referee& judge, std::uint64_t seed);
