Keep sound requests to engines out of the quarantine when engines have answered nothing

After a restart of all gateways, engines ended under the part before they answered, and a request that half of the clients send alike was at all these ends. Answers of plain services counted as a chance to be proved sound, five ends needed no answers, and the request was held for good, as the only request there, though a part was under suspicion beside it. Its quarantine then accounted for the ends under the part, which went on.

Answers now count by whether their requests have parts; ends without answers around them need six, and nothing else at all of them; a request is never tried only if nothing else was under suspicion with it; and requests with other shared parts are other requests.

quarantine_only_plain_services_answer_... and quarantine_request_and_part_are_at_the_same_ends_... fail on the code before.

--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -286,7 +286,7 @@
 // The name of a request by the size of its body, which each request gets.
 void request_name(benchmark::State& state) {
     const std::string body(std::size_t(state.range(0)), 'b');
-    const quarantine::request_identity identity{"POST", "shop.example", "/drafts/5c1e07a2", "", body};
+    const quarantine::request_identity identity{"POST", "shop.example", "/drafts/5c1e07a2", "", "", body};
     for (auto _ : state) {
         benchmark::DoNotOptimize(quarantine::request_name(identity));
     }
--- a/include/tamarack/quarantine.hpp
+++ b/include/tamarack/quarantine.hpp
@@ -95,6 +95,7 @@
     std::string_view host_;
     std::string_view target_; // path and query
     std::string_view caller_;
+    std::string_view prompt_; // what headers tell of the prompt that the body holds
     std::string_view body_;
 };
 
@@ -112,8 +113,8 @@
     time_ms age_ms_ = 0;
     std::vector<std::string> suspects_;
 
-    // Whether engines answered so much around it that a sound part would have been proved so. Kept in stores,
-    // and not announced: each gateway sees other answers.
+    // Whether engines answered so much around it that something sound would have been proved so. Kept in
+    // stores, and not announced: each gateway sees other answers.
     bool answered_ = false;
 };
 
@@ -240,9 +241,8 @@
         time_ms announced_until_ = 0;
         std::set<std::string> suspects_;
         std::vector<std::string> own_suspects_;
-        bool settled_ = false;      // nothing was added for `settling_ms`
-        bool answered_ = false;     // see `engine_end`
-        bool answered_any_ = false; // the same of all answers, also those to requests without parts
+        bool settled_ = false;  // nothing was added for `settling_ms`
+        bool answered_ = false; // see `engine_end`
     };
 
     using end_entry = std::pair<const engine_key, end_record>;
@@ -299,14 +299,16 @@
     // Conclusions, in judgement.cpp.
     bool speaks_against(const end_record& record, const std::string& suspect) const;
     bool is_explained(const end_record& record) const;
+    static bool has_part(const end_record& record);
     bool concerns_parts(const end_record& record) const;
     std::vector<moment> moments(bool unanswered) const;
     std::map<std::string, charge> charges(std::span<const moment> moments) const;
     bool is_prevalent(const charge& one, std::span<const moment> moments) const;
     ends_by_suspect settled_ends(bool unexplained) const;
-    bool accounts_for(const std::string& request, const ends_by_suspect& unexplained, bool few) const;
+    bool accounts_for(const std::string& request, const ends_by_suspect& all,
+                      const ends_by_suspect& unexplained, bool few) const;
     rivalry strongest_rival(const std::string& request, const ends_by_suspect& all) const;
-    bool is_only_request(const end_record& record, const std::string& request) const;
+    bool is_only_suspect(const end_record& record, const std::string& suspect) const;
     bool quarantine_requests(time_ms now);
     bool quarantine_parts(time_ms now);
     bool quarantine_unanswered(time_ms now);
@@ -322,8 +324,9 @@
     std::vector<change> changes_;
     std::size_t lost_unanswered_ = 0; // requests of this gateway that were lost since an engine last answered
     std::map<std::string, std::size_t> lost_with_suspect_; // those of them that had it
-    recent_answers answers_;
-    recent_answers answers_with_parts_; // those of them to requests whose prompts have shared parts
+    // By whether the requests have parts, as those to model engines do and those to plain services do not.
+    recent_answers answers_with_parts_;
+    recent_answers answers_without_parts_;
     bool informed_ = false;
     bool due_ = false;
     bool memory_changed_ = false;
--- a/src/gateway/request_flow_quarantine.cpp
+++ b/src/gateway/request_flow_quarantine.cpp
@@ -1,6 +1,8 @@
 // request_flow: requests that may end the engines that run them.
 #include "gateway/request_flow.hpp"
 
+#include <algorithm>
+
 namespace tamarack::gateway {
 
 namespace {
@@ -24,7 +26,12 @@
     if (!suspect) {
         return false;
     }
-    if (!on_trial_ && context_.tries_quarantined_() && suspects.begin_trial(*suspect, boot_now_ms())) {
+    const auto quarantined = std::count_if(suspects_.begin(), suspects_.end(), [&](const std::string& one) {
+        return suspects.is_quarantined(one);
+    });
+    // A trial for one suspect says nothing if another one ends the engine.
+    if (quarantined == 1 && !on_trial_ && context_.tries_quarantined_() &&
+        suspects.begin_trial(*suspect, boot_now_ms())) {
         on_trial_ = suspect;
     }
     context_.events_.write({event_kind::admission,
--- a/src/gateway/suspects.cpp
+++ b/src/gateway/suspects.cpp
@@ -13,10 +13,14 @@
     identity.target_ = incoming.target_;
     identity.caller_ = credentials == nullptr ? std::string_view() : credentials->value_;
     identity.body_ = incoming.body_;
-    std::vector<std::string> suspects = {quarantine::request_name(identity)};
+    std::vector<std::string> suspects;
+    std::string prompt;
     for (std::size_t index = 0; index + 1 < metadata.prompt_parts_.size(); ++index) {
         suspects.push_back(quarantine::part_name(metadata.prompt_parts_[index].first));
+        prompt += suspects.back() + ",";
     }
+    identity.prompt_ = prompt;
+    suspects.insert(suspects.begin(), quarantine::request_name(identity));
     return suspects;
 }
 
--- a/src/quarantine/judgement.cpp
+++ b/src/quarantine/judgement.cpp
@@ -16,15 +16,18 @@
                        [&](const std::string& suspect) { return is_quarantined(suspect); });
 }
 
+bool suspect_quarantine::has_part(const end_record& record) {
+    return std::any_of(record.suspects_.begin(), record.suspects_.end(),
+                       [](const std::string& suspect) { return !names_request(suspect); });
+}
+
 // Whether the end says something about parts of prompts: one of its suspects is a part, and no quarantined
 // request accounts for it.
 bool suspect_quarantine::concerns_parts(const end_record& record) const {
-    const auto is_part = [](const std::string& suspect) { return !names_request(suspect); };
-    const auto is_quarantined_request = [&](const std::string& suspect) {
-        return names_request(suspect) && is_quarantined(suspect);
-    };
-    return std::any_of(record.suspects_.begin(), record.suspects_.end(), is_part) &&
-           std::none_of(record.suspects_.begin(), record.suspects_.end(), is_quarantined_request);
+    return has_part(record) &&
+           std::none_of(record.suspects_.begin(), record.suspects_.end(), [&](const std::string& suspect) {
+               return names_request(suspect) && is_quarantined(suspect);
+           });
 }
 
 // The settled ends that concern parts, in groups of those that followed each other shortly. A group may have
@@ -137,24 +140,29 @@
     return strongest;
 }
 
-// Whether the unexplained ends show that the request ends engines. Requests that were lost together and came
-// again together account for the same ends, which matters less if only a few are under suspicion.
-bool suspect_quarantine::accounts_for(const std::string& request, const ends_by_suspect& unexplained,
-                                      bool few) const {
-    const std::vector<const end_entry*>& ends = unexplained.at(request);
-    const int count = int(ends.size());
-    const auto answered = std::count_if(ends.begin(), ends.end(),
-                                        [](const end_entry* end) { return end->second.answered_any_; });
-    if (count < least_ends || (answered < least_ends && count < least_ends_unanswered)) {
-        return false;
+// Whether the ends show that the request ends engines; `all` are those under each suspect, `unexplained`
+// those that nothing quarantined accounts for. Requests that were lost together and came again together
+// account for the same ends, which matters less if only a few are under suspicion.
+bool suspect_quarantine::accounts_for(const std::string& request, const ends_by_suspect& all,
+                                      const ends_by_suspect& unexplained, bool few) const {
+    const std::vector<const end_entry*>& ends = all.at(request);
+    const int count = int(unexplained.at(request).size());
+    const rivalry rival = strongest_rival(request, unexplained);
+    const auto answered =
+        std::count_if(ends.begin(), ends.end(), [](const end_entry* end) { return end->second.answered_; });
+    if (answered < least_ends) {
+        return rival == rivalry::none && count >= least_ends_unanswered;
     }
-    switch (strongest_rival(request, unexplained)) {
-    case rivalry::none:
+    if (int(ends.size()) >= least_ends_despite_rivals) {
         return true;
+    }
+    switch (rival) {
+    case rivalry::none:
+        return count >= least_ends;
     case rivalry::equal_request:
-        return few || count >= least_ends_if_tied;
+        return count >= (few ? least_ends : least_ends_if_tied);
     case rivalry::better_request:
-        return few;
+        return few && count >= least_ends;
     case rivalry::better_part:
         return false;
     }
@@ -171,15 +179,14 @@
     const bool few = suspected <= few_requests;
     bool found = false;
     for (const auto& [suspect, some] : unexplained) {
-        const std::vector<const end_entry*>& ends = all.at(suspect);
-        const bool many = int(ends.size()) >= least_ends_despite_rivals;
-        if (!names_request(suspect) || (!many && !accounts_for(suspect, unexplained, few))) {
+        if (!names_request(suspect) || !accounts_for(suspect, all, unexplained, few)) {
             continue;
         }
-        const bool known_well = std::all_of(ends.begin(), ends.end(),
-                                            [](const end_entry* end) { return end->second.answered_any_; });
+        const std::vector<const end_entry*>& ends = all.at(suspect);
+        const bool known_well =
+            std::all_of(ends.begin(), ends.end(), [](const end_entry* end) { return end->second.answered_; });
         const bool was_alone = std::any_of(ends.begin(), ends.end(), [&](const end_entry* end) {
-            return is_only_request(end->second, suspect);
+            return is_only_suspect(end->second, suspect);
         });
         std::vector<std::string> engines;
         for (const end_entry* end : ends) {
@@ -191,10 +198,10 @@
     return found;
 }
 
-// Whether an engine ended with this request and no other one that is under suspicion.
-bool suspect_quarantine::is_only_request(const end_record& record, const std::string& request) const {
+// Whether nothing else that is under suspicion was at the end.
+bool suspect_quarantine::is_only_suspect(const end_record& record, const std::string& suspect) const {
     return std::none_of(record.suspects_.begin(), record.suspects_.end(), [&](const std::string& other) {
-        return other != request && names_request(other) && speaks_against(record, other);
+        return other != suspect && speaks_against(record, other);
     });
 }
 
--- a/src/quarantine/names.cpp
+++ b/src/quarantine/names.cpp
@@ -55,8 +55,8 @@
 std::string request_name(const request_identity& identity) {
     constexpr std::size_t digits = 24;
     field_hash hash;
-    for (const std::string_view field :
-         {identity.method_, identity.host_, identity.target_, identity.caller_, identity.body_}) {
+    for (const std::string_view field : {identity.method_, identity.host_, identity.target_, identity.caller_,
+                                         identity.prompt_, identity.body_}) {
         hash.add(field);
     }
     return std::string(request_prefix) + hash.hex(digits);
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -119,12 +119,13 @@
     for (const std::string& suspect : suspects) {
         note_proof(suspect, now, true);
     }
-    answers_.note(now);
-    if (has_parts(suspects)) {
-        lost_with_suspect_.clear();
-        lost_unanswered_ = 0;
-        answers_with_parts_.note(now);
+    if (!has_parts(suspects)) {
+        answers_without_parts_.note(now);
+        return;
     }
+    lost_with_suspect_.clear();
+    lost_unanswered_ = 0;
+    answers_with_parts_.note(now);
 }
 
 void suspect_quarantine::note_proof(const std::string& suspect, time_ms at, bool own) {
@@ -189,8 +190,9 @@
         return false;
     }
     quarantine_entry& entry = found->second;
-    const recent_answers& answers = names_request(suspect) ? answers_ : answers_with_parts_;
-    if (entry.trial_ms_ == no_trial || now < entry.trial_at_ || !answers.has_enough_since(entry.since_ + 1)) {
+    if (entry.trial_ms_ == no_trial || now < entry.trial_at_ ||
+        (!answers_with_parts_.has_enough_since(entry.since_ + 1) &&
+         (!names_request(suspect) || !answers_without_parts_.has_enough_since(entry.since_ + 1)))) {
         return false;
     }
     constexpr time_ms growth = 4;
@@ -402,13 +404,13 @@
 void suspect_quarantine::settle(time_ms now) {
     for (auto& [key, record] : ends_) {
         const time_ms from = record.at_ - proof_validity_ms;
+        const recent_answers& answers = has_part(record) ? answers_with_parts_ : answers_without_parts_;
         const auto set = [&](bool& known, bool value) {
             judge_ = judge_ || (value && !known);
             known = known || value;
         };
         set(record.settled_, now - record.changed_at_ >= settling_ms);
-        set(record.answered_, answers_with_parts_.has_enough_since(from));
-        set(record.answered_any_, answers_.has_enough_since(from));
+        set(record.answered_, answers.has_enough_since(from));
     }
     memory_changed_ = memory_changed_ || judge_;
 }
--- a/tests/direct/quarantine_request_test.cpp
+++ b/tests/direct/quarantine_request_test.cpp
@@ -13,7 +13,7 @@
 using names = std::vector<std::string>;
 
 std::string request(const std::string& target) {
-    return request_name({"GET", "shop.example", target, "", ""});
+    return request_name({"GET", "shop.example", target, "", "", ""});
 }
 
 const std::string bad = request("/bad");
@@ -30,6 +30,7 @@
 
     void answer_others(time_ms now) {
         for (std::size_t answer = 0; answer < least_answers; ++answer) {
+            suspects_.note_sound(names{request("/plain")}, now);
             suspects_.note_sound(names{request("/other"), "other"}, now);
         }
     }
@@ -128,6 +129,34 @@
     CHECK(suspects_.quarantined().empty());
 }
 
+// After a start of all gateways, engines ended under a part before they answered anything, and the equal
+// requests at all ends were refused, since plain services had answered.
+TEST_CASE("quarantine_only_plain_services_answer_equal_requests_to_engines_are_not_found") {
+    suspect_quarantine suspects;
+    suspects.restore({}, 0);
+    for (int end = 0; end < 5; ++end) {
+        const std::string engine = "e" + std::to_string(end);
+        for (const char* part : {"bad", "sound"}) {
+            suspects.note_lost(engine, 1, names{request("/equal"), part + std::to_string(end % 2)}, 1'000);
+        }
+        suspects.note_ended(engine, 1, 1'010);
+        suspects.note_sound(names{request("/plain")}, 1'100 + end);
+        suspects.note_sound(names{request("/plain")}, 1'200 + end);
+    }
+    suspects.update(3'000);
+    CHECK(suspects.quarantined().empty());
+}
+
+// A request was never tried again, although a part of its prompt was at the same ends.
+TEST_CASE_FIXTURE(request_quarantine_fixture,
+                  "quarantine_request_and_part_are_at_the_same_ends_the_request_is_tried") {
+    end_engines(3, {{bad, "subject"}});
+    suspects_.update(3'000);
+    REQUIRE(suspects_.quarantined() == names{bad});
+    answer_others(4'000);
+    CHECK(suspects_.begin_trial(bad, 3'000 + unanswered_trial_ms));
+}
+
 // Sound requests with the parts of a bad request's prompt were refused.
 TEST_CASE_FIXTURE(request_quarantine_fixture, "quarantine_request_has_parts_only_the_request_is_found") {
     for (int end = 0; end < 6; ++end) {
@@ -229,7 +258,7 @@
     CHECK(read.states_[1].trial_ms_ == no_trial);
 }
 
-TEST_CASE("quarantine_request_names_tell_method_target_caller_and_body_apart_and_nothing_else") {
+TEST_CASE("quarantine_request_names_tell_method_target_caller_prompt_and_body_apart_and_nothing_else") {
     const http::request plain = get("/a?x=1", {{"Tamarackbeam-Request-Id", "1"}});
     http::request other_id = get("/a?x=1", {{"Tamarackbeam-Request-Id", "2"}, {"Accept", "*/*"}});
     CHECK(name_of(plain) == name_of(other_id));
@@ -238,11 +267,16 @@
     const http::request with_body{"GET", "/a?x=1", {{"Host", "shop.example"}}, "b"};
     http::request post = plain;
     post.method_ = "POST";
+    const auto with_prompt = [](const std::string& parts) {
+        return get("/a?x=1", {{"Tamarackbeam-Prompt-Prefix", parts}});
+    };
+    CHECK(name_of(with_prompt("1:5,2:5")) == name_of(with_prompt("1:5,3:5")));
+    CHECK(name_of(with_prompt("1:5,2:5,3:5")) != name_of(with_prompt("1:5,4:5,3:5")));
     for (const http::request& different :
          {get("/a?x=2", {}), get("/a", {}), get("/a?x=1", {{"Authorization", "me"}}), with_body, post}) {
         CHECK(name_of(different) != name_of(plain));
     }
-    CHECK(request_name({"GET", "h", "/ab", "c", ""}) != request_name({"GET", "h", "/a", "bc", ""}));
+    CHECK(request_name({"GET", "h", "/ab", "c", "", ""}) != request_name({"GET", "h", "/a", "bc", "", ""}));
 }
 
 // The end of a plain endpoint was known when its registry entry lapsed, seconds later.
