--- a/include/tamarack/quarantine.hpp
+++ b/include/tamarack/quarantine.hpp
@@ -3,9 +3,9 @@
 // A suspect is anything that requests have in common and that may end an engine: the request itself, which
 // its caller sends again with another id, or a part of a prompt. An engine that ends loses its whole batch,
 // so all suspects of the requests that it had not begun to answer are under suspicion. Gateways announce them
-// to each other. A suspect is quarantined once several engines have ended under it, no other suspect accounts
-// for these ends as well, and no gateway has seen an engine answer it shortly before or at any time after.
-// Such a proof later also ends a quarantine.
+// to each other. A suspect is quarantined once several engines have ended under it and no gateway has seen an
+// engine answer it shortly before or at any time after. Where other suspects account for the same ends as
+// well or better, it usually takes more ends. An answer later also ends a quarantine.
 //
 // Nothing here does I/O or reads a clock: times are those of `boot_now_ms`. "Engine" stands for any endpoint.
 #pragma once
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -17,7 +17,7 @@
     int crashing_requests_ = 0; // the same of single requests, to the plain service and to engines in turn
     bool drills_ = true;        // whether the store returns from a copy now and then
     bool faults_ = true;        // otherwise only the limits and drills
-    std::string folder_;        // for settings and logs
+    std::string folder_;        // folder of the settings and logs
 };
 
 struct soak_outcome {
