Log what an endpoint's answer says of the endpoint, to tell the hypotheses apart

No line and no metric said that an endpoint leaves or wants rest by its answers (Server-Leaving, Retry-After), so the hypotheses could not be told apart.

--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -154,6 +154,65 @@
     return std::optional<double>(per_s);
 }
 
+result<bool> says_leaving(const std::vector<http::header>& headers, const header_names& names) {
+    bool leaving = false;
+    for (const http::header& one : headers) {
+        if (!http::same_name(one.name_, names.leaving_)) {
+            continue;
+        }
+        if (leaving || trim(one.value_) != "1") {
+            return error{error_kind::invalid, "the header of a shutdown is not a single 1",
+                         "check the endpoint's version"};
+        }
+        leaving = true;
+    }
+    return leaving;
+}
+
+namespace {
+
+// Reads a number of seconds, 0 or more, as ms. Values beyond the longest back-off are cut to it.
+std::optional<time_ms> parse_back_off_ms(std::string_view text) {
+    constexpr double ms_per_s = 1'000;
+    double seconds = 0;
+    const auto [rest, failed] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (text.empty() || rest != text.data() + text.size() || text.front() == '-') {
+        return std::nullopt;
+    }
+    const double longest_s = double(notices::max_back_off_ms) / ms_per_s;
+    if (failed == std::errc::result_out_of_range) {
+        return notices::max_back_off_ms;
+    }
+    if (failed != std::errc() || !std::isfinite(seconds)) {
+        return std::nullopt;
+    }
+    return time_ms(std::ceil(std::min(seconds, longest_s) * ms_per_s));
+}
+
+} // namespace
+
+back_off_request requested_back_off(int status, const std::vector<http::header>& headers,
+                                    const header_names& names) {
+    constexpr int too_many_requests = 429;
+    constexpr int unavailable = 503;
+    back_off_request requested;
+    if (status != too_many_requests && status != unavailable) {
+        return requested;
+    }
+    for (const http::header& one : headers) {
+        if (!http::same_name(one.name_, names.retry_after_)) {
+            continue;
+        }
+        const auto parsed = parse_back_off_ms(trim(one.value_));
+        requested.readable_ = requested.readable_ && parsed;
+        const time_ms for_ms = parsed.value_or(notices::default_back_off_ms);
+        if (for_ms > 0) {
+            requested.for_ms_ = std::max(requested.for_ms_.value_or(0), for_ms);
+        }
+    }
+    return requested;
+}
+
 std::vector<http::header> forwarded_headers(const std::vector<http::header>& headers) {
     const std::vector<std::string> listed_names = names_in_connection_header(headers);
     std::vector<http::header> forwarded;
--- a/src/gateway/head_rewrite.hpp
+++ b/src/gateway/head_rewrite.hpp
@@ -4,6 +4,7 @@
 #include "tamarack/fleet.hpp"
 #include "tamarack/gateway.hpp"
 #include "tamarack/http.hpp"
+#include "tamarack/notices.hpp"
 
 namespace tamarack::gateway {
 
@@ -44,6 +45,21 @@
 result<std::optional<double>> request_limit(const std::vector<http::header>& headers,
                                             const header_names& names);
 
+// Whether a response says that its endpoint shuts down. Fails with `invalid` if the header has another value
+// than 1, or comes more than once.
+result<bool> says_leaving(const std::vector<http::header>& headers, const header_names& names);
+
+// How long an endpoint that turned a request away wants no other one.
+struct back_off_request {
+    std::optional<time_ms> for_ms_; // nothing if it asks for none
+    bool readable_ = true;          // all of its values were numbers of 0 or more
+};
+
+// Reads the back-off from the head of a response. Of several values, the longest counts; a value that cannot
+// be read counts as `notices::default_back_off_ms`.
+back_off_request requested_back_off(int status, const std::vector<http::header>& headers,
+                                    const header_names& names);
+
 // Whether the header applies to one connection only, message framing included.
 bool is_hop_by_hop_header(std::string_view name);
 
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -132,6 +132,7 @@
     void send(const std::shared_ptr<endpoint>& target);
 
     void note_response_head(const http::response_parser& response);
+    void log_notice(const http::response_parser& response);
     bool is_event_stream(const http::response_parser& response) const;
     void on_response_progress(http::response_parser& response);
     void forward_events(http::response_parser& response);
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -43,6 +43,27 @@
 
 } // namespace
 
+// Logs what the head of a response says of its endpoint.
+void request_flow::log_notice(const http::response_parser& response) {
+    const header_names& names = context_.fleet_.names_;
+    const endpoint& target = attempt_->target();
+    const auto leaving = says_leaving(response.headers_, names);
+    const back_off_request back_off = requested_back_off(response.status_, response.headers_, names);
+    if (ok(leaving) && !value(leaving) && !back_off.for_ms_ && back_off.readable_) {
+        return;
+    }
+    context_.events_.write({event_kind::fleet_view,
+                            "gateway",
+                            "endpoint_notice",
+                            metadata_.id_,
+                            {{"endpoint", target.record().id_},
+                             {"incarnation", target.record().incarnation_},
+                             {"status", response.status_},
+                             {"leaving", ok(leaving) && value(leaving)},
+                             {"back_off_ms", back_off.for_ms_.value_or(0)},
+                             {"readable", ok(leaving) && back_off.readable_}}});
+}
+
 // Takes what the head of a response tells about its endpoint.
 void request_flow::note_response_head(const http::response_parser& response) {
     const header_names& names = context_.fleet_.names_;
@@ -54,6 +75,7 @@
     if (!from_endpoint || from_another || std::exchange(response_head_noted_, true)) {
         return;
     }
+    log_notice(response);
     const auto named = request_limit(response.headers_, names);
     if (!ok(named)) {
         context_.events_.write({event_kind::fleet_view,
