--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -288,6 +288,11 @@
     limit_ = std::move(per_s);
 }
 
+void fake_endpoint::set_headers(std::string lines) {
+    const std::lock_guard lock(mutex_);
+    headers_ = std::move(lines);
+}
+
 std::vector<std::string> fake_endpoint::received_requests() const {
     const std::lock_guard lock(mutex_);
     return received_requests_;
@@ -301,6 +306,7 @@
             return;
         }
         sockets_.push_back(socket);
+        ++connections_;
         threads_.emplace_back([this, socket] { serve(socket); });
     }
 }
@@ -313,6 +319,7 @@
 
 void fake_endpoint::serve(int socket) {
     std::string received;
+    std::string repeated; // an earlier refusal, sent before the next answer
     char bytes[4'096];
     while (true) {
         const ssize_t count = ::recv(socket, bytes, sizeof(bytes), 0);
@@ -354,6 +361,10 @@
             send_and_close(socket, *last, request);
             break;
         }
+        reply.insert(0, std::exchange(repeated, {}));
+        if (selected == behaviour::refused_twice) {
+            repeated = reply;
+        }
         ::send(socket, reply.data(), reply.size(), MSG_NOSIGNAL);
         const bool ends = selected == behaviour::truncated || selected == behaviour::reset ||
                           selected == behaviour::garbage || selected == behaviour::truncated_stream;
@@ -371,7 +382,7 @@
     const std::string id = header_value(request, "Tamarackbeam-Request-Id");
     const std::string limit_header = limit_.empty() ? "" : "Server-Limit: " + limit_ + "\r\n";
     const std::string stamp_header = "Tamarackbeam-Server-Stamp: s-" + id_ + "\r\n" + limit_header;
-    const std::string id_header = "Tamarackbeam-Request-Id: " + id + "\r\n";
+    const std::string id_header = "Tamarackbeam-Request-Id: " + id + "\r\n" + headers_;
     const std::string ok = "HTTP/1.1 200 OK\r\n";
     const std::string body = "Content-Length: 4\r\n\r\ndone";
     const std::string stream = ok + id_header + stamp_header +
@@ -385,8 +396,11 @@
     case behaviour::truncated:
         return ok + id_header + stamp_header + "Content-Length: 4\r\n\r\ndo";
     case behaviour::not_run:
+    case behaviour::refused_twice:
         return "HTTP/1.1 503 Service Unavailable\r\n" + id_header +
                "Tamarackbeam-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    case behaviour::misdirected:
+        return "HTTP/1.1 421 Misdirected Request\r\n" + id_header + "Content-Length: 0\r\n\r\n";
     case behaviour::unstamped:
         return ok + id_header + body;
     case behaviour::server_error:
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -87,6 +87,8 @@
         truncated,          // closes the connection in the middle of the body
         reset,              // closes the connection without an answer
         not_run,            // refuses with the header for requests that were not run
+        refused_twice,      // the same, and writes the refusal once more after the next request has arrived
+        misdirected,        // refuses with 421, as an engine that does not hold the model
         unstamped,          // answers 200 without the endpoint's stamp
         server_error,       // answers 500 with a stamp
         garbage,            // sends bytes that are not HTTP
@@ -126,9 +128,15 @@
 
     // Names this limit on its requests in its following responses; none if empty.
     void set_limit(std::string per_s);
+
+    // Header lines, each with its line end, of all following responses.
+    void set_headers(std::string lines);
     boost::asio::ip::tcp::endpoint address() const { return address_; }
     const std::string& id() const { return id_; }
 
+    // Connections that it has accepted.
+    int connection_count() const { return connections_; }
+
     // Returns the bytes of each received request.
     std::vector<std::string> received_requests() const;
 
@@ -147,9 +155,11 @@
     std::vector<behaviour> behaviours_ = {behaviour::complete};
     std::size_t next_ = 0;
     std::string limit_;
+    std::string headers_;
     std::optional<endless_reply> endless_;
     std::optional<last_reply> last_;
     std::atomic<int> endless_running_ = 0;
+    std::atomic<int> connections_ = 0;
     std::vector<std::string> received_requests_;
     std::vector<int> sockets_;
     std::vector<std::thread> threads_;
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -47,6 +47,77 @@
     CHECK(value(good).models_[0].adapters_.contains("a1"));
 }
 
+namespace {
+
+std::string nested_arrays(int depth) {
+    return std::string(std::size_t(depth), '[') + std::string(std::size_t(depth), ']');
+}
+
+// An otherwise sound entry with one odd field.
+std::string odd_entry(const std::string& field, const std::string& odd) {
+    std::string entry = R"({"service":"svc","address":"127.0.0.1:9","state":"ready","slots":4,"born":10,)";
+    const std::size_t known = entry.find("\"" + field + "\":");
+    if (known != std::string::npos) {
+        entry.erase(known, entry.find(',', known) + 1 - known);
+    }
+    return entry + "\"" + field + "\":" + odd + "}";
+}
+
+} // namespace
+
+// Gateways ended, one after the other and again after each start, while one odd entry stood in the registry.
+TEST_CASE("platform_odd_entries_name_no_endpoint_and_end_no_process") {
+    const std::pair<const char*, std::string> fields[] = {{"models", nested_arrays(100'000)},
+                                                          {"extra", nested_arrays(100'000)},
+                                                          {"slots", "1e300"},
+                                                          {"slots", "-5"},
+                                                          {"slots", "1e999"},
+                                                          {"slots", "0.5"},
+                                                          {"born", "1e300"},
+                                                          {"born", "18446744073709551615"},
+                                                          {"born", "-1"},
+                                                          {"born", "1.5"},
+                                                          {"born", "\"early\""},
+                                                          {"sequence", "1e300"},
+                                                          {"address", "\"127.0.0.1:99999\""},
+                                                          {"address", "\"127.0.0.1:0\""},
+                                                          {"address", "\"127.0.0.1:-1\""},
+                                                          {"state", "true"},
+                                                          {"service", nested_arrays(100)}};
+    for (const auto& [field, odd] : fields) {
+        CAPTURE(std::string(field) + " " + odd.substr(0, 20));
+        const std::string entry = odd_entry(field, odd);
+        CHECK_FALSE(ok(platform::decode_endpoint("i", entry)));
+        CHECK_FALSE(platform::without_sequence(entry).empty());
+    }
+    CHECK(ok(platform::decode_endpoint("i", odd_entry("zone", "7"))));
+    CHECK_FALSE(ok(platform::decode_configuration("{\"version\":" + nested_arrays(100'000) + "}")));
+    CHECK_FALSE(ok(platform::decode_configuration("{\"version\":1e300}")));
+}
+
+// A page of the registry, or a relayed one, with a field of another type ended the process that read it.
+TEST_CASE("platform_odd_pages_and_relays_are_rejected_and_end_no_process") {
+    const char* pages[] = {R"({"items":[],"has_more":"yes","end":1})", R"({"items":[],"end":"1"})",
+                           R"({"items":[{"key":"k","offset":1e300,"value":7}],"end":1e300})",
+                           R"({"items":{}})", "[[[["};
+    for (const char* page : pages) {
+        CAPTURE(page);
+        CHECK_FALSE(ok(platform::decode_newest(page)));
+    }
+    CHECK_FALSE(ok(platform::decode_newest("{\"items\":" + nested_arrays(100'000) + "}")));
+    const nlohmann::json relays[] = {{{"topic", 7}},
+                                     {{"topic", "t"}, {"from", "0"}},
+                                     {{"topic", "t"}, {"records", {{"k", nullptr, 1e300, false}}}},
+                                     {{"topic", "t"}, {"records", 5}}};
+    for (const nlohmann::json& relay : relays) {
+        CAPTURE(relay.dump());
+        const auto bytes = nlohmann::json::to_cbor(relay);
+        CHECK_FALSE(ok(platform::decode_relay({bytes.begin(), bytes.end()})));
+    }
+    const std::string deep(200'000, char(0x81)); // arrays of one item, in CBOR
+    CHECK_FALSE(ok(platform::decode_relay(deep)));
+}
+
 TEST_CASE("platform_relay_message_is_decoded_unchanged_and_malformed_bytes_are_rejected") {
     platform::relay_message message;
     message.topic_ = "t";
@@ -185,6 +256,24 @@
     CHECK(eventually([&] { return store_.record_count("keyed.quarantine") == 1; }));
 }
 
+// A source stopped following the registry, or ended, when one odd entry was written to it.
+TEST_CASE_FIXTURE(relaying_sources, "sources_odd_entry_is_written_the_others_are_followed_by_all") {
+    REQUIRE(
+        eventually([&] { return first_.endpoints_.contains("i-1") && second_.endpoints_.contains("i-1"); }));
+    set_roles(first_, second_);
+    store_.put("keyed.servers", "odd", odd_entry("models", nested_arrays(100'000)));
+    store_.put("keyed.servers", "odder", odd_entry("born", "1e300"));
+    store_.put("keyed.servers", "i-2", endpoint_text(endpoint_));
+    CHECK(
+        eventually([&] { return first_.endpoints_.contains("i-2") && second_.endpoints_.contains("i-2"); }));
+    CHECK_FALSE(first_.endpoints_.contains("odd"));
+    CHECK_FALSE(second_.endpoints_.contains("odder"));
+    side later; // which reads all newest records at once
+    connect(later, first_);
+    later.source_->start();
+    CHECK(eventually([&] { return later.endpoints_.contains("i-2"); }));
+}
+
 TEST_CASE_FIXTURE(relaying_sources,
                   "sources_reader_changes_while_an_endpoint_is_removed_both_see_its_return") {
     const auto known = [this](const std::string& id) {
