Send nothing to an endpoint that has said in an answer that it leaves

Callers' requests reached endpoints for as long as the registry had not told that they leave, though an answer had (Server-Leaving): up to the next reading of the registry, and without end while the store was away. Cause: an answer decided what becomes of its own request and was forgotten for all others; no code read the header. Change: notices keeps what an endpoint has said of itself, by id and incarnation, beside its limit. Choice, adapters, the planner and the moment before the first byte ask it. A shutdown holds for its incarnation for good, whatever the registry, a relay or a report says later, and for a minute after the endpoint was listed last, in case the store returns from a copy.

--- a/include/tamarack/links.hpp
+++ b/include/tamarack/links.hpp
@@ -28,6 +28,7 @@
 using configuration_relay = fbs::ConfigurationRelayT;
 using endpoint_limit = fbs::EndpointLimitT;
 using engine_end = fbs::EngineEndT;
+using leaving_endpoint = fbs::LeavingEndpointT;
 using part_state = fbs::PartStateT;
 using store_relay = fbs::StoreRelayT;
 using echo = fbs::EchoT;
--- a/src/gateway/agent_links.cpp
+++ b/src/gateway/agent_links.cpp
@@ -210,6 +210,16 @@
         fleet_.quarantine_.note_ended(one.endpoint_, listed, boot_now_ms());
     }
     view.leaving_ = status.leaving;
+    if (status.leaving && status.incarnation == listed &&
+        fleet_.notices_.note_leaving(key_of(at), notices::leaving_source::report, boot_now_ms())) {
+        events_.write({event_kind::fleet_view,
+                       "gateway",
+                       "endpoint_says_leaving",
+                       {},
+                       {{"endpoint", one.endpoint_},
+                        {"incarnation", listed},
+                        {"source", notices::to_string(notices::leaving_source::report)}}});
+    }
     view.incarnation_ = status.incarnation;
     view.gone_at_ =
         status.remaining_ms >= 0 ? std::optional<time_ms>(now + status.remaining_ms) : std::nullopt;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -74,8 +74,7 @@
         if (self->ended_) {
             return;
         }
-        // The endpoint may have left since it was chosen.
-        if (failed || !self->target_->accepts_requests()) {
+        if (failed) {
             self->finish(exchange_outcome::not_connected);
             return;
         }
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -60,7 +60,7 @@
     void resume();
 
     bool sent() const { return sent_; }
-    bool response_begun() const { return parser_->head_done_; }
+    bool response_begun() const { return parser_->head_done_ && matches_request(); }
     bool reused() const { return reused_; }
     endpoint& target() { return *target_; }
     http::response_parser& response() { return *parser_; }
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -31,7 +31,7 @@
 
 fleet_state::fleet_state(std::string own_id, boost::asio::any_io_executor executor, header_names names,
                          dispatch::retry_limits retries)
-    : executor_(std::move(executor)), names_(std::move(names)), limits_(std::move(own_id), boot_now_ms()),
+    : executor_(std::move(executor)), names_(std::move(names)), notices_(std::move(own_id), boot_now_ms()),
       retry_limits_(retries), started_at_(steady_now_ms()), random_(new_incarnation()),
       gateway_count_(initial_gateway_count), budget_sharers_(initial_gateway_count) {}
 
@@ -65,10 +65,21 @@
         }
         endpoints_by_service_[record.service_].push_back(known);
     }
-    limits_.retain([&](std::string_view id, std::int64_t incarnation) {
-        const auto found = records.find(id);
-        return found != records.end() && found->second.incarnation_ == incarnation;
-    });
+    std::vector<notices::endpoint_key> listed;
+    for (const auto& [id, record] : records) {
+        listed.push_back({id, record.incarnation_});
+    }
+    notices_.set_listed(listed, boot_now_ms());
+    for (const auto& [id, record] : records) {
+        if (record.leaving_) {
+            notices_.note_leaving({id, record.incarnation_}, notices::leaving_source::registry,
+                                  boot_now_ms());
+        }
+    }
+}
+
+bool fleet_state::accepts_requests(const endpoint& at) const {
+    return at.accepts_requests() && !notices_.is_leaving(key_of(at));
 }
 
 void fleet_state::set_registry_freshness(const fleet::freshness& current) {
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -4,7 +4,7 @@
 #include "gateway/demand.hpp"
 #include "gateway/endpoint.hpp"
 #include "tamarack/gateway.hpp"
-#include "tamarack/limits.hpp"
+#include "tamarack/notices.hpp"
 #include "tamarack/provisioning.hpp"
 #include "tamarack/quarantine.hpp"
 
@@ -21,6 +21,11 @@
     fleet::route_index index_;
 };
 
+// The endpoint and its present incarnation.
+inline notices::endpoint_key key_of(const endpoint& at) {
+    return {at.record().id_, at.record().incarnation_};
+}
+
 class fleet_state {
 public:
     fleet_state(std::string own_id, boost::asio::any_io_executor executor, header_names names,
@@ -37,6 +42,9 @@
     }
     const std::vector<std::shared_ptr<endpoint>>& endpoints_of(std::string_view service) const;
 
+    // Whether new requests may be sent to the endpoint, by the registry, its agent and its own responses.
+    bool accepts_requests(const endpoint& at) const;
+
     void set_registry_freshness(const fleet::freshness& current);
 
     // Age of the data that a choice of an endpoint rests on; -1 if there has been none.
@@ -109,7 +117,7 @@
     const boost::asio::any_io_executor executor_;
     const header_names names_;
     demand_meter demand_;
-    limits::shared_limits limits_;
+    notices::endpoint_notices notices_;
     quarantine::suspect_quarantine quarantine_;
 
 private:
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -117,20 +117,24 @@
     for (const auto& target : context_.fleet_.endpoints_of(service_->name_)) {
         const bool holds_model =
             !service_->engine_ || metadata_.model_.empty() || target->find_model(metadata_.model_) != nullptr;
-        if (target->accepts_requests() && holds_model && !tried_endpoints_.contains(target->record().id_)) {
+        if (context_.fleet_.accepts_requests(*target) && holds_model &&
+            !tried_endpoints_.contains(target->record().id_)) {
             usable.push_back(target);
         }
     }
     return usable;
 }
 
-// Those of the endpoints that name no limit, or whose limit lets this gateway send a request now.
+// Those of the endpoints that have not asked for a back-off, and that name no limit or one that lets this
+// gateway send a request now.
 std::vector<std::shared_ptr<endpoint>>
-request_flow::within_limits(const std::vector<std::shared_ptr<endpoint>>& usable) const {
+request_flow::taking_requests(const std::vector<std::shared_ptr<endpoint>>& usable) const {
     std::vector<std::shared_ptr<endpoint>> open;
     const time_ms now = boot_now_ms();
     std::copy_if(usable.begin(), usable.end(), std::back_inserter(open), [&](const auto& target) {
-        return context_.fleet_.limits_.available(target->record().id_, now);
+        notices::endpoint_notices& notices = context_.fleet_.notices_;
+        return !notices.back_off_ms(key_of(*target), now) &&
+               notices.limits().available(target->record().id_, now);
     });
     return open;
 }
@@ -156,7 +160,7 @@
         return;
     }
     for (const auto& target : usable) {
-        context_.fleet_.limits_.want(target->record().id_, boot_now_ms());
+        context_.fleet_.notices_.limits().want(target->record().id_, boot_now_ms());
     }
 }
 
@@ -225,9 +229,11 @@
     }
     stop_waiting_for_model();
     note_wants(listed);
-    const auto usable = within_limits(listed);
+    const auto usable = taking_requests(listed);
     if (usable.empty()) {
-        wait_for_place(listed);
+        if (!refuse_if_all_back_off(listed)) {
+            wait_for_place(listed);
+        }
         return;
     }
     const auto responsive = responsive_endpoints(usable, now);
@@ -328,7 +334,7 @@
                 return;
             }
             // The endpoint may have left since it was chosen.
-            if (ready && target->accepts_requests()) {
+            if (ready && self->context_.fleet_.accepts_requests(*target)) {
                 self->send(target);
                 return;
             }
@@ -343,6 +349,19 @@
     }
 }
 
+// Whether the request may be sent now. All that is known of the endpoint may have changed since it was
+// chosen, so this is asked immediately before the first byte of each attempt.
+bool request_flow::may_send(const endpoint& target) {
+    if (is_quarantined() || !context_.fleet_.accepts_requests(target) ||
+        context_.fleet_.notices_.back_off_ms(key_of(target), boot_now_ms()) ||
+        !confirm_place(target.record().id_)) {
+        return false;
+    }
+    counted_ = context_.fleet_.notices_.begin(key_of(target), boot_now_ms());
+    trial_sent_ = on_trial_.has_value();
+    return true;
+}
+
 void request_flow::send(const std::shared_ptr<endpoint>& target) {
     const time_ms now = steady_now_ms();
     tried_endpoints_.insert(target->record().id_);
@@ -361,13 +380,9 @@
     request.max_idle_ms_ = route_->repeatable() ? default_timeout_ms : safe_idle_ms;
     request.max_connections_ = service_->max_connections_;
     request.gateway_count_ = context_.fleet_.gateway_count();
-    request.may_send_ = [weak = weak_from_this(), id = target->record().id_] {
+    request.may_send_ = [weak = weak_from_this(), target] {
         const auto alive = weak.lock();
-        const bool may_send = alive != nullptr && !alive->is_quarantined() && alive->confirm_place(id);
-        if (may_send) {
-            alive->trial_sent_ = alive->on_trial_.has_value();
-        }
-        return may_send;
+        return alive != nullptr && alive->may_send(*target);
     };
     splitter_.restart();
     response_head_noted_ = false;
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -24,8 +24,8 @@
         acquire_adapter_;
     std::function<void(std::string_view endpoint, std::uint64_t lease)> release_adapter_;
 
-    // Called when a response names another limit of its endpoint than the one known.
-    std::function<void()> limit_changed_;
+    // Called when a response says something of its endpoint that the other gateways should know at once.
+    std::function<void()> notice_changed_;
 
     // Whether this gateway may send single requests that are quarantined to see if they still end engines.
     std::function<bool()> tries_quarantined_;
@@ -108,10 +108,10 @@
     void try_next_endpoint();
     std::vector<std::shared_ptr<endpoint>> usable_endpoints() const;
     std::vector<std::shared_ptr<endpoint>>
-    within_limits(const std::vector<std::shared_ptr<endpoint>>& usable) const;
+    taking_requests(const std::vector<std::shared_ptr<endpoint>>& usable) const;
     std::vector<std::shared_ptr<endpoint>>
     responsive_endpoints(const std::vector<std::shared_ptr<endpoint>>& usable, time_ms now) const;
-    bool has_other_endpoint() const { return !within_limits(usable_endpoints()).empty(); }
+    bool has_other_endpoint() const { return !taking_requests(usable_endpoints()).empty(); }
     void note_wants(const std::vector<std::shared_ptr<endpoint>>& usable);
     dispatch::endpoint_candidate make_candidate(const endpoint& target, time_ms now) const;
     dispatch::admission_facts admission_facts(time_ms wait_ms, time_ms now) const;
@@ -126,13 +126,18 @@
     void stop_waiting_for_place();
     void reserve_place(const endpoint& target);
     void release_place();
+    bool may_send(const endpoint& target);
     bool confirm_place(std::string_view endpoint);
+    bool refuse_if_all_back_off(const std::vector<std::shared_ptr<endpoint>>& usable);
     void acquire_adapter_and_send(std::shared_ptr<endpoint> target);
     void release_adapter();
     void send(const std::shared_ptr<endpoint>& target);
 
     void note_response_head(const http::response_parser& response);
-    void log_notice(const http::response_parser& response);
+    void note_limit(const http::response_parser& response);
+    void note_leaving(const http::response_parser& response);
+    void note_back_off(const http::response_parser& response);
+    void end_counted(bool answered);
     bool is_event_stream(const http::response_parser& response) const;
     void on_response_progress(http::response_parser& response);
     void forward_events(http::response_parser& response);
@@ -197,6 +202,7 @@
     bool wants_noted_ = false;
     std::shared_ptr<endpoint> awaited_endpoint_; // of which the request waits for a place
     std::optional<reserved_place> place_;
+    std::optional<notices::sent_request> counted_; // the current attempt, until its response begins
     bool waited_for_view_ = false;
     std::optional<time_ms> reports_overdue_since_; // when all usable engines were first found unresponsive
     bool returned_after_refusal_ = false; // assumed if the deadline is shorter than usual for the route
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -43,28 +43,8 @@
 
 } // namespace
 
-// Logs what the head of a response says of its endpoint.
-void request_flow::log_notice(const http::response_parser& response) {
-    const header_names& names = context_.fleet_.names_;
-    const endpoint& target = attempt_->target();
-    const auto leaving = says_leaving(response.headers_, names);
-    const back_off_request back_off = requested_back_off(response.status_, response.headers_, names);
-    if (ok(leaving) && !value(leaving) && !back_off.for_ms_ && back_off.readable_) {
-        return;
-    }
-    context_.events_.write({event_kind::fleet_view,
-                            "gateway",
-                            "endpoint_notice",
-                            metadata_.id_,
-                            {{"endpoint", target.record().id_},
-                             {"incarnation", target.record().incarnation_},
-                             {"status", response.status_},
-                             {"leaving", ok(leaving) && value(leaving)},
-                             {"back_off_ms", back_off.for_ms_.value_or(0)},
-                             {"readable", ok(leaving) && back_off.readable_}}});
-}
-
-// Takes what the head of a response tells about its endpoint.
+// Takes what the head of a response says of its endpoint. Called as soon as the head is there, and once for
+// each attempt.
 void request_flow::note_response_head(const http::response_parser& response) {
     const header_names& names = context_.fleet_.names_;
     const endpoint& target = attempt_->target();
@@ -72,11 +52,76 @@
     const bool from_endpoint = http::find_header(response.headers_, names.response_stamp_) != nullptr ||
                                http::find_header(response.headers_, names.not_run_) != nullptr;
     const bool from_another = responder != nullptr && responder->value_ != target.record().id_;
-    if (!from_endpoint || from_another || std::exchange(response_head_noted_, true)) {
+    const bool from_earlier_start = target.record().incarnation_ != attempt_->incarnation_;
+    if (!from_endpoint || from_another || from_earlier_start || std::exchange(response_head_noted_, true)) {
         return;
     }
-    log_notice(response);
-    const auto named = request_limit(response.headers_, names);
+    note_leaving(response);
+    note_limit(response);
+}
+
+void request_flow::note_leaving(const http::response_parser& response) {
+    const endpoint& target = attempt_->target();
+    const auto leaving = says_leaving(response.headers_, context_.fleet_.names_);
+    if (!ok(leaving)) {
+        context_.events_.write({event_kind::fleet_view,
+                                "gateway",
+                                "endpoint_leaving_unreadable",
+                                metadata_.id_,
+                                {{"endpoint", target.record().id_}, {"why", to_string(failure(leaving))}}});
+        return;
+    }
+    if (value(leaving) && context_.fleet_.notices_.note_leaving(
+                              key_of(target), notices::leaving_source::response, boot_now_ms())) {
+        context_.events_.write({event_kind::fleet_view,
+                                "gateway",
+                                "endpoint_says_leaving",
+                                metadata_.id_,
+                                {{"endpoint", target.record().id_},
+                                 {"incarnation", target.record().incarnation_},
+                                 {"source", notices::to_string(notices::leaving_source::response)},
+                                 {"status", response.status_}}});
+        context_.notice_changed_();
+    }
+}
+
+void request_flow::note_back_off(const http::response_parser& response) {
+    const endpoint& target = attempt_->target();
+    const back_off_request requested =
+        requested_back_off(response.status_, response.headers_, context_.fleet_.names_);
+    if (!requested.for_ms_) {
+        end_counted(true);
+    }
+    const bool begins = requested.for_ms_ && context_.fleet_.notices_.start_back_off(
+                                                 key_of(target), *requested.for_ms_, boot_now_ms());
+    if (begins || !requested.readable_) {
+        context_.events_.write({event_kind::fleet_view,
+                                "gateway",
+                                "endpoint_backs_off",
+                                metadata_.id_,
+                                {{"endpoint", target.record().id_},
+                                 {"incarnation", target.record().incarnation_},
+                                 {"status", response.status_},
+                                 {"for_ms", requested.for_ms_.value_or(0)},
+                                 {"readable", requested.readable_}}});
+    }
+}
+
+// Ends the count of the current attempt among the few that may be under way after a back-off.
+void request_flow::end_counted(bool answered) {
+    const auto counted = std::exchange(counted_, std::nullopt);
+    if (counted && context_.fleet_.notices_.end(*counted, answered)) {
+        context_.events_.write({event_kind::fleet_view,
+                                "gateway",
+                                "endpoint_recovered",
+                                metadata_.id_,
+                                {{"endpoint", counted->endpoint_}}});
+    }
+}
+
+void request_flow::note_limit(const http::response_parser& response) {
+    const endpoint& target = attempt_->target();
+    const auto named = request_limit(response.headers_, context_.fleet_.names_);
     if (!ok(named)) {
         context_.events_.write({event_kind::fleet_view,
                                 "gateway",
@@ -85,10 +130,10 @@
                                 {{"endpoint", target.record().id_}, {"why", to_string(failure(named))}}});
         return;
     }
-    const limits::limit_change change = context_.fleet_.limits_.observe(
+    const limits::limit_change change = context_.fleet_.notices_.limits().observe(
         target.record().id_, target.record().incarnation_, value(named), boot_now_ms());
     if (change != limits::limit_change::none) {
-        context_.limit_changed_();
+        context_.notice_changed_();
         context_.events_.write({event_kind::fleet_view,
                                 "gateway",
                                 limits::to_string(change),
@@ -216,8 +261,8 @@
     if (outcome == exchange_outcome::broken) {
         note_lost_request();
     }
-    if (outcome == exchange_outcome::complete) {
-        note_response_head(response);
+    if (ended->response_begun()) {
+        note_response_head(response); // which also counts if the rest never came
     }
     if (is_event_stream(response) && outcome == exchange_outcome::complete) {
         forward_events(response);
@@ -270,6 +315,7 @@
 
 void request_flow::on_attempt_ended(dispatch::send_end end, http::response_parser& response) {
     const time_ms now = steady_now_ms();
+    end_counted(false);
     wait_timer_.cancel();
     update_health(end, response.status_);
     const bool arrived = end != dispatch::send_end::not_connected && end != dispatch::send_end::withheld;
@@ -470,7 +516,8 @@
 
 // The limit that the present endpoint names on its requests per second; -1 without one.
 double request_flow::limit_of_endpoint() const {
-    return attempt_ ? context_.fleet_.limits_.limit(attempt_->target().record().id_).value_or(-1) : -1;
+    return attempt_ ? context_.fleet_.notices_.limits().limit(attempt_->target().record().id_).value_or(-1)
+                    : -1;
 }
 
 void request_flow::finish(int status, std::string_view outcome) {
@@ -481,6 +528,7 @@
     stop_waiting_for_model();
     stop_waiting_for_place();
     release_place();
+    end_counted(false);
     end_trial();
     deadline_timer_.cancel();
     wait_timer_.cancel();
--- a/src/gateway/request_flow_waits.cpp
+++ b/src/gateway/request_flow_waits.cpp
@@ -98,14 +98,41 @@
     }
 }
 
-// Called when all endpoints that the request may go to have a limit that is used up. Waits for the first
-// place if the request can still be in time then, and refuses it otherwise.
+// If all endpoints that the request may go to want no requests for a while, refuses it with the time of the
+// first that takes one again, since it cannot be served before. Returns whether it did.
+bool request_flow::refuse_if_all_back_off(const std::vector<std::shared_ptr<endpoint>>& usable) {
+    const time_ms now = boot_now_ms();
+    std::optional<time_ms> earliest;
+    for (const auto& target : usable) {
+        const auto wait = context_.fleet_.notices_.back_off_ms(key_of(*target), now);
+        if (!wait) {
+            return false;
+        }
+        earliest = std::min(earliest.value_or(*wait), *wait);
+    }
+    context_.events_.write({event_kind::admission,
+                            "gateway",
+                            "all_back_off",
+                            metadata_.id_,
+                            {{"model", metadata_.model_},
+                             {"endpoints", int(usable.size())},
+                             {"wait_ms", *earliest},
+                             {"left_ms", left_ms(steady_now_ms())}}});
+    refuse("endpoints_back_off", *earliest);
+    return true;
+}
+
+// Called when all endpoints that the request may go to have a limit that is used up or want no requests.
+// Waits for the first place if the request can still be in time then, and refuses it otherwise.
 void request_flow::wait_for_place(const std::vector<std::shared_ptr<endpoint>>& limited) {
     const time_ms now = steady_now_ms();
     std::optional<time_ms> wait;
     for (const auto& target : limited) {
-        const auto at_target =
-            context_.fleet_.limits_.wait_ms(target->record().id_, target->waiting_for_place_, boot_now_ms());
+        if (context_.fleet_.notices_.back_off_ms(key_of(*target), boot_now_ms())) {
+            continue;
+        }
+        const auto at_target = context_.fleet_.notices_.limits().wait_ms(
+            target->record().id_, target->waiting_for_place_, boot_now_ms());
         if (at_target && (!wait || *at_target < *wait)) {
             wait = at_target;
             awaited_endpoint_ = target;
@@ -116,17 +143,18 @@
     facts.returned_ = facts.returned_ || possible_runs_ > 0;
     const bool waits = wait && dispatch::should_admit(facts);
     const endpoint& best = wait ? *awaited_endpoint_ : *limited.front();
-    context_.events_.write({event_kind::admission,
-                            "gateway",
-                            waits ? "held_for_limit" : "over_limit",
-                            metadata_.id_,
-                            {{"model", metadata_.model_},
-                             {"endpoint", best.record().id_},
-                             {"per_s", context_.fleet_.limits_.limit(best.record().id_).value_or(-1)},
-                             {"has_part", wait.has_value()},
-                             {"wait_ms", expected},
-                             {"waiting", best.waiting_for_place_},
-                             {"left_ms", left_ms(now)}}});
+    context_.events_.write(
+        {event_kind::admission,
+         "gateway",
+         waits ? "held_for_limit" : "over_limit",
+         metadata_.id_,
+         {{"model", metadata_.model_},
+          {"endpoint", best.record().id_},
+          {"per_s", context_.fleet_.notices_.limits().limit(best.record().id_).value_or(-1)},
+          {"has_part", wait.has_value()},
+          {"wait_ms", expected},
+          {"waiting", best.waiting_for_place_},
+          {"left_ms", left_ms(now)}}});
     if (!waits) {
         awaited_endpoint_ = nullptr;
         refuse("over_limit", expected);
@@ -150,14 +178,14 @@
 void request_flow::reserve_place(const endpoint& target) {
     const std::string& id = target.record().id_;
     const time_ms now = boot_now_ms();
-    if (context_.fleet_.limits_.limited(id) && context_.fleet_.limits_.take(id, now)) {
+    if (context_.fleet_.notices_.limits().limited(id) && context_.fleet_.notices_.limits().take(id, now)) {
         place_ = {id, now};
     }
 }
 
 void request_flow::release_place() {
     if (const auto unused = std::exchange(place_, std::nullopt)) {
-        context_.fleet_.limits_.give_back(unused->endpoint_);
+        context_.fleet_.notices_.limits().give_back(unused->endpoint_);
     }
 }
 
@@ -166,9 +194,9 @@
 bool request_flow::confirm_place(std::string_view endpoint) {
     const time_ms now = boot_now_ms();
     const auto taken = std::exchange(place_, std::nullopt);
-    return !context_.fleet_.limits_.limited(endpoint) ||
+    return !context_.fleet_.notices_.limits().limited(endpoint) ||
            (taken && now - taken->taken_at_ <= place_validity_ms) ||
-           context_.fleet_.limits_.take(endpoint, now);
+           context_.fleet_.notices_.limits().take(endpoint, now);
 }
 
 } // namespace tamarack::gateway
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -38,6 +38,7 @@
               {[this](const links::gateway_digest& digest) {
                    const time_ms late_ms = peers_.apply_digest(digest, steady_now_ms());
                    apply_limits(digest, late_ms);
+                   apply_leaving(digest);
                    apply_quarantine(digest, late_ms);
                },
                [this](const links::configuration_relay& relay) {
@@ -62,7 +63,7 @@
              [this](std::string_view endpoint, std::uint64_t number) {
                  agents_.release_adapter(endpoint, number);
              },
-             [this] { announce_limits(); },
+             [this] { announce_notices(); },
              [this] { return reader_rank_ == 0; },
              [this](const std::shared_ptr<endpoint>& at) { probes_.start(at); }},
       started_at_(steady_now_ms()) {
@@ -167,12 +168,17 @@
     agents_.tick(now);
     fleet_.set_gateway_count(peers_.gateway_count(now));
     fleet_.set_budget_sharers(peers_.budget_sharers(now));
-    fleet_.limits_.update(boot_now_ms(), !shutting_down_);
+    fleet_.notices_.limits().update(boot_now_ms(), !shutting_down_);
     measures_.set("tamarack_limited_endpoints", "Endpoints that name a limit on their requests", {},
-                  double(fleet_.limits_.count()));
+                  double(fleet_.notices_.limits().count()));
+    measures_.set("tamarack_endpoints_in_back_off",
+                  "Endpoints that want no requests of this gateway for a while", {},
+                  double(fleet_.notices_.back_off_count(boot_now_ms())));
+    measures_.set("tamarack_leaving_endpoints", "Endpoints that are known to shut down", {},
+                  double(fleet_.notices_.leaving_count()));
     update_quarantine();
     const bool just_started = now - started_at_ < startup_digest_ms;
-    if (++ticks_ % ticks_per_digest == 0 || just_started || limits_changed_ ||
+    if (++ticks_ % ticks_per_digest == 0 || just_started || notices_changed_ ||
         fleet_.quarantine_.announcement_is_due()) {
         send_digest(now);
     }
@@ -220,7 +226,7 @@
     if (shutting_down_) {
         return; // without digests, the other gateways choose another planner
     }
-    limits_changed_ = false;
+    notices_changed_ = false;
     digest_sent_at_ = now;
     links::gateway_digest digest;
     digest.from = settings_.id_;
@@ -239,7 +245,7 @@
         demand->waiting = level.waiting_;
         digest.demand.push_back(std::move(demand));
     }
-    for (const limits::announcement& one : fleet_.limits_.announce(digest.sent_at)) {
+    for (const limits::announcement& one : fleet_.notices_.limits().announce(digest.sent_at)) {
         auto limit = std::make_unique<links::endpoint_limit>();
         limit->endpoint = one.endpoint_;
         limit->incarnation = one.incarnation_;
@@ -248,15 +254,21 @@
         limit->wanted_per_s = one.wanted_per_s_;
         digest.limits.push_back(std::move(limit));
     }
+    for (const notices::leaving_announcement& one : fleet_.notices_.announce()) {
+        auto leaving = std::make_unique<links::leaving_endpoint>();
+        leaving->endpoint = one.endpoint_;
+        leaving->incarnation = one.incarnation_;
+        digest.leaving.push_back(std::move(leaving));
+    }
     add_quarantine(digest);
     agents_.relay(links::make_frame(std::move(digest)));
 }
 
-// Tells the other gateways at once that an endpoint changed its limit, unless they were told something just
-// before.
-void traffic::announce_limits() {
+// Tells the other gateways at once that an endpoint changed its limit or shuts down, unless they were told
+// something just before.
+void traffic::announce_notices() {
     const time_ms now = steady_now_ms();
-    limits_changed_ = true;
+    notices_changed_ = true;
     if (now - digest_sent_at_ >= min_digest_interval_ms) {
         send_digest(now);
     }
@@ -272,17 +284,37 @@
             announced.push_back({one->endpoint, one->incarnation, per_s, one->age_ms, one->wanted_per_s});
         }
     }
-    fleet_.limits_.apply(digest.from, announced, late_ms, boot_now_ms(),
-                         [&](const limits::announcement& one, limits::limit_change change) {
-                             events_.write({event_kind::fleet_view,
-                                            "gateway",
-                                            limits::to_string(change),
-                                            {},
-                                            {{"endpoint", one.endpoint_},
-                                             {"per_s", one.per_s_.value_or(-1)},
-                                             {"from", digest.from},
-                                             {"age_ms", one.age_ms_ + late_ms}}});
-                         });
+    fleet_.notices_.limits().apply(digest.from, announced, late_ms, boot_now_ms(),
+                                   [&](const limits::announcement& one, limits::limit_change change) {
+                                       events_.write({event_kind::fleet_view,
+                                                      "gateway",
+                                                      limits::to_string(change),
+                                                      {},
+                                                      {{"endpoint", one.endpoint_},
+                                                       {"per_s", one.per_s_.value_or(-1)},
+                                                       {"from", digest.from},
+                                                       {"age_ms", one.age_ms_ + late_ms}}});
+                                   });
+}
+
+// Takes what another gateway learned from responses of endpoints that shut down. Frames from a peer may be
+// damaged, so no more than a sound one has are taken.
+void traffic::apply_leaving(const links::gateway_digest& digest) {
+    const std::size_t count = std::min(digest.leaving.size(), notices::max_announcements);
+    for (std::size_t index = 0; index < count; ++index) {
+        const links::leaving_endpoint& one = *digest.leaving[index];
+        if (fleet_.notices_.note_leaving({one.endpoint, one.incarnation},
+                                         notices::leaving_source::announcement, boot_now_ms())) {
+            events_.write({event_kind::fleet_view,
+                           "gateway",
+                           "endpoint_says_leaving",
+                           {},
+                           {{"endpoint", one.endpoint},
+                            {"incarnation", one.incarnation},
+                            {"source", notices::to_string(notices::leaving_source::announcement)},
+                            {"from", digest.from}}});
+        }
+    }
 }
 
 // Sends the configuration to gateways that neither read the store nor received the version from one that
@@ -318,12 +350,14 @@
             engine_snapshot engine;
             provisioning::engine_state& state = engine.state_;
             state.id_ = one->record().id_;
-            state.serving_ = one->accepts_requests() && (!one->engine_.known_ || one->engine_.reachable_);
+            state.serving_ =
+                fleet_.accepts_requests(*one) && (!one->engine_.known_ || one->engine_.reachable_);
             state.available_ =
                 state.serving_ && one->engine_.known_ && !one->engine_.busy_ && one->engine_.loading_.empty();
             state.loading_ = one->engine_.loading_;
             state.cached_models_ = one->engine_.cached_models_;
-            state.limited_ = fleet_.limits_.limited(state.id_);
+            state.limited_ = fleet_.notices_.limits().limited(state.id_) ||
+                             fleet_.notices_.back_off_ms(key_of(*one), boot_now_ms()).has_value();
             state.running_ = one->engine_.running_ + one->engine_.queued_;
             for (const fleet::held_model& model : one->models()) {
                 state.models_.push_back(model.name_);
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -82,9 +82,10 @@
                                                    http::request incoming);
     void tick();
     void send_digest(time_ms now);
-    void announce_limits();
+    void announce_notices();
     void apply_limits(const links::gateway_digest& digest, time_ms late_ms);
     void add_quarantine(links::gateway_digest& digest);
+    void apply_leaving(const links::gateway_digest& digest);
     void apply_quarantine(const links::gateway_digest& digest, time_ms late_ms);
     void update_quarantine();
     void tell_quarantine_memory();
@@ -115,7 +116,7 @@
     std::atomic<bool> shutting_down_ = false;
     std::atomic<bool> store_reachable_ = false;
     bool planning_ = false;
-    bool limits_changed_ = false; // the others have not been told
+    bool notices_changed_ = false; // the others have not been told
     time_ms digest_sent_at_ = 0;
     time_ms peers_outdated_since_ = 0;
     int reader_rank_ = 0;
--- a/src/links/link_generated.h
+++ b/src/links/link_generated.h
@@ -57,6 +57,10 @@
 struct EndpointLimitBuilder;
 struct EndpointLimitT;
 
+struct LeavingEndpoint;
+struct LeavingEndpointBuilder;
+struct LeavingEndpointT;
+
 struct EngineEnd;
 struct EngineEndBuilder;
 struct EngineEndT;
@@ -1519,6 +1523,81 @@
 
 flatbuffers::Offset<EndpointLimit> CreateEndpointLimit(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct LeavingEndpointT : public flatbuffers::NativeTable {
+  typedef LeavingEndpoint TableType;
+  std::string endpoint{};
+  int64_t incarnation = 0;
+};
+
+struct LeavingEndpoint FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeavingEndpointT NativeTableType;
+  typedef LeavingEndpointBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_INCARNATION = 6
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  int64_t incarnation() const {
+    return GetField<int64_t>(VT_INCARNATION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<int64_t>(verifier, VT_INCARNATION, 8) &&
+           verifier.EndTable();
+  }
+  LeavingEndpointT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LeavingEndpointT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LeavingEndpoint> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LeavingEndpointBuilder {
+  typedef LeavingEndpoint Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(LeavingEndpoint::VT_ENDPOINT, endpoint);
+  }
+  void add_incarnation(int64_t incarnation) {
+    fbb_.AddElement<int64_t>(LeavingEndpoint::VT_INCARNATION, incarnation, 0);
+  }
+  explicit LeavingEndpointBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeavingEndpoint> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeavingEndpoint>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpoint(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    int64_t incarnation = 0) {
+  LeavingEndpointBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpointDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    int64_t incarnation = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return tamarack::links::fbs::CreateLeavingEndpoint(
+      _fbb,
+      endpoint__,
+      incarnation);
+}
+
+flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EngineEndT : public flatbuffers::NativeTable {
   typedef EngineEnd TableType;
   std::string engine{};
@@ -1739,6 +1818,7 @@
   std::vector<std::unique_ptr<tamarack::links::fbs::EngineEndT>> ends{};
   std::vector<std::unique_ptr<tamarack::links::fbs::PartStateT>> parts{};
   bool parts_complete = false;
+  std::vector<std::unique_ptr<tamarack::links::fbs::LeavingEndpointT>> leaving{};
   GatewayDigestT() = default;
   GatewayDigestT(const GatewayDigestT &o);
   GatewayDigestT(GatewayDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1761,7 +1841,8 @@
     VT_PLANS = 22,
     VT_ENDS = 24,
     VT_PARTS = 26,
-    VT_PARTS_COMPLETE = 28
+    VT_PARTS_COMPLETE = 28,
+    VT_LEAVING = 30
   };
   const flatbuffers::String *from() const {
     return GetPointer<const flatbuffers::String *>(VT_FROM);
@@ -1802,6 +1883,9 @@
   bool parts_complete() const {
     return GetField<uint8_t>(VT_PARTS_COMPLETE, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>> *>(VT_LEAVING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FROM) &&
@@ -1828,6 +1912,9 @@
            verifier.VerifyVector(parts()) &&
            verifier.VerifyVectorOfTables(parts()) &&
            VerifyField<uint8_t>(verifier, VT_PARTS_COMPLETE, 1) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
+           verifier.VerifyVectorOfTables(leaving()) &&
            verifier.EndTable();
   }
   GatewayDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1878,6 +1965,9 @@
   void add_parts_complete(bool parts_complete) {
     fbb_.AddElement<uint8_t>(GatewayDigest::VT_PARTS_COMPLETE, static_cast<uint8_t>(parts_complete), 0);
   }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>>> leaving) {
+    fbb_.AddOffset(GatewayDigest::VT_LEAVING, leaving);
+  }
   explicit GatewayDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1903,12 +1993,14 @@
     bool plans = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>>> ends = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::PartState>>> parts = 0,
-    bool parts_complete = false) {
+    bool parts_complete = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>>> leaving = 0) {
   GatewayDigestBuilder builder_(_fbb);
   builder_.add_sent_at(sent_at);
   builder_.add_configuration_version(configuration_version);
   builder_.add_uptime_ms(uptime_ms);
   builder_.add_incarnation(incarnation);
+  builder_.add_leaving(leaving);
   builder_.add_parts(parts);
   builder_.add_ends(ends);
   builder_.add_planners(planners);
@@ -1935,13 +2027,15 @@
     bool plans = false,
     const std::vector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>> *ends = nullptr,
     const std::vector<flatbuffers::Offset<tamarack::links::fbs::PartState>> *parts = nullptr,
-    bool parts_complete = false) {
+    bool parts_complete = false,
+    const std::vector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>> *leaving = nullptr) {
   auto from__ = from ? _fbb.CreateString(from) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>>(*demand) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::EndpointLimit>>(*limits) : 0;
   auto planners__ = planners ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*planners) : 0;
   auto ends__ = ends ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>>(*ends) : 0;
   auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::PartState>>(*parts) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>>(*leaving) : 0;
   return tamarack::links::fbs::CreateGatewayDigest(
       _fbb,
       from__,
@@ -1956,7 +2050,8 @@
       plans,
       ends__,
       parts__,
-      parts_complete);
+      parts_complete,
+      leaving__);
 }
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2709,6 +2804,35 @@
       _wanted_per_s);
 }
 
+inline LeavingEndpointT *LeavingEndpoint::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<LeavingEndpointT>(new LeavingEndpointT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LeavingEndpoint::UnPackTo(LeavingEndpointT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+}
+
+inline flatbuffers::Offset<LeavingEndpoint> LeavingEndpoint::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLeavingEndpoint(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LeavingEndpoint> CreateLeavingEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const LeavingEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeavingEndpointT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _incarnation = _o->incarnation;
+  return tamarack::links::fbs::CreateLeavingEndpoint(
+      _fbb,
+      _endpoint,
+      _incarnation);
+}
+
 inline EngineEndT *EngineEnd::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<EngineEndT>(new EngineEndT());
   UnPackTo(_o.get(), _resolver);
@@ -2797,6 +2921,8 @@
   for (const auto &ends_ : o.ends) { ends.emplace_back((ends_) ? new tamarack::links::fbs::EngineEndT(*ends_) : nullptr); }
   parts.reserve(o.parts.size());
   for (const auto &parts_ : o.parts) { parts.emplace_back((parts_) ? new tamarack::links::fbs::PartStateT(*parts_) : nullptr); }
+  leaving.reserve(o.leaving.size());
+  for (const auto &leaving_ : o.leaving) { leaving.emplace_back((leaving_) ? new tamarack::links::fbs::LeavingEndpointT(*leaving_) : nullptr); }
 }
 
 inline GatewayDigestT &GatewayDigestT::operator=(GatewayDigestT o) FLATBUFFERS_NOEXCEPT {
@@ -2813,6 +2939,7 @@
   std::swap(ends, o.ends);
   std::swap(parts, o.parts);
   std::swap(parts_complete, o.parts_complete);
+  std::swap(leaving, o.leaving);
   return *this;
 }
 
@@ -2838,6 +2965,7 @@
   { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = std::unique_ptr<tamarack::links::fbs::EngineEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = std::unique_ptr<tamarack::links::fbs::PartStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = parts_complete(); _o->parts_complete = _e; }
+  { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = std::unique_ptr<tamarack::links::fbs::LeavingEndpointT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<GatewayDigest> GatewayDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2861,6 +2989,7 @@
   auto _ends = _o->ends.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>> (_o->ends.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineEnd(*__va->__fbb, __va->__o->ends[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _parts = _o->parts.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::PartState>> (_o->parts.size(), [](size_t i, _VectorArgs *__va) { return CreatePartState(*__va->__fbb, __va->__o->parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _parts_complete = _o->parts_complete;
+  auto _leaving = _o->leaving.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>> (_o->leaving.size(), [](size_t i, _VectorArgs *__va) { return CreateLeavingEndpoint(*__va->__fbb, __va->__o->leaving[i].get(), __va->__rehasher); }, &_va ) : 0;
   return tamarack::links::fbs::CreateGatewayDigest(
       _fbb,
       _from,
@@ -2875,7 +3004,8 @@
       _plans,
       _ends,
       _parts,
-      _parts_complete);
+      _parts_complete,
+      _leaving);
 }
 
 inline StoreRelayT::StoreRelayT(const StoreRelayT &o)
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -115,7 +115,7 @@
     const auto flow = start("m/a1");
     REQUIRE(adapters_.size() == 1);
     const auto [limited, adapter_loaded] = adapters_.front();
-    fleet_.limits_.observe(limited, 0, 0.5, boot_now_ms());
+    fleet_.notices_.limits().observe(limited, 0, 0.5, boot_now_ms());
     adapter_loaded(true);
     context_.run_for(std::chrono::milliseconds(20));
     REQUIRE(adapters_.size() == 2);
@@ -126,8 +126,8 @@
 }
 
 TEST_CASE_FIXTURE(flow_fixture, "request_all_endpoints_limited_and_no_part_here_is_refused_at_once") {
-    fleet_.limits_.observe("e-1", 0, 0.5, boot_now_ms());
-    fleet_.limits_.observe("e-2", 0, 0.5, boot_now_ms());
+    fleet_.notices_.limits().observe("e-1", 0, 0.5, boot_now_ms());
+    fleet_.notices_.limits().observe("e-2", 0, 0.5, boot_now_ms());
     const auto flow = start("m");
     CHECK(sink_->status_ == 503);
     run();
@@ -140,11 +140,11 @@
     records_.erase("e-2");
     fleet_.apply_endpoints(records_);
     const time_ms started_at = boot_now_ms() - 10'000;
-    fleet_.limits_ = limits::shared_limits("gateway-1", started_at);
+    fleet_.notices_.limits() = limits::shared_limits("gateway-1", started_at);
     for (time_ms now = started_at; now <= boot_now_ms(); now += 500) {
-        fleet_.limits_.update(now, true);
+        fleet_.notices_.limits().update(now, true);
     }
-    fleet_.limits_.observe("e-1", 0, 10.0, boot_now_ms());
+    fleet_.notices_.limits().observe("e-1", 0, 10.0, boot_now_ms());
     first_.set_limit("10.0");
     const time_ms began = boot_now_ms();
     constexpr int requests = 40;
@@ -154,7 +154,7 @@
     while (boot_now_ms() - began < 2'500) {
         context_.run_for(std::chrono::milliseconds(50));
         context_.restart();
-        fleet_.limits_.update(boot_now_ms(), true);
+        fleet_.notices_.limits().update(boot_now_ms(), true);
     }
     const auto sent = int(received_by("e-1"));
     CHECK(sent >= 10);
