Leave an endpoint alone for the time that its Retry-After names

Callers' requests went on to endpoints that had turned requests away with 503 and Retry-After, one after the other, and came back refused.

--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -57,6 +57,7 @@
         return;
     }
     note_leaving(response);
+    note_back_off(response);
     note_limit(response);
 }
 
