Read what other programs write without trusting its depth, numbers and types

One odd entry in the registry ended every gateway that read it, again after each start: nested deep, it overflowed the stack in a copy or a dump; a field of another type was an uncaught exception in reports, pages and relays; a number out of range was converted undefined, to another value on each machine. Cause: each decoder checked what its writer gets wrong by mistake, not what a document may hold. The library parses any depth, but its copies and dumps recurse. The own interface had the same: a caller's nested messages reached a dump in the entry, and a port of 99999 in the list was taken as 34463. Change: one reader (untrusted) bounds the depth before anything is built, for JSON and for the CBOR of relays, and checks numbers before they are converted; all decoders use it.

--- /dev/null
+++ b/include/tamarack/untrusted.hpp
@@ -0,0 +1,40 @@
+// Untrusted: reads documents that other programs write. Whatever they hold, the reader neither ends nor
+// overflows: depth is bounded, since copies and destruction of a document recurse, and numbers are checked
+// before they are converted.
+#pragma once
+
+#include "tamarack/kernel.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+
+namespace tamarack::untrusted {
+
+// Deepest nesting of arrays and objects that is read.
+inline constexpr int max_depth = 64;
+
+// Parses JSON. Returns a discarded value, which is neither an object nor an array, if the text is malformed
+// or nested deeper than `max_depth`.
+nlohmann::json parse_json(std::string_view text);
+
+// The same for CBOR.
+nlohmann::json parse_cbor(std::string_view bytes);
+
+// Whole numbers up to this size are exact also where a writer keeps them as floating-point numbers.
+inline constexpr std::int64_t max_whole = 1LL << 53;
+
+// A field that holds a whole number from `least` to `most`, as an integer or a floating-point number. Returns
+// nothing if the field is missing or holds something else.
+std::optional<std::int64_t> whole_number(const nlohmann::json& row, const char* field, std::int64_t least = 0,
+                                         std::int64_t most = max_whole);
+
+// A field that holds any number, cut to the range of `int`. Returns `fallback` if there is none.
+double number(const nlohmann::json& row, const char* field, double fallback);
+
+// Fields of these types; empty or false if the field is missing or has another type.
+std::string text(const nlohmann::json& row, const char* field);
+bool flag(const nlohmann::json& row, const char* field);
+const nlohmann::json& list(const nlohmann::json& row, const char* field);
+
+} // namespace tamarack::untrusted
--- a/src/agent/engine_client.cpp
+++ b/src/agent/engine_client.cpp
@@ -1,6 +1,6 @@
 #include "agent/engine_client.hpp"
 
-#include <nlohmann/json.hpp>
+#include "tamarack/untrusted.hpp"
 
 namespace tamarack::agent {
 
@@ -63,7 +63,7 @@
 } // namespace
 
 result<engine_report> parse_report(std::string_view text) {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = untrusted::parse_json(text);
     engine_report report;
     const bool has_numbers = read_number(json, "engine_incarnation", report.engine_incarnation_) &&
                              read_number(json, "sequence", report.sequence_) &&
--- a/src/claims/claim_index.cpp
+++ b/src/claims/claim_index.cpp
@@ -1,7 +1,7 @@
 #include "tamarack/claims.hpp"
 #include "tamarack/configuration.hpp"
 
-#include <nlohmann/json.hpp>
+#include "tamarack/untrusted.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -62,7 +62,7 @@
 }
 
 std::vector<claim> decode_claims(std::string_view text) {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = untrusted::parse_json(text);
     std::vector<claim> claims;
     if (!json.is_object() || !json.contains("claims") || !json["claims"].is_array()) {
         return claims;
--- a/src/configuration/codec.cpp
+++ b/src/configuration/codec.cpp
@@ -1,6 +1,6 @@
 #include "configuration/codec.hpp"
 
-#include <nlohmann/json.hpp>
+#include "tamarack/untrusted.hpp"
 
 namespace tamarack {
 
@@ -41,7 +41,7 @@
 }
 
 nlohmann::json parse_object(std::string_view text) {
-    nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+    nlohmann::json parsed = untrusted::parse_json(text);
     return parsed.is_object() ? parsed : nlohmann::json();
 }
 
--- a/src/ctl/session.cpp
+++ b/src/ctl/session.cpp
@@ -1,6 +1,7 @@
 #include "ctl/session.hpp"
 
 #include "tamarack/http.hpp"
+#include "tamarack/untrusted.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -25,7 +26,7 @@
     }
     std::ostringstream text;
     text << file.rdbuf();
-    nlohmann::json parsed = nlohmann::json::parse(text.str(), nullptr, false);
+    nlohmann::json parsed = untrusted::parse_json(text.str());
     if (parsed.is_discarded()) {
         return error{error_kind::invalid, "\"" + path + "\" is not valid JSON", "correct the file"};
     }
--- a/src/ctl/status_commands.cpp
+++ b/src/ctl/status_commands.cpp
@@ -3,6 +3,7 @@
 
 #include "tamarack/http.hpp"
 #include "tamarack/placement.hpp"
+#include "tamarack/untrusted.hpp"
 
 #include <algorithm>
 #include <iostream>
@@ -25,7 +26,7 @@
     if (!ok(fetched)) {
         return {{"address", text}, {"reachable", false}, {"problem", failure(fetched).message_}};
     }
-    nlohmann::json body = nlohmann::json::parse(value(fetched).body_, nullptr, false);
+    nlohmann::json body = untrusted::parse_json(value(fetched).body_);
     if (!body.is_object()) {
         body = nlohmann::json::object();
     }
@@ -72,7 +73,7 @@
     nlohmann::json rows = nlohmann::json::array();
     for (const std::string& address : split_list(flags.instances_)) {
         nlohmann::json row = fetch_status(address);
-        all_ready = all_ready && row.value("ready", false);
+        all_ready = all_ready && untrusted::flag(row, "ready");
         if (!flags.json_) {
             std::cout << row.dump() << "\n";
         }
--- a/src/ctl/story.cpp
+++ b/src/ctl/story.cpp
@@ -2,7 +2,7 @@
 
 #include "ctl/commands.hpp"
 
-#include <nlohmann/json.hpp>
+#include "tamarack/untrusted.hpp"
 
 #include <algorithm>
 #include <fstream>
@@ -30,12 +30,12 @@
     if (begin == std::string::npos) {
         return std::nullopt;
     }
-    const nlohmann::json body = nlohmann::json::parse(text.substr(begin), nullptr, false);
+    const nlohmann::json body = untrusted::parse_json(text.substr(begin));
     if (!body.is_object() || !body.contains("process") || !body.contains("at_ms")) {
         return std::nullopt;
     }
-    return event_line{body.value("process", std::string()), body.value("at_ms", std::int64_t(0)),
-                      body.value("kind", std::string()), body.value("request", std::string()), &text};
+    return event_line{untrusted::text(body, "process"), untrusted::whole_number(body, "at_ms").value_or(0),
+                      untrusted::text(body, "kind"), untrusted::text(body, "request"), &text};
 }
 
 // Whether lines of this kind are kept even if they do not belong to the request.
--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -1,6 +1,6 @@
 #include "entry/caller_request.hpp"
 
-#include <nlohmann/json.hpp>
+#include "tamarack/untrusted.hpp"
 
 #include <charconv>
 
@@ -54,7 +54,7 @@
         return common;
     }
     caller_request& parsed = value(common);
-    const nlohmann::json body = nlohmann::json::parse(incoming.body_, nullptr, false);
+    const nlohmann::json body = untrusted::parse_json(incoming.body_);
     if (!body.is_object()) {
         return error{error_kind::invalid, "the body is not a JSON object",
                      "send a completion request as JSON"};
--- a/src/platform/http_clients.cpp
+++ b/src/platform/http_clients.cpp
@@ -1,7 +1,8 @@
 #include "tamarack/http.hpp"
 #include "tamarack/platform.hpp"
+#include "tamarack/untrusted.hpp"
 
-#include <nlohmann/json.hpp>
+#include <limits>
 
 namespace tamarack {
 
@@ -41,7 +42,7 @@
     if (value(response).status_ != 200) {
         co_return unexpected_status("the log", value(response));
     }
-    const nlohmann::json json = nlohmann::json::parse(value(response).body_, nullptr, false);
+    const nlohmann::json json = untrusted::parse_json(value(response).body_);
     if (!has_integers(json, {"offset"})) {
         co_return error{error_kind::interrupted, "the log's answer has no offset", "read the log back"};
     }
@@ -49,7 +50,7 @@
 }
 
 result<log_batch> parse_batch(const std::string& text) {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = untrusted::parse_json(text);
     const bool well_formed = has_integers(json, {"first", "next", "now_ms", "retention_ms"}) &&
                              json.contains("records") && json["records"].is_array();
     if (!well_formed) {
@@ -89,13 +90,14 @@
 }
 
 result<std::vector<listed_instance>> parse_instances(const std::string& text) {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = untrusted::parse_json(text);
     if (!json.is_object() || !json.contains("instances") || !json["instances"].is_array()) {
         return error{error_kind::invalid, "the instance list is malformed", "look at the list service"};
     }
     std::vector<listed_instance> instances;
     for (const nlohmann::json& row : json["instances"]) {
-        if (!has_integers(row, {"port"}) || string_field(row, "id").empty()) {
+        const auto port = untrusted::whole_number(row, "port", 1, std::numeric_limits<std::uint16_t>::max());
+        if (!port || string_field(row, "id").empty()) {
             continue;
         }
         listed_instance instance;
@@ -104,7 +106,7 @@
         instance.pool_ = string_field(row, "pool");
         instance.data_centre_ = string_field(row, "data_centre");
         instance.address_ = string_field(row, "address");
-        instance.port_ = std::uint16_t(row["port"].get<std::int64_t>());
+        instance.port_ = std::uint16_t(*port);
         instance.leaving_ = string_field(row, "state") == "leaving";
         instances.push_back(std::move(instance));
     }
--- a/src/quarantine/records.cpp
+++ b/src/quarantine/records.cpp
@@ -1,7 +1,7 @@
 // What a store keeps of a quarantine: one record for each suspect that is quarantined, and for each end.
 #include "tamarack/quarantine.hpp"
 
-#include <nlohmann/json.hpp>
+#include "tamarack/untrusted.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -60,7 +60,7 @@
 announcement from_records(const std::map<std::string, std::string>& records, std::int64_t unix_ms) {
     announcement known;
     for (const auto& [key, text] : records) {
-        const json value = json::parse(text, nullptr, false);
+        const json value = untrusted::parse_json(text);
         if (!value.is_object() || !is_number(value, at)) {
             continue;
         }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -2,6 +2,7 @@
 
 #include "tables/row_reader.hpp"
 #include "tamarack/http.hpp"
+#include "tamarack/untrusted.hpp"
 
 #include <fstream>
 #include <sstream>
@@ -92,7 +93,7 @@
 
 template <typename Settings, typename Read>
 result<Settings> parse_settings(std::string_view text, Read read) {
-    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json json = untrusted::parse_json(text);
     std::vector<table_fault> faults;
     if (json.is_discarded()) {
         return error{error_kind::invalid, "the settings are not valid JSON", "correct the settings file"};
