Continue a broken stream only with what says that it is a stream

Clients found the text of an error in the middle of their stream, or a stream that ended as if it were complete, when the endpoint that was to resume it sent a stamped 200 of another kind. Cause: status and stamp made a response a stream; an empty one then was its end, and an event without id was passed on. Evidence: request_resumed_stream_gets_another_response_..., a table of fourteen second responses. Change: once a stream has begun, a response continues it only with the content type of event streams, and each of its events must have an id. Result: the test passes; the client's stream ends visibly incomplete.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -64,6 +64,9 @@
                 return false;
             }
         }
+        if (!id && resumed_) {
+            return false;
+        }
         if (id) {
             last_id_ = id;
         }
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -27,11 +27,15 @@
 
 } // namespace
 
-// Whether the response is an event stream that the endpoint itself produced, as its stamp shows.
+// Whether the response is an event stream that the endpoint itself produced, as its stamp shows. A response
+// that is to continue a stream must also say that it is one: the text of an error would otherwise become a
+// part of it, and an empty response its end.
 bool request_flow::is_event_stream(const http::response_parser& response) const {
     const bool stamped =
         http::find_header(response.headers_, context_.fleet_.names_.response_stamp_) != nullptr;
-    return is_stream_route() && response.status_ == status_ok && stamped;
+    const http::header* type = http::find_header(response.headers_, "Content-Type");
+    const bool typed = type != nullptr && type->value_.starts_with("text/event-stream");
+    return is_stream_route() && response.status_ == status_ok && stamped && (typed || !stream_begun_);
 }
 
 namespace {
