Take no earlier response for the answer to a later request

Clients were told that a request had not run although the endpoint was running it, when the endpoint wrote an earlier refusal once more on a kept connection and the client had used the same id again. Cause: a response is told by the request's id alone, and a connection that had shown an extra response was used again. Change: a connection with bytes that nobody asked for is closed before it is used, also by clients of the store and of engines, whose responses carry no id; one that has shown an extra response is not kept; a request does not go over a connection over which its id was refused before.

--- a/src/gateway/endpoint.cpp
+++ b/src/gateway/endpoint.cpp
@@ -61,17 +61,33 @@
     return found == held.end() ? nullptr : &*found;
 }
 
-std::shared_ptr<endpoint_connection> endpoint::take_idle_connection(time_ms now, time_ms longest_idle_ms) {
-    while (!idle_.empty()) {
-        std::shared_ptr<endpoint_connection> newest = idle_.back();
-        if (newest->usable_until_ <= now) {
+namespace {
+
+// Whether bytes have arrived that no request asked for.
+bool has_unexpected_bytes(const endpoint_connection& connection) {
+    boost::system::error_code failed;
+    return connection.socket_.available(failed) > 0 || failed;
+}
+
+} // namespace
+
+std::shared_ptr<endpoint_connection> endpoint::take_idle_connection(time_ms now, time_ms longest_idle_ms,
+                                                                    std::string_view request_id) {
+    const std::uint64_t id = hash64(request_id);
+    for (std::size_t left = idle_.size(); left > 0; --left) {
+        const std::shared_ptr<endpoint_connection> newest = idle_[left - 1];
+        if (newest->usable_until_ <= now || has_unexpected_bytes(*newest)) {
             drop_idle_connection(newest);
             continue;
         }
         if (now - newest->idle_since_ > longest_idle_ms) {
             return nullptr;
         }
-        idle_.pop_back();
+        const auto& refused = newest->refused_ids_;
+        if (std::find(refused.begin(), refused.end(), id) != refused.end()) {
+            continue;
+        }
+        idle_.erase(idle_.begin() + std::ptrdiff_t(left - 1));
         newest->idle_ = false;
         return newest;
     }
--- a/src/gateway/endpoint.hpp
+++ b/src/gateway/endpoint.hpp
@@ -19,6 +19,7 @@
     boost::beast::flat_buffer received_;
     time_ms idle_since_ = 0;
     time_ms usable_until_ = 0;
+    std::vector<std::uint64_t> refused_ids_; // hashes of the ids of requests that were refused over it
     bool idle_ = false;
     bool watched_ = false; // a wait for unexpected bytes or the end of the connection is pending
 };
@@ -63,8 +64,18 @@
     const std::vector<fleet::held_model>& models() const;
     const fleet::held_model* find_model(std::string_view name) const;
 
-    // Removes and returns a connection that was idle for at most `longest_idle_ms`; null if there is none.
-    std::shared_ptr<endpoint_connection> take_idle_connection(time_ms now, time_ms longest_idle_ms);
+    // The endpoint rejected a request for `model`, empty or with an adapter, as misdirected: what is known of
+    // its models is out of date. Until a newer report, or for `rejection_ms`, it counts as not holding it.
+    void note_rejection(const std::string& model, time_ms now) { rejections_[model] = now; }
+    bool has_rejected(const std::string& model, time_ms now) const;
+    void forget_rejections() { rejections_.clear(); }
+
+    // Removes and returns a connection for the request with this id that was idle for at most
+    // `longest_idle_ms`; null if there is none. An endpoint may repeat a response that it sent before, so
+    // connections with unexpected bytes are closed, and those over which the same id was refused are left
+    // out.
+    std::shared_ptr<endpoint_connection> take_idle_connection(time_ms now, time_ms longest_idle_ms,
+                                                              std::string_view request_id);
 
     // Keeps a connection for reuse after its response has ended; it expires after `usable_ms`.
     void keep_idle_connection(std::shared_ptr<endpoint_connection> connection, time_ms now,
@@ -96,6 +107,7 @@
     boost::asio::any_io_executor executor_;
     std::vector<std::shared_ptr<endpoint_connection>> idle_;
     bool gone_ = false;
+    std::map<std::string, time_ms> rejections_; // by model, with the time of the last one
 };
 
 } // namespace tamarack::gateway
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -24,6 +24,8 @@
 constexpr time_ms default_keep_alive_ms = 4'000; // idle time if the endpoint sends no Keep-Alive header
 constexpr time_ms keep_alive_margin_ms = 700;    // margin before the end of the endpoint's idle time
 constexpr int first_final_status = 200;
+constexpr int first_failed_status = 400;
+constexpr std::size_t max_refused_ids = 16; // that a connection remembers before it is closed
 
 } // namespace
 
@@ -47,7 +49,7 @@
 }
 
 void exchange::start() {
-    connection_ = target_->take_idle_connection(steady_now_ms(), request_.max_idle_ms_);
+    connection_ = target_->take_idle_connection(steady_now_ms(), request_.max_idle_ms_, request_.id_);
     if (connection_) {
         reused_ = true;
         send();
@@ -246,9 +248,14 @@
     ended_ = true;
     timer_.cancel();
     const http::header* closing = http::find_header(parser_->headers_, "Connection");
-    const bool keep = outcome == exchange_outcome::complete && written_ && parser_->keep_alive() &&
-                      connection_->received_.size() == 0 &&
-                      (closing == nullptr || !http::same_name(closing->value_, "close"));
+    bool keep = outcome == exchange_outcome::complete && written_ && parser_->keep_alive() &&
+                connection_->received_.size() == 0 && unmatched_responses_ == 0 &&
+                (closing == nullptr || !http::same_name(closing->value_, "close"));
+    if (keep && parser_->status_ >= first_failed_status) {
+        auto& refused = connection_->refused_ids_;
+        refused.push_back(hash64(request_.id_));
+        keep = refused.size() < max_refused_ids;
+    }
     release_connection(keep);
     const auto handlers = std::exchange(handlers_, nullptr);
     handlers->on_ended_(outcome);
--- a/src/http/kept_client.cpp
+++ b/src/http/kept_client.cpp
@@ -64,6 +64,9 @@
     ++generation_;
     parser_ = std::make_unique<response_parser>(max_response_bytes);
     interim_responses_ = 0;
+    if (connected_ && has_unexpected_bytes()) {
+        drop_connection();
+    }
     if (connected_) {
         send();
     } else {
@@ -71,6 +74,13 @@
     }
 }
 
+// Whether bytes have arrived while no call was under way. They would be taken for the response to the next
+// call, since responses do not name theirs.
+bool kept_client::has_unexpected_bytes() const {
+    boost::system::error_code failed;
+    return socket_.available(failed) > 0 || failed;
+}
+
 void kept_client::connect() {
     socket_ = asio::ip::tcp::socket(executor_);
     const std::uint64_t generation = generation_;
--- a/src/http/kept_client.hpp
+++ b/src/http/kept_client.hpp
@@ -41,6 +41,7 @@
     void read();
     void parse_received();
     void finish(result<response> outcome, bool keep);
+    bool has_unexpected_bytes() const;
     void drop_connection();
 
     boost::asio::any_io_executor executor_;
