Remember which endpoints have rejected a model, and stop after three that the view was wrong about

Callers waited while their request went to each endpoint that the registry listed for its model, and got 503 after all had answered 421; the next request did the same. After a loss of power of everything, 422 arrivals of one second were all rejected. Cause: an answer counted for its own request. Engines that start again under their ids hold nothing, and the view that gateways start with is from before: the registry's entries, and reports whose incarnation is not the listed one. Change: an endpoint that rejects a request as misdirected counts as not holding that model until a newer report or entry, or for two seconds; an engine that runs in another incarnation than the registry lists holds nothing that is known; a request stops after three such rejections, since then the view is wrong and not an endpoint. endpoint_misdirected is logged with the age of the view.

--- a/src/gateway/agent_links.cpp
+++ b/src/gateway/agent_links.cpp
@@ -196,8 +196,10 @@
     const std::int64_t listed = at.record().incarnation_;
     if (status.incarnation != 0 && listed != 0 && status.incarnation != listed) {
         // The engine runs in another incarnation than the registry lists; the registry will catch up.
+        // What it holds is not known until then.
         view.known_ = true;
         view.reachable_ = false;
+        view.models_.clear();
         view.reported_at_ = now;
         fleet_.quarantine_.note_ended(one.endpoint_, listed, boot_now_ms());
         return;
@@ -237,6 +239,7 @@
     at.begun_since_report_ = 0;
     at.prompt_tokens_since_report_ = 0;
     if (has_models) {
+        at.forget_rejections();
         view.models_.clear();
         for (const auto& model : status.models) {
             view.models_.push_back({model->name, {model->adapters.begin(), model->adapters.end()}});
--- a/src/gateway/endpoint.cpp
+++ b/src/gateway/endpoint.cpp
@@ -13,6 +13,9 @@
 constexpr time_ms allowed_missed_reports = 3; // consecutive reports that may be missing
 constexpr time_ms report_transit_ms = 100;    // time of a report on its way to the gateway
 
+// Time in which an endpoint's entry and its agent's reports catch up with what it holds.
+constexpr time_ms rejection_ms = 2'000;
+
 // Each gateway may open this many connections to an endpoint, even if there are many gateways.
 constexpr int min_connections = 4;
 
@@ -35,6 +38,10 @@
     if (record.incarnation_ != record_.incarnation_ || record.address_ != record_.address_) {
         engine_ = engine_view();
         gone_ = false;
+        forget_rejections();
+    }
+    if (record.models_ != record_.models_) {
+        forget_rejections();
     }
     record_ = record;
 }
@@ -54,6 +61,11 @@
     return engine_.known_ ? engine_.models_ : record_.models_;
 }
 
+bool endpoint::has_rejected(const std::string& model, time_ms now) const {
+    const auto found = rejections_.find(model);
+    return found != rejections_.end() && now - found->second < rejection_ms;
+}
+
 const fleet::held_model* endpoint::find_model(std::string_view name) const {
     const auto& held = models();
     const auto found = std::find_if(held.begin(), held.end(),
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -114,9 +114,12 @@
 
 std::vector<std::shared_ptr<endpoint>> request_flow::usable_endpoints() const {
     std::vector<std::shared_ptr<endpoint>> usable;
+    const std::string model = requested_model();
+    const time_ms now = steady_now_ms();
     for (const auto& target : context_.fleet_.endpoints_of(service_->name_)) {
-        const bool holds_model =
+        const bool lists_model =
             !service_->engine_ || metadata_.model_.empty() || target->find_model(metadata_.model_) != nullptr;
+        const bool holds_model = lists_model && !target->has_rejected(model, now);
         if (context_.fleet_.accepts_requests(*target) && holds_model &&
             !tried_endpoints_.contains(target->record().id_)) {
             usable.push_back(target);
@@ -125,6 +128,11 @@
     return usable;
 }
 
+// The model with the adapter, if one is named.
+std::string request_flow::requested_model() const {
+    return metadata_.adapter_.empty() ? metadata_.model_ : metadata_.model_ + "/" + metadata_.adapter_;
+}
+
 // Those of the endpoints that have not asked for a back-off, and that name no limit or one that lets this
 // gateway send a request now.
 std::vector<std::shared_ptr<endpoint>>
@@ -248,9 +256,8 @@
     }
     const dispatch::engine_timing& timing = context_.fleet_.pace(service_->name_);
     // A hash of the adapter's name lets all gateways prefer the same engines, so that few engines load it.
-    const std::uint64_t tie_break = metadata_.adapter_.empty()
-                                        ? context_.fleet_.random()
-                                        : hash64(metadata_.model_ + "/" + metadata_.adapter_);
+    const std::uint64_t tie_break =
+        metadata_.adapter_.empty() ? context_.fleet_.random() : hash64(requested_model());
     const auto chosen = dispatch::choose_endpoint(candidates, metadata_.prompt_tokens_, timing, tie_break);
     double wait = dispatch::expected_first_event_ms(candidates[*chosen], metadata_.prompt_tokens_, timing);
     if (service_->engine_ && is_late(now)) {
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -154,6 +154,8 @@
     void fail(std::string_view reason);
     void send_own_response(int status, std::string_view reason, std::vector<http::header> headers = {});
     void on_deadline();
+    void note_misdirected(const http::response_parser& response);
+    std::string requested_model() const;
     std::string_view pending_step() const;
     void log_deadline();
     double limit_of_endpoint() const;
@@ -196,6 +198,7 @@
     std::function<void()> on_finished_;
     int arrived_attempts_ = 0;         // attempts that reached an endpoint
     int possible_runs_ = 0;            // those of them that the endpoint did not confirm as not run
+    int misdirected_ = 0;              // rejections by endpoints that the view was wrong about
     bool response_head_noted_ = false; // of the current attempt
     bool stream_begun_ = false;
     bool waiting_for_model_ = false;
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -17,6 +17,7 @@
 
 constexpr time_ms silence_check_interval_ms = 200; // interval between further checks
 constexpr time_ms busy_retry_after_ms = 300;       // expected time until a full endpoint has room
+constexpr int max_misdirected = 3; // rejections after which the view, not an endpoint, is wrong
 constexpr int status_ok = 200;
 constexpr int first_unsuccessful_status = 300;
 constexpr int first_server_error_status = 500;
@@ -335,11 +336,7 @@
     arrived_attempts_ += arrived ? 1 : 0;
     possible_runs_ += arrived && end != dispatch::send_end::rejected ? 1 : 0;
     if (end == dispatch::send_end::rejected && response.status_ == status_misdirected) {
-        const http::header* responder =
-            http::find_header(response.headers_, context_.fleet_.names_.endpoint_id_);
-        if (responder != nullptr && responder->value_ != attempt_->target().record().id_) {
-            attempt_->target().set_gone();
-        }
+        note_misdirected(response);
     }
     dispatch::retry_window& retries = context_.fleet_.retries(service_->name_);
     dispatch::send_facts facts;
@@ -351,7 +348,8 @@
     facts.max_attempts_ = max_attempts();
     facts.budget_left_ = arrived_attempts_ == 0 || retries.available(now, context_.fleet_.budget_sharers());
     facts.time_left_ = left_ms(now) > min_retry_time_ms;
-    facts.other_endpoint_ = has_other_endpoint() || end == dispatch::send_end::withheld;
+    facts.other_endpoint_ =
+        (has_other_endpoint() || end == dispatch::send_end::withheld) && misdirected_ < max_misdirected;
     const dispatch::next_step step = dispatch::after_send(facts);
     context_.events_.write({event_kind::sending,
                             "gateway",
@@ -392,6 +390,30 @@
     }
 }
 
+// Takes what a rejection tells of the view: another endpoint has the address, or this one does not hold the
+// model.
+void request_flow::note_misdirected(const http::response_parser& response) {
+    endpoint& target = attempt_->target();
+    ++misdirected_;
+    const http::header* responder = http::find_header(response.headers_, context_.fleet_.names_.endpoint_id_);
+    const bool another = responder != nullptr && responder->value_ != target.record().id_;
+    if (another) {
+        target.set_gone();
+    } else {
+        target.note_rejection(requested_model(), steady_now_ms());
+    }
+    context_.events_.write({event_kind::fleet_view,
+                            "gateway",
+                            "endpoint_misdirected",
+                            metadata_.id_,
+                            {{"endpoint", target.record().id_},
+                             {"incarnation", target.record().incarnation_},
+                             {"model", requested_model()},
+                             {"responder", responder == nullptr ? std::string() : responder->value_},
+                             {"view_age_ms", view_age_ms_},
+                             {"reported", target.engine_.known_}}});
+}
+
 void request_flow::deliver(http::response_parser& response) {
     if (stream_begun_) {
         // The endpoint that should have resumed the stream sent a response of another kind.
