Draw back-offs and answers that an endpoint leaves in the soak, and judge both as worded

The stand-ins brought neither, so no soak could find what callers saw. Endpoints now leave by their responses, with the registry at once, a second later or not at all, and turn requests away with a Retry-After; the referee counts a shutdown from the moment at which a gateway has passed it on, and a back-off from half a second after it was asked for.

--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -26,6 +26,7 @@
         settings_.faults_ = false;
         settings_.drills_ = false;
         settings_.limits_ = 0;
+        settings_.back_offs_ = 0;
         settings_.gateways_ = 6;
         settings_.requests_per_s_ = 80;
     }
@@ -64,6 +65,20 @@
     check(1);
 }
 
+// BUDGET: endpoints that had answered 503 with Retry-After got requests all the time from each gateway.
+TEST_CASE_FIXTURE(soak_fixture, "fleet_endpoints_ask_for_back_offs_each_gateway_keeps_them") {
+    use_calm_fleet();
+    settings_.back_offs_ = 2;
+    check(1);
+}
+
+// DRAIN: gateways sent requests to endpoints whose answers they had passed on, which said that they leave.
+TEST_CASE_FIXTURE(soak_fixture, "fleet_endpoints_say_in_answers_that_they_leave_gateways_stop_at_once") {
+    use_calm_fleet();
+    settings_.leaving_only_ = true;
+    check(1);
+}
+
 // Requests with one part in their prompts ended one engine after the other for as long as they came.
 TEST_CASE_FIXTURE(soak_fixture, "fleet_prompt_part_crashes_engines_gateways_together_stop_sending_it") {
     use_calm_fleet();
@@ -83,6 +98,7 @@
 TEST_CASE_FIXTURE(soak_fixture, "fleet_store_returns_from_copies_every_request_is_served") {
     settings_.faults_ = false;
     settings_.limits_ = 0;
+    settings_.back_offs_ = 0;
     const soak_outcome outcome = check(1);
     CHECK(outcome.served_ == outcome.requests_);
 }
--- a/tests/soak/engine_stand_in.cpp
+++ b/tests/soak/engine_stand_in.cpp
@@ -78,6 +78,8 @@
     busy_ = false;
     accepted_ = 0;
     running_ = 0;
+    leaving_ = false;
+    back_off_ms_ = std::nullopt;
 }
 
 awaitable<void> engine_stand_in::pause(time_ms duration) {
@@ -111,19 +113,28 @@
     return by_part || by_request;
 }
 
-// Adds the present limit on requests to a response.
-void engine_stand_in::name_limit(std::vector<http::header>& headers, const std::string& request_id) {
+// Adds what the endpoint says of itself to a response.
+void engine_stand_in::add_notices(std::vector<http::header>& headers, const std::string& request_id) {
     if (limit_per_s_) {
         headers.push_back({"Server-Limit", std::to_string(*limit_per_s_)});
         judge_.told_limit(request_id, id_, steady_now_ms());
     }
+    if (leaving_) {
+        headers.push_back({"Server-Leaving", "1"});
+        judge_.said_leaving(request_id, id_, incarnation_);
+    }
 }
 
 awaitable<void> engine_stand_in::refuse(http::exchange& call, int status, const std::string& request_id) {
     http::response answer = http::json_response(status, "{}");
     answer.headers_.push_back({"Tamarackbeam-Not-Run", "1"});
     answer.headers_.push_back({"Tamarackbeam-Request-Id", request_id});
-    name_limit(answer.headers_, request_id);
+    add_notices(answer.headers_, request_id);
+    if (status == 503 && back_off_ms_) {
+        constexpr double ms_per_s = 1'000;
+        answer.headers_.push_back({"Retry-After", std::to_string(double(*back_off_ms_) / ms_per_s)});
+        judge_.asked_back_off(request_id, id_, *back_off_ms_, steady_now_ms());
+    }
     co_await call.reply(std::move(answer));
 }
 
@@ -138,6 +149,7 @@
     const std::string expected = header_of(incoming, "Tamarackbeam-Expect-Instance");
     if (incoming.path() != "/api/order") {
         judge_.arrived(request_id, id_, steady_now_ms());
+        judge_.arrived_at(request_id, id_, incarnation_, steady_now_ms());
     }
     if (!expected.empty() && expected != id_) {
         co_await refuse(call, 421, request_id);
@@ -160,7 +172,7 @@
         co_await refuse(call, 421, request_id);
         co_return;
     }
-    if (running_ >= slots || unloading_.contains(model)) {
+    if (running_ >= slots || unloading_.contains(model) || back_off_ms_) {
         co_await refuse(call, 503, request_id);
         co_return;
     }
@@ -182,7 +194,7 @@
             http::response answer{fails ? 500 : 200, {}, plain_answer(request_id)};
             answer.headers_ = {{"Tamarackbeam-Request-Id", request_id},
                                {"Tamarackbeam-Server-Stamp", stamp_of(id_)}};
-            name_limit(answer.headers_, request_id);
+            add_notices(answer.headers_, request_id);
             answered = co_await call.reply(std::move(answer));
         }
     } else {
@@ -211,7 +223,7 @@
     std::vector<http::header> headers = {{"Tamarackbeam-Request-Id", request_id},
                                          {"Tamarackbeam-Server-Stamp", stamp_of(id_)},
                                          {"Content-Type", "text/event-stream"}};
-    name_limit(headers, request_id);
+    add_notices(headers, request_id);
     bool alive = co_await call.begin(200, std::move(headers));
     if (incarnation == incarnation_ && crashes_on(call.incoming())) {
         co_return false;
--- a/tests/soak/engine_stand_in.hpp
+++ b/tests/soak/engine_stand_in.hpp
@@ -56,6 +56,12 @@
     // Names a limit on its requests per second in its responses from now on, or none.
     void set_limit(std::optional<double> per_s);
 
+    // Says in its responses from now on that it leaves.
+    void set_leaving() { leaving_ = true; }
+
+    // Turns all requests away from now on and asks for this time without any, or none.
+    void set_back_off(std::optional<time_ms> back_off) { back_off_ms_ = back_off; }
+
     // Ends when it begins to answer a request with this part in its prompt, or one with this path: calls
     // `crash`, which is to restart it. Empty texts match nothing.
     void set_crashing_part(std::string part) { crashing_part_ = std::move(part); }
@@ -74,7 +80,7 @@
     boost::asio::awaitable<void> handle(http::exchange& call);
     bool has_crashing_part(const http::request& call) const;
     bool crashes_on(const http::request& call);
-    void name_limit(std::vector<http::header>& headers, const std::string& request_id);
+    void add_notices(std::vector<http::header>& headers, const std::string& request_id);
     boost::asio::awaitable<void> refuse(http::exchange& call, int status, const std::string& request_id);
     boost::asio::awaitable<void> run(http::exchange& call, const std::string& request_id);
     boost::asio::awaitable<bool> stream(http::exchange& call, const std::string& request_id, bool& gone);
@@ -96,6 +102,8 @@
     http::server server_;
     engine_faults faults_;
     std::optional<double> limit_per_s_;
+    bool leaving_ = false;
+    std::optional<time_ms> back_off_ms_;
     std::string crashing_part_;
     std::string crashing_path_;
     std::function<void()> crash_;
--- a/tests/soak/fleet.hpp
+++ b/tests/soak/fleet.hpp
@@ -46,8 +46,9 @@
     fleet_process agent_;
     std::int64_t entries_ = 0; // written to the registry
     bool registered_ = true;
-    bool leaving_ = false;
-    bool limited_ = false; // names a limit on its requests
+    bool departing_ = false; // says in its responses that it leaves
+    bool leaving_ = false;   // and in the registry
+    bool limited_ = false;   // names a limit on its requests
 };
 
 class fleet {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -13,6 +13,7 @@
 DEFINE_int32(gateways, 3, "gateways");
 DEFINE_int32(engines, 4, "model engines, each with an agent");
 DEFINE_int32(limits, 1, "endpoints that name a limit on their requests at a time");
+DEFINE_int32(back_offs, 1, "endpoints that turn requests away and ask for time without any, at a time");
 DEFINE_int32(crashing_parts, 0, "spans in which a part of prompts ends engines");
 DEFINE_int32(crashing_requests, 0, "spans in which a client repeats a request that ends endpoints");
 DEFINE_int32(plain_endpoints, 2, "endpoints of the plain service");
@@ -37,6 +38,7 @@
         settings.gateways_ = FLAGS_gateways;
         settings.engines_ = FLAGS_engines;
         settings.limits_ = FLAGS_limits;
+        settings.back_offs_ = FLAGS_back_offs;
         settings.crashing_parts_ = FLAGS_crashing_parts;
         settings.crashing_requests_ = FLAGS_crashing_requests;
         settings.plain_endpoints_ = FLAGS_plain_endpoints;
--- a/tests/soak/referee.cpp
+++ b/tests/soak/referee.cpp
@@ -60,6 +60,10 @@
     constexpr int success = 200;
     request& one = requests_[id];
     one.final_ = true;
+    const auto said = said_leaving_.find(id);
+    if (said != said_leaving_.end() && answer.status_ > 0) {
+        told_leaving_.try_emplace({one.sent_.gateway_, said->second.first, said->second.second}, now);
+    }
     if (promises_not_run(answer.status_)) {
         one.refused_ = true;
         if (!one.sent_.repeatable_ && !one.runs_.empty()) {
@@ -149,6 +153,64 @@
     return allowed;
 }
 
+void referee::said_leaving(const std::string& id, const std::string& engine, std::int64_t incarnation) {
+    said_leaving_[id] = {engine, incarnation};
+}
+
+void referee::asked_back_off(const std::string& id, const std::string& engine, time_ms asked, time_ms now) {
+    const auto sent = requests_.find(id);
+    if (sent != requests_.end()) {
+        back_offs_[{sent->second.sent_.gateway_, engine}].push_back(
+            {now + bounds_.back_off_told_ms_, now + asked, 0});
+    }
+}
+
+void referee::forgets(const std::string& gateway) {
+    std::erase_if(told_leaving_, [&](const auto& entry) { return std::get<0>(entry.first) == gateway; });
+    std::erase_if(back_offs_, [&](const auto& entry) { return entry.first.first == gateway; });
+    std::erase_if(said_leaving_, [&](const auto& entry) {
+        const auto sent = requests_.find(entry.first);
+        return sent != requests_.end() && sent->second.sent_.gateway_ == gateway;
+    });
+}
+
+void referee::arrived_at(const std::string& id, const std::string& engine, std::int64_t incarnation,
+                         time_ms now) {
+    const auto sent = requests_.find(id);
+    if (sent != requests_.end()) {
+        note_arrival_after_leaving(sent->second.sent_.gateway_, engine, incarnation, now);
+        note_arrival_in_back_off(sent->second.sent_.gateway_, engine, now);
+    }
+}
+
+// Holds whether or not the gateway reaches the store, and while the store is away.
+void referee::note_arrival_after_leaving(const std::string& gateway, const std::string& engine,
+                                         std::int64_t incarnation, time_ms now) {
+    const auto told = told_leaving_.find({gateway, engine, incarnation});
+    if (told == told_leaving_.end() || now <= told->second + bounds_.drain_ms_) {
+        return;
+    }
+    broken(gateway + " sent a request to " + engine + " " + std::to_string(now - told->second) +
+           " ms after it had passed on an answer that it leaves");
+    told_leaving_.erase(told);
+}
+
+void referee::note_arrival_in_back_off(const std::string& gateway, const std::string& engine, time_ms now) {
+    const auto found = back_offs_.find({gateway, engine});
+    if (found == back_offs_.end()) {
+        return;
+    }
+    for (back_off& one : found->second) {
+        const bool inside = now >= one.from_ && now < one.until_;
+        const bool excused = disturbed(gateway, one.from_ - bounds_.back_off_told_ms_, now) ||
+                             disturbed(engine, one.from_ - bounds_.back_off_told_ms_, now);
+        if (inside && !excused && ++one.arrivals_ == bounds_.sends_in_back_off_ + 1) {
+            broken(engine + " wanted no requests of " + gateway + " and got " +
+                   std::to_string(one.arrivals_));
+        }
+    }
+}
+
 void referee::crashed_by_part(time_ms now) {
     crashing_part_.crashes_.push_back(now);
 }
--- a/tests/soak/referee.hpp
+++ b/tests/soak/referee.hpp
@@ -27,6 +27,8 @@
     int sends_after_crashes_ = 3;     // requests with it that may still arrive, `stable_ms_` after that
     int crashes_of_request_ = 3;      // engines that may end under one request until the same bound holds
     int least_sound_requests_ = 20;   // fewer requests without it show nothing
+    time_ms back_off_told_ms_ = 500;  // until a gateway that was asked for a back-off must keep it
+    int sends_in_back_off_ = 2;       // that may arrive in it nevertheless
     time_ms limit_told_ms_ = 500;     // until a gateway that got a response with the limit must keep it
 };
 
@@ -80,6 +82,19 @@
     // An engine responds to a request with its present limit.
     void told_limit(const std::string& id, const std::string& engine, time_ms now);
 
+    // An engine says in its response to a request that it leaves. Counts for a gateway from the moment at
+    // which it has passed on an answer to that request.
+    void said_leaving(const std::string& id, const std::string& engine, std::int64_t incarnation);
+
+    // An engine turned a request away and wants no other one of its gateway for this time.
+    void asked_back_off(const std::string& id, const std::string& engine, time_ms back_off, time_ms now);
+
+    // A request arrived at one incarnation of an engine.
+    void arrived_at(const std::string& id, const std::string& engine, std::int64_t incarnation, time_ms now);
+
+    // A gateway was killed, stopped or suspended, which excuses what it was told before.
+    void forgets(const std::string& gateway);
+
     // An engine ended as it began to answer a request with the crashing part.
     void crashed_by_part(time_ms now);
 
@@ -145,6 +160,16 @@
         std::set<std::string> counted_; // ids of requests
     };
 
+    // An engine's back-off for one gateway.
+    struct back_off {
+        time_ms from_ = 0;
+        time_ms until_ = 0;
+        int arrivals_ = 0;
+    };
+
+    void note_arrival_after_leaving(const std::string& gateway, const std::string& engine,
+                                    std::int64_t incarnation, time_ms now);
+    void note_arrival_in_back_off(const std::string& gateway, const std::string& engine, time_ms now);
     void note_crashing_arrival(const request& one, time_ms now);
     void note_crashing_arrival(const std::string& name, crash_cause& cause, int crashes, const request& one,
                                time_ms now);
@@ -159,6 +184,10 @@
     std::map<std::string, time_ms> leaving_since_;
     std::deque<time_ms> store_loads_;
     std::map<std::string, limited_engine> limited_;
+    std::map<std::string, std::pair<std::string, std::int64_t>> said_leaving_; // engines, by request
+    // Time at which a gateway passed on that an incarnation of an engine leaves.
+    std::map<std::tuple<std::string, std::string, std::int64_t>, time_ms> told_leaving_;
+    std::map<std::pair<std::string, std::string>, std::vector<back_off>> back_offs_; // by gateway and engine
     crash_cause crashing_part_;
     std::map<std::string, crash_cause> crashing_requests_; // keyed by path
     std::vector<span> disturbances_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -19,6 +19,7 @@
 constexpr time_ms recovery_limit_ms = 12'000;
 constexpr time_ms recovery_look_ms = 1'000; // span of requests that must be served
 constexpr double recovered_share = 0.9;     // of them
+constexpr time_ms notice_lead_ms = 1'000;   // for which an endpoint leaves before the registry tells
 constexpr time_ms heartbeat_ms = 1'200;
 constexpr time_ms watch_ms = 100;
 constexpr time_ms last_answers_ms = 4'000; // after the last request
@@ -33,7 +34,7 @@
                  {settings.gateways_, settings.engines_, settings.plain_endpoints_}),
           clients_(context_, fleet_, judge_, settings.seed_), limit_random_(settings.seed_ + 1),
           drill_random_(settings.seed_ + 2), part_random_(settings.seed_ + 4),
-          request_random_(settings.seed_ + 5) {}
+          request_random_(settings.seed_ + 5), back_off_random_(settings.seed_ + 6) {}
 
     soak_outcome run() {
         asio::co_spawn(context_, script(), asio::detached);
@@ -88,6 +89,10 @@
             ++active_;
             asio::co_spawn(context_, name_limits(until), asio::detached);
         }
+        for (int number = 0; number < settings_.back_offs_; ++number) {
+            ++active_;
+            asio::co_spawn(context_, ask_for_back_offs(until), asio::detached);
+        }
         if (settings_.crashing_parts_ > 0) {
             ++active_;
             asio::co_spawn(context_, crash_on_parts(), asio::detached);
@@ -106,6 +111,11 @@
             ++active_;
             asio::co_spawn(context_, drill_store(until), asio::detached);
         }
+        while (settings_.leaving_only_ && steady_now_ms() < until) {
+            ++active_;
+            asio::co_spawn(context_, run_fault(&soak_run::leave), asio::detached);
+            co_await pause(between(500, 1'500));
+        }
         while (settings_.faults_ && steady_now_ms() < until) {
             static constexpr fault faults[] = {
                 &soak_run::kill_gateway, &soak_run::kill_agent,      &soak_run::pause_gateway,
@@ -163,6 +173,21 @@
         --active_;
     }
 
+    // Endpoints that turn requests away for a while and ask for time without any. With random numbers of its
+    // own.
+    awaitable<void> ask_for_back_offs(time_ms until) {
+        do {
+            co_await pause(draw(back_off_random_, 500, 2'500));
+            endpoint_place& one = fleet_.endpoints()[back_off_random_() % fleet_.endpoints().size()];
+            const time_ms asked = draw(back_off_random_, 700, 4'000);
+            note("back-off of " + std::to_string(asked) + " ms at " + one.engine_->id());
+            one.engine_->set_back_off(asked);
+            co_await pause(draw(back_off_random_, 200, 3'000));
+            one.engine_->set_back_off(std::nullopt);
+        } while (steady_now_ms() < until);
+        --active_;
+    }
+
     // The store is away for a moment and returns from a copy some seconds old, at times twice in short
     // succession. What it lost is written again after a while. With random numbers of its own.
     awaitable<void> drill_store(time_ms until) {
@@ -258,6 +283,7 @@
         begin("kill", part, down + warm_up_ms);
         one.expected_ = false;
         one.process_.kill();
+        judge_.forgets(part);
         co_await pause(down);
         one.start();
         co_await pause(warm_up_ms);
@@ -281,6 +307,7 @@
             if (one->expected_ && !one->paused_) {
                 one->expected_ = false;
                 one->process_.kill();
+                judge_.forgets(one->name_);
                 killed.push_back(one);
             }
         }
@@ -301,6 +328,7 @@
         one.process_.signal(SIGSTOP);
         co_await pause(duration);
         one.process_.signal(SIGCONT);
+        judge_.forgets(part);
         one.paused_ = false;
     }
 
@@ -330,6 +358,7 @@
             judge_.overstayed(one.name_);
             one.process_.kill();
         }
+        judge_.forgets(one.name_);
         one.start();
         co_await pause(warm_up_ms);
     }
@@ -435,15 +464,32 @@
         }
     }
 
-    // An endpoint leaves, with notice or without a word, and comes back as another start.
+    // An endpoint leaves and comes back as another start. It says so in its responses from then on, and in
+    // the registry at once, a second later, not at all, or by vanishing from there without a word.
     awaitable<void> leave() {
         endpoint_place& one = any(fleet_.endpoints());
-        if (one.leaving_) {
+        if (std::exchange(one.departing_, true)) {
             co_return;
         }
         const time_ms away = between(2'500, 4'000);
-        const bool gives_notice = away % 2 == 0;
+        const bool gives_notice = away % 2 == 0; // in the registry
         note((gives_notice ? "leaving of " : "leaving without notice of ") + one.engine_->id());
+        one.engine_->set_leaving();
+        const time_ms lead = draw(back_off_random_, 0, 1) * notice_lead_ms;
+        const bool tells_registry = !settings_.leaving_only_ && draw(back_off_random_, 0, 2) > 0;
+        if (tells_registry) {
+            co_await pause(lead);
+            tell_registry(one, gives_notice);
+        }
+        co_await pause(away);
+        one.engine_->restart();
+        judge_.returned(one.engine_->id());
+        one.leaving_ = false;
+        one.departing_ = false;
+        one.registered_ = true;
+    }
+
+    void tell_registry(endpoint_place& one, bool gives_notice) {
         one.leaving_ = true;
         one.registered_ = gives_notice;
         if (gives_notice) {
@@ -452,11 +498,6 @@
             fleet_.store().drop("keyed.servers", one.engine_->id());
         }
         judge_.leaves(one.engine_->id(), steady_now_ms());
-        co_await pause(away);
-        one.engine_->restart();
-        judge_.returned(one.engine_->id());
-        one.leaving_ = false;
-        one.registered_ = true;
     }
 
     awaitable<void> configure() {
@@ -475,6 +516,7 @@
     std::mt19937_64 drill_random_;
     std::mt19937_64 part_random_;
     std::mt19937_64 request_random_;
+    std::mt19937_64 back_off_random_;
     std::mt19937_64 crash_random_{1};
     soak_outcome outcome_;
     time_ms started_at_ = 0;
