Give an engine that leaves no orders, and forget that it leaves only when it starts again

An agent went on to load adapters and to repeat orders at an engine that leaves, and took a report without the word for a return. Cause: only placements looked at the last report's state. Change: no order goes to an engine that leaves; adapter requests that wait there are answered at once, so that gateways choose anew; the word holds for the incarnation.

--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -114,7 +114,9 @@
         }
         unconfirmed_order_.reset();
     }
+    const bool left_before = report_ && !restarted && report_->leaving_;
     report_ = new_report;
+    report_->leaving_ = report_->leaving_ || left_before; // holds until the engine starts again
     const auto resident = [this](const std::string& key) {
         const fleet::model_reference reference = fleet::parse_model_reference(key);
         const fleet::held_model* held = find_model(reference.model_);
@@ -139,7 +141,8 @@
     }
     std::erase_if(adapter_requests_, [&](const adapter_request& request) {
         const bool ready = has_adapter(request.model_, request.adapter_);
-        const bool failed = find_model(request.model_) == nullptr || request.deadline_ <= now;
+        const bool failed =
+            find_model(request.model_) == nullptr || request.deadline_ <= now || report_->leaving_;
         if (ready) {
             pins_[request.id_] = adapter_key(request.model_, request.adapter_);
         }
@@ -200,7 +203,7 @@
         return std::nullopt;
     }
     std::optional<engine::order> order;
-    if (unconfirmed_order_) {
+    if (unconfirmed_order_ && !report_->leaving_) {
         // The engine accepts only one of two orders with the same count, so the order can be repeated safely.
         order = unconfirmed_order_;
     } else {
@@ -216,7 +219,7 @@
 // Returns the order for the oldest adapter request that needs one. An engine that is carrying out another
 // order refuses adapter orders as well.
 std::optional<engine::order> order_scheduler::next_adapter_order() {
-    if (report_->busy_ || max_adapters_ == 0) {
+    if (report_->busy_ || report_->leaving_ || max_adapters_ == 0) {
         return std::nullopt;
     }
     for (const adapter_request& request : adapter_requests_) {
--- a/tests/direct/order_book_test.cpp
+++ b/tests/direct/order_book_test.cpp
@@ -76,6 +76,25 @@
 
 } // namespace
 
+// DRAIN: an engine that leaves was ordered to load what requests had wanted before, and told so in one report
+// only.
+TEST_CASE_FIXTURE(scheduler_fixture, "orders_engine_leaves_gets_no_more_of_them_until_it_starts_again") {
+    scheduler_.request_adapter(1, "base", "a1", now_);
+    report_.leaving_ = true;
+    scheduler_.update_report(report_, now_);
+    report_.leaving_ = false; // an older word, or one that lacks it
+    scheduler_.update_report(report_, now_);
+    scheduler_.set_placement(make_placement("second", {}), now_);
+    CHECK_FALSE(scheduler_.next_order(now_));
+    const auto answers = scheduler_.resolve_requests(now_);
+    REQUIRE(answers.size() == 1);
+    CHECK_FALSE(answers.front().ready_);
+    ++report_.incarnation_;
+    scheduler_.update_report(report_, now_);
+    scheduler_.request_adapter(2, "base", "a1", now_);
+    CHECK(scheduler_.next_order(now_));
+}
+
 TEST_CASE_FIXTURE(scheduler_fixture, "orders_engine_without_registry_id_gets_no_order") {
     order_scheduler scheduler("agent-1");
     engine::report unnamed = report_;
