Take a retry from the budget when it is sent, and nowhere else

A retry was counted when it was planned; its arrival could follow seconds later, after an adapter or a connection, in another window, or never. Change: the budget is looked at when a send ends and taken in the moment before the first byte, together with all else that may have changed by then.

--- a/include/tamarack/dispatch.hpp
+++ b/include/tamarack/dispatch.hpp
@@ -70,6 +70,9 @@
     // Whether this gateway, one of `gateways` in service, may retry once more.
     bool available(time_ms now, int gateways);
 
+    // Counts a retry that is sent now if it is allowed. Returns whether it is.
+    bool take(time_ms now, int gateways);
+
 private:
     static constexpr std::size_t bucket_count = 20;
 
--- a/src/dispatch/retry_window.cpp
+++ b/src/dispatch/retry_window.cpp
@@ -33,6 +33,14 @@
     ++bucket_at(now).retries_;
 }
 
+bool retry_window::take(time_ms now, int gateways) {
+    if (!available(now, gateways)) {
+        return false;
+    }
+    note_retry(now);
+    return true;
+}
+
 bool retry_window::available(time_ms now, int gateways) {
     const std::int64_t newest = now / bucket_ms();
     const auto oldest = newest - std::int64_t(bucket_count);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -359,11 +359,19 @@
 // Whether the request may be sent now. All that is known of the endpoint may have changed since it was
 // chosen, so this is asked immediately before the first byte of each attempt.
 bool request_flow::may_send(const endpoint& target) {
+    const time_ms now = steady_now_ms();
+    const int sharers = context_.fleet_.budget_sharers();
+    dispatch::retry_window& retries = context_.fleet_.retries(service_->name_);
+    const bool repeats = arrived_attempts_ > 0;
     if (is_quarantined() || !context_.fleet_.accepts_requests(target) ||
         context_.fleet_.notices_.back_off_ms(key_of(target), boot_now_ms()) ||
-        !confirm_place(target.record().id_)) {
+        (repeats && !retries.available(now, sharers)) || !confirm_place(target.record().id_)) {
         return false;
     }
+    if (repeats) {
+        // Taken here and nowhere else: an arrival that is planned may come much later, or never.
+        retries.take(now, sharers);
+    }
     counted_ = context_.fleet_.notices_.begin(key_of(target), boot_now_ms());
     trial_sent_ = on_trial_.has_value();
     return true;
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -375,9 +375,6 @@
         deliver(response);
         return;
     case dispatch::next_step::try_again:
-        if (arrived_attempts_ > 0) {
-            retries.note_retry(now);
-        }
         attempt_ = nullptr;
         try_next_endpoint();
         return;
