Use no slack of the common retry budget until the others that share it are known

Callers' requests were sent on from engine to engine at all gateways at once, more than the budget of the service allows, after a loss of power of everything. Cause: a gateway that has just started, or that hears no other because no agent is up, divided the slack by an assumed number of gateways (eight, then one), and its part grew with the time since its start. The class: a bound over all instances that each keeps by a guess of how many they are. Change: while the number of gateways is not known, a gateway retries by its own requests alone, and its first four; what it has heard of the others stays known. In the test of the peers the assumed number is checked as before, and that it is not taken as known.

--- a/include/tamarack/dispatch.hpp
+++ b/include/tamarack/dispatch.hpp
@@ -55,11 +55,20 @@
     time_ms window_ms_ = 10'000;
 };
 
+// The gateways among which a common budget is divided.
+struct budget_sharers {
+    budget_sharers(int count, bool known = true) : count_(count), known_(known) {}
+
+    int count_;  // including this one
+    bool known_; // false if this one has not heard the others since it started, and `count_` is assumed
+};
+
 // Counts the requests and retries of one service over a sliding window.
 //
 // A process that has just started does not know how many retries were made in the window before. If all
 // gateways restarted at once, all of them may have used their slack. The slack of a process therefore grows
-// from zero over its first window.
+// from zero over its first window. While a process does not know how many share the slack it uses none, since
+// any number that it assumes is too small for some fleet.
 class retry_window {
 public:
     retry_window(retry_limits limits, time_ms started_at) : limits_(limits), started_at_(started_at) {}
@@ -67,11 +76,11 @@
     void note_request(time_ms now);
     void note_retry(time_ms now);
 
-    // Whether this gateway, one of `gateways` in service, may retry once more.
-    bool available(time_ms now, int gateways);
+    // Whether this gateway, one of `sharers`, may retry once more.
+    bool available(time_ms now, const budget_sharers& sharers);
 
     // Counts a retry that is sent now if it is allowed. Returns whether it is.
-    bool take(time_ms now, int gateways);
+    bool take(time_ms now, const budget_sharers& sharers);
 
 private:
     static constexpr std::size_t bucket_count = 20;
--- a/src/dispatch/retry_window.cpp
+++ b/src/dispatch/retry_window.cpp
@@ -33,15 +33,15 @@
     ++bucket_at(now).retries_;
 }
 
-bool retry_window::take(time_ms now, int gateways) {
-    if (!available(now, gateways)) {
+bool retry_window::take(time_ms now, const budget_sharers& sharers) {
+    if (!available(now, sharers)) {
         return false;
     }
     note_retry(now);
     return true;
 }
 
-bool retry_window::available(time_ms now, int gateways) {
+bool retry_window::available(time_ms now, const budget_sharers& sharers) {
     const std::int64_t newest = now / bucket_ms();
     const auto oldest = newest - std::int64_t(bucket_count);
     int requests = 0;
@@ -53,8 +53,9 @@
         }
     }
     const double run_share = std::clamp(double(now - started_at_) / double(limits_.window_ms_), 0.0, 1.0);
-    const double slack = limits_.slack_ / std::max(1, gateways);
-    const double allowed = used_share * (limits_.ratio_ * requests + run_share * slack);
+    const double slack = limits_.slack_ / std::max(1, sharers.count_);
+    const double usable_slack = sharers.known_ ? run_share * slack : 0;
+    const double allowed = used_share * (limits_.ratio_ * requests + usable_slack);
     return retries + 1 <= std::max(allowed, std::min(slack, free_retries));
 }
 
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -109,8 +109,8 @@
     void set_gateway_count(int count) { gateway_count_ = count; }
 
     // Gateways that share the retry budgets.
-    int budget_sharers() const { return budget_sharers_; }
-    void set_budget_sharers(int count) { budget_sharers_ = count; }
+    const dispatch::budget_sharers& budget_sharers() const { return budget_sharers_; }
+    void set_budget_sharers(const dispatch::budget_sharers& sharers) { budget_sharers_ = sharers; }
 
     std::uint64_t random() { return random_(); }
 
@@ -142,7 +142,7 @@
     std::map<std::string, provisioning::model_need, std::less<>> needs_;
     std::mt19937_64 random_;
     int gateway_count_;
-    int budget_sharers_;
+    dispatch::budget_sharers budget_sharers_;
 };
 
 } // namespace tamarack::gateway
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -52,7 +52,7 @@
                                  [&](const auto& entry) { return is_alive(entry.second, now); }));
 }
 
-int peers::budget_sharers(time_ms now) const {
+dispatch::budget_sharers peers::budget_sharers(time_ms now) const {
     const auto heard_within = [&](time_ms limit_ms) {
         return int(std::count_if(peers_.begin(), peers_.end(),
                                  [&](const auto& entry) { return now - entry.second.heard_at_ < limit_ms; }));
@@ -61,7 +61,7 @@
     const bool isolated = 2 * heard_within(digest_timeout_ms) < known;
     const int sharers = 1 + (isolated ? known : heard_within(departed_budget_ms));
     const bool listening = now - started_at_ < limits::listening_ms;
-    return listening ? std::max(sharers, sharers_while_listening) : sharers;
+    return {listening ? std::max(sharers, sharers_while_listening) : sharers, !listening && !peers_.empty()};
 }
 
 bool peers::is_planner(time_ms now, bool is_planning) const {
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway/demand.hpp"
+#include "tamarack/dispatch.hpp"
 #include "tamarack/links.hpp"
 #include "tamarack/provisioning.hpp"
 
@@ -29,7 +30,7 @@
     // Number of gateways, including this one, that may have used a part of a common budget lately. Does not
     // fall at once when others fall silent, since this gateway may merely not hear them, and is at least the
     // number assumed at a start until a gateway has had time to hear the others.
-    int budget_sharers(time_ms now) const;
+    dispatch::budget_sharers budget_sharers(time_ms now) const;
 
     // Whether this gateway is the planner: the one with the lowest id among the settled gateways, or among
     // all while none is settled. `is_planning` tells whether it plans at present; the present planner stops
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -360,7 +360,7 @@
 // chosen, so this is asked immediately before the first byte of each attempt.
 bool request_flow::may_send(const endpoint& target) {
     const time_ms now = steady_now_ms();
-    const int sharers = context_.fleet_.budget_sharers();
+    const dispatch::budget_sharers& sharers = context_.fleet_.budget_sharers();
     dispatch::retry_window& retries = context_.fleet_.retries(service_->name_);
     const bool repeats = arrived_attempts_ > 0;
     if (is_quarantined() || !context_.fleet_.accepts_requests(target) ||
--- a/tests/direct/gateway_test.cpp
+++ b/tests/direct/gateway_test.cpp
@@ -299,21 +299,24 @@
 // BUDGET: a gateway that had just started, or heard the others no more, took the whole slack for itself.
 TEST_CASE("peers_gateway_hears_no_others_takes_no_larger_part_of_a_common_budget") {
     peers known("a", 0);
-    CHECK(known.budget_sharers(500) == 8); // assumed until the others have been heard
+    CHECK(known.budget_sharers(500).count_ == 8); // assumed until the others have been heard
+    CHECK_FALSE(known.budget_sharers(500).known_);
+    CHECK_FALSE(known.budget_sharers(5'000).known_); // hears nobody
     for (time_ms now = 1'000; now <= 20'000; now += 500) {
         for (const char* from : {"b", "c", "d"}) {
             known.apply_digest(make_digest(from), now);
         }
     }
-    CHECK(known.budget_sharers(20'000) == 4);
+    CHECK(known.budget_sharers(20'000).count_ == 4);
+    CHECK(known.budget_sharers(20'000).known_);
     CHECK(known.gateway_count(25'000) == 1);
-    CHECK(known.budget_sharers(25'000) == 4);
-    CHECK(known.budget_sharers(50'000) == 4); // all at once: this gateway is more likely cut off
+    CHECK(known.budget_sharers(25'000).count_ == 4);
+    CHECK(known.budget_sharers(50'000).count_ == 4); // all at once: this gateway is more likely cut off
     for (time_ms now = 50'000; now <= 62'000; now += 500) {
         known.apply_digest(make_digest("b"), now);
         known.apply_digest(make_digest("c"), now);
     }
-    CHECK(known.budget_sharers(62'000) == 3); // one of three: it is gone
+    CHECK(known.budget_sharers(62'000).count_ == 3); // one of three: it is gone
 }
 
 TEST_CASE("peers_restarted_planner_leaves_planning_to_one_that_knows_recent_loads") {
