--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -4,6 +4,8 @@
 #include "tamarack/engine.hpp"
 
 #include <algorithm>
+#include <cstdlib>
+#include <random>
 #include <thread>
 
 namespace tamarack::direct {
@@ -118,6 +120,53 @@
     CHECK_FALSE(ok(platform::decode_relay(deep)));
 }
 
+// Decoders of all that other programs write, on sound documents in which bytes and whole pieces are changed.
+// More rounds by hand with TAMARACK_MUTATIONS.
+TEST_CASE("platform_mutated_documents_end_no_process") {
+    const char* asked = std::getenv("TAMARACK_MUTATIONS");
+    const std::uint64_t rounds = asked == nullptr ? 20'000 : std::strtoull(asked, nullptr, 10);
+    platform::relay_message relay;
+    relay.topic_ = "t";
+    relay.span_ = {5, 9, {{"k", "v", 6, true}, {"gone", std::nullopt, 8}}, false, 3};
+    const std::string sound[] = {
+        configuration_text(7), odd_entry("models", R"([{"name":"m","adapters":["a1",{"name":"a2"}]}])"),
+        R"({"stage":"hybrid","models":[{"name":"m","adapters":[]}],"busy":false,"sequence":2,"running":12,)"
+        R"("runs":[["r",1,0,2]],"born":7,"at_hand":{"in_memory":["m"],"on_disk":[]},"coming":["m/a@1"]})",
+        R"({"items":[{"key":"k","offset":3,"value":"e30="}],"has_more":false,"end":4})",
+        platform::encode_relay(relay)};
+    const std::string pieces[] = {"1e999",
+                                  "-1",
+                                  "null",
+                                  "[[",
+                                  "{}",
+                                  "\"\"",
+                                  "18446744073709551616",
+                                  "\xff",
+                                  "\x9b\x7f",
+                                  "true",
+                                  nested_arrays(200)};
+    std::mt19937_64 random(1);
+    std::size_t accepted = 0;
+    for (std::uint64_t round = 0; round < rounds; ++round) {
+        std::string document = sound[random() % std::size(sound)];
+        for (std::uint64_t change = random() % 4; change > 0; --change) {
+            const std::size_t at = random() % (document.size() + 1);
+            const std::size_t length = std::min<std::size_t>(random() % 6, document.size() - at);
+            const bool whole = random() % 2 == 0;
+            document.replace(at, length,
+                             whole ? pieces[random() % std::size(pieces)] : std::string(1, char(random())));
+        }
+        accepted += ok(platform::decode_configuration(document)) ? 1 : 0;
+        accepted += ok(platform::decode_endpoint("i", document)) ? 1 : 0;
+        accepted += ok(platform::decode_report(document)) ? 1 : 0;
+        accepted += ok(platform::decode_newest(document)) ? 1 : 0;
+        accepted += ok(platform::decode_relay(document)) ? 1 : 0;
+        accepted += ok(platform::decode_read(document, 0)) ? 1 : 0;
+        accepted += platform::without_sequence(document).empty() ? 0 : 1;
+    }
+    CHECK(accepted > rounds); // some are sound still
+}
+
 TEST_CASE("platform_relay_message_is_decoded_unchanged_and_malformed_bytes_are_rejected") {
     platform::relay_message message;
     message.topic_ = "t";
