Count answers around an end wherever they were seen, so that quiet gateways judge it too

Callers of a plain service lost four repeats of a request that ends endpoints where three are allowed: with 30 gateways and 20 requests a second, each saw so few answers that the ends were judged as unanswered, which takes twice as many. Cause: whether engines had answered around an end was known to each gateway from its own answers alone, though proofs were already shared. The field is new at the end of its table.

--- a/include/tamarack/quarantine.hpp
+++ b/include/tamarack/quarantine.hpp
@@ -113,8 +113,8 @@
     time_ms age_ms_ = 0;
     std::vector<std::string> suspects_;
 
-    // Whether engines answered so much around it that something sound would have been proved so. Kept in
-    // stores, and not announced: each gateway sees other answers.
+    // Whether engines answered so much around it, at some gateway, that something sound would have been
+    // proved so.
     bool answered_ = false;
 };
 
@@ -239,6 +239,7 @@
         time_ms at_ = 0;
         time_ms changed_at_ = 0; // when the last suspect became known
         time_ms announced_until_ = 0;
+        time_ms answers_announced_until_ = 0; // if this gateway was the first to see enough answers
         std::set<std::string> suspects_;
         std::vector<std::string> own_suspects_;
         bool settled_ = false;  // nothing was added for `settling_ms`
@@ -292,6 +293,7 @@
                     time_ms now);
     void delay_trial(quarantine_entry& entry, time_ms trial_ms, time_ms now);
     void release_proved(time_ms now);
+    void note_answered(end_record& record, bool answered);
     void settle(time_ms now);
     void forget_old(time_ms now);
     void forget_old_proofs(time_ms now);
--- a/src/gateway/traffic_quarantine.cpp
+++ b/src/gateway/traffic_quarantine.cpp
@@ -50,6 +50,7 @@
         end->incarnation = one.incarnation_;
         end->age_ms = one.age_ms_;
         end->suspects = one.suspects_;
+        end->answered = one.answered_;
         digest.ends.push_back(std::move(end));
     }
     for (const quarantine::suspect_state& one : all.states_) {
@@ -69,7 +70,7 @@
     }
     quarantine::announcement announced;
     for (const auto& one : digest.ends) {
-        announced.ends_.push_back({one->engine, one->incarnation, one->age_ms, one->suspects});
+        announced.ends_.push_back({one->engine, one->incarnation, one->age_ms, one->suspects, one->answered});
     }
     for (const auto& one : digest.parts) {
         announced.states_.push_back({one->part, one->quarantined, one->age_ms, one->trial_ms});
--- a/src/links/link_generated.h
+++ b/src/links/link_generated.h
@@ -1604,6 +1604,7 @@
   int64_t incarnation = 0;
   int64_t age_ms = 0;
   std::vector<std::string> suspects{};
+  bool answered = false;
 };
 
 struct EngineEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1613,7 +1614,8 @@
     VT_ENGINE = 4,
     VT_INCARNATION = 6,
     VT_AGE_MS = 8,
-    VT_SUSPECTS = 10
+    VT_SUSPECTS = 10,
+    VT_ANSWERED = 12
   };
   const flatbuffers::String *engine() const {
     return GetPointer<const flatbuffers::String *>(VT_ENGINE);
@@ -1627,6 +1629,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *suspects() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SUSPECTS);
   }
+  bool answered() const {
+    return GetField<uint8_t>(VT_ANSWERED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENGINE) &&
@@ -1636,6 +1641,7 @@
            VerifyOffset(verifier, VT_SUSPECTS) &&
            verifier.VerifyVector(suspects()) &&
            verifier.VerifyVectorOfStrings(suspects()) &&
+           VerifyField<uint8_t>(verifier, VT_ANSWERED, 1) &&
            verifier.EndTable();
   }
   EngineEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1659,6 +1665,9 @@
   void add_suspects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> suspects) {
     fbb_.AddOffset(EngineEnd::VT_SUSPECTS, suspects);
   }
+  void add_answered(bool answered) {
+    fbb_.AddElement<uint8_t>(EngineEnd::VT_ANSWERED, static_cast<uint8_t>(answered), 0);
+  }
   explicit EngineEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1675,12 +1684,14 @@
     flatbuffers::Offset<flatbuffers::String> engine = 0,
     int64_t incarnation = 0,
     int64_t age_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> suspects = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> suspects = 0,
+    bool answered = false) {
   EngineEndBuilder builder_(_fbb);
   builder_.add_age_ms(age_ms);
   builder_.add_incarnation(incarnation);
   builder_.add_suspects(suspects);
   builder_.add_engine(engine);
+  builder_.add_answered(answered);
   return builder_.Finish();
 }
 
@@ -1689,7 +1700,8 @@
     const char *engine = nullptr,
     int64_t incarnation = 0,
     int64_t age_ms = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *suspects = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *suspects = nullptr,
+    bool answered = false) {
   auto engine__ = engine ? _fbb.CreateString(engine) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*suspects) : 0;
   return tamarack::links::fbs::CreateEngineEnd(
@@ -1697,7 +1709,8 @@
       engine__,
       incarnation,
       age_ms,
-      suspects__);
+      suspects__,
+      answered);
 }
 
 flatbuffers::Offset<EngineEnd> CreateEngineEnd(flatbuffers::FlatBufferBuilder &_fbb, const EngineEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2846,6 +2859,7 @@
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = answered(); _o->answered = _e; }
 }
 
 inline flatbuffers::Offset<EngineEnd> EngineEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2860,12 +2874,14 @@
   auto _incarnation = _o->incarnation;
   auto _age_ms = _o->age_ms;
   auto _suspects = _o->suspects.size() ? _fbb.CreateVectorOfStrings(_o->suspects) : 0;
+  auto _answered = _o->answered;
   return tamarack::links::fbs::CreateEngineEnd(
       _fbb,
       _engine,
       _incarnation,
       _age_ms,
-      _suspects);
+      _suspects,
+      _answered);
 }
 
 inline PartStateT *PartState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -297,8 +297,9 @@
     announcement all;
     std::set<std::string> questioned;
     for (const auto& [key, record] : ends_) {
-        if (now < record.announced_until_) {
-            all.ends_.push_back({key.first, key.second, now - record.at_, record.own_suspects_});
+        if (now < record.announced_until_ || now < record.answers_announced_until_) {
+            all.ends_.push_back(
+                {key.first, key.second, now - record.at_, record.own_suspects_, record.answered_});
         }
         if (now - record.changed_at_ < announced_for_ms) {
             questioned.insert(record.suspects_.begin(), record.suspects_.end());
@@ -333,6 +334,7 @@
         }
         end_record& record = record_of(key, at);
         record.at_ = std::min(record.at_, at);
+        note_answered(record, end.answered_);
         for (const std::string& suspect : end.suspects_) {
             add_suspect(record, suspect, now);
         }
@@ -399,18 +401,28 @@
     }
 }
 
+// Engines answered enough around the end, as this gateway or another one saw. What they answered elsewhere is
+// announced as proved, so an answer counts wherever it was seen.
+void suspect_quarantine::note_answered(end_record& record, bool answered) {
+    judge_ = judge_ || (answered && !record.answered_);
+    record.answered_ = record.answered_ || answered;
+}
+
 // Finds out which ends can be judged: those to which nothing was added for a while, and around which engines
 // answered so much that something sound would have been proved so.
 void suspect_quarantine::settle(time_ms now) {
     for (auto& [key, record] : ends_) {
         const time_ms from = record.at_ - proof_validity_ms;
         const recent_answers& answers = has_part(record) ? answers_with_parts_ : answers_without_parts_;
-        const auto set = [&](bool& known, bool value) {
-            judge_ = judge_ || (value && !known);
-            known = known || value;
-        };
-        set(record.settled_, now - record.changed_at_ >= settling_ms);
-        set(record.answered_, answers.has_enough_since(from));
+        const bool settled = now - record.changed_at_ >= settling_ms;
+        judge_ = judge_ || (settled && !record.settled_);
+        record.settled_ = record.settled_ || settled;
+        if (!record.answered_ && answers.has_enough_since(from)) {
+            // Gateways that get few requests see too few answers themselves.
+            record.answers_announced_until_ = now + announced_for_ms;
+            due_ = true;
+        }
+        note_answered(record, answers.has_enough_since(from));
     }
     memory_changed_ = memory_changed_ || judge_;
 }
