Read the change as a newcomer: split what responses say of endpoints, one name for a header, whole comments

The notices of a response have a file of their own; the header of a shutdown and its value are named once in platform/; rejections that are out of date are dropped when one is added, and the limits look up listed endpoints by their order. No other change of behaviour.

--- a/include/tamarack/gateway.hpp
+++ b/include/tamarack/gateway.hpp
@@ -24,7 +24,8 @@
     std::string not_run_;        // present on responses to requests that were not run
     std::string endpoint_id_;    // id of the endpoint that responded
     std::string request_limit_;  // requests per second that the endpoint takes from all gateways together
-    std::string leaving_;        // "1" if the endpoint shuts down
+    std::string leaving_;        // present if the endpoint shuts down
+    std::string leaving_value_;  // its only valid value
     std::string
         retry_after_; // on a rejection: seconds in which the endpoint wants no request of this gateway
 
--- a/include/tamarack/notices.hpp
+++ b/include/tamarack/notices.hpp
@@ -86,7 +86,8 @@
     // whether the endpoint has thereby recovered from a back-off.
     bool end(const sent_request& one, bool answered);
 
-    // Keeps what is known of the listed endpoints, and of others for `departed_retention_ms`.
+    // Keeps what is known of the endpoints listed, given in order of their ids, and of others for
+    // `departed_retention_ms`.
     void set_listed(std::span<const endpoint_key> listed, time_ms now);
 
     // The shutdowns that this gateway learned from responses and of which the registry does not tell.
@@ -103,7 +104,7 @@
         bool told_by_response_ = false;
         bool told_by_registry_ = false;
         bool listed_ = false;
-        time_ms listed_at_ = 0; // last time at which the endpoint was listed, or was heard of
+        time_ms listed_at_ = 0; // last time at which the endpoint was listed, or became known
 
         time_ms back_off_until_ = 0;
         std::uint64_t back_off_ = 0; // number of the last back-off; 0 if it is no restriction any more
--- a/src/gateway/endpoint.cpp
+++ b/src/gateway/endpoint.cpp
@@ -61,6 +61,11 @@
     return engine_.known_ ? engine_.models_ : record_.models_;
 }
 
+void endpoint::note_rejection(const std::string& model, time_ms now) {
+    std::erase_if(rejections_, [&](const auto& entry) { return now - entry.second >= rejection_ms; });
+    rejections_[model] = now;
+}
+
 bool endpoint::has_rejected(const std::string& model, time_ms now) const {
     const auto found = rejections_.find(model);
     return found != rejections_.end() && now - found->second < rejection_ms;
--- a/src/gateway/endpoint.hpp
+++ b/src/gateway/endpoint.hpp
@@ -66,7 +66,7 @@
 
     // The endpoint rejected a request for `model`, empty or with an adapter, as misdirected: what is known of
     // its models is out of date. Until a newer report, or for `rejection_ms`, it counts as not holding it.
-    void note_rejection(const std::string& model, time_ms now) { rejections_[model] = now; }
+    void note_rejection(const std::string& model, time_ms now);
     bool has_rejected(const std::string& model, time_ms now) const;
     void forget_rejections() { rejections_.clear(); }
 
@@ -107,7 +107,7 @@
     boost::asio::any_io_executor executor_;
     std::vector<std::shared_ptr<endpoint_connection>> idle_;
     bool gone_ = false;
-    std::map<std::string, time_ms> rejections_; // by model, with the time of the last one
+    std::map<std::string, time_ms> rejections_; // time of the last one of each model
 };
 
 } // namespace tamarack::gateway
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -25,7 +25,7 @@
 constexpr time_ms keep_alive_margin_ms = 700;    // margin before the end of the endpoint's idle time
 constexpr int first_final_status = 200;
 constexpr int first_failed_status = 400;
-constexpr std::size_t max_refused_ids = 16; // that a connection remembers before it is closed
+constexpr std::size_t max_refused_ids = 16; // a connection with more refused requests is closed
 
 } // namespace
 
--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -160,8 +160,8 @@
         if (!http::same_name(one.name_, names.leaving_)) {
             continue;
         }
-        if (leaving || trim(one.value_) != "1") {
-            return error{error_kind::invalid, "the header of a shutdown is not a single 1",
+        if (leaving || trim(one.value_) != names.leaving_value_) {
+            return error{error_kind::invalid, "the header of a shutdown has another value or comes twice",
                          "check the endpoint's version"};
         }
         leaving = true;
--- a/src/gateway/head_rewrite.hpp
+++ b/src/gateway/head_rewrite.hpp
@@ -46,7 +46,7 @@
                                             const header_names& names);
 
 // Whether a response says that its endpoint shuts down. Fails with `invalid` if the header has another value
-// than 1, or comes more than once.
+// than `leaving_value_`, or comes more than once.
 result<bool> says_leaving(const std::vector<http::header>& headers, const header_names& names);
 
 // How long an endpoint that turned a request away wants no other one.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1,5 +1,6 @@
 // request_flow: choice of an endpoint and sending. The waits before that are in request_flow_waits.cpp, the
-// handling of responses in request_flow_response.cpp, quarantined prompts in request_flow_quarantine.cpp.
+// handling of responses in request_flow_response.cpp, what they say of endpoints in request_flow_notices.cpp,
+// quarantined prompts in request_flow_quarantine.cpp.
 #include "gateway/request_flow.hpp"
 
 #include "gateway/suspects.hpp"
--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -160,9 +160,10 @@
     unlisted_ = std::size_t(std::count_if(states_.begin(), states_.end(),
                                           [](const auto& entry) { return !entry.second.listed_; }));
     limits_.retain([&](std::string_view id, std::int64_t incarnation) {
-        return std::any_of(listed.begin(), listed.end(), [&](const endpoint_key& at) {
-            return at.id_ == id && at.incarnation_ == incarnation;
-        });
+        const auto found =
+            std::lower_bound(listed.begin(), listed.end(), id,
+                             [](const endpoint_key& at, std::string_view wanted) { return at.id_ < wanted; });
+        return found != listed.end() && found->id_ == id && found->incarnation_ == incarnation;
     });
 }
 
--- a/src/untrusted/untrusted.cpp
+++ b/src/untrusted/untrusted.cpp
@@ -90,7 +90,7 @@
             return info;
         }
         if (info > eight_bytes) {
-            return std::nullopt; // of indefinite length, which is not written either
+            return std::nullopt; // an item of indefinite length, which is not written either
         }
         const std::size_t length = std::size_t(1) << (info - one_byte);
         if (rest_.size() < length) {
--- a/tests/direct/gateway_test.cpp
+++ b/tests/direct/gateway_test.cpp
@@ -301,7 +301,7 @@
     peers known("a", 0);
     CHECK(known.budget_sharers(500).count_ == 8); // assumed until the others have been heard
     CHECK_FALSE(known.budget_sharers(500).known_);
-    CHECK_FALSE(known.budget_sharers(5'000).known_); // hears nobody
+    CHECK_FALSE(known.budget_sharers(5'000).known_); // no other gateway is known
     for (time_ms now = 1'000; now <= 20'000; now += 500) {
         for (const char* from : {"b", "c", "d"}) {
             known.apply_digest(make_digest(from), now);
--- a/tests/direct/notices_test.cpp
+++ b/tests/direct/notices_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <random>
 #include <set>
@@ -126,11 +127,11 @@
     notices_.note_leaving(first, leaving_source::response, now_);
     list({});
     now_ += departed_retention_ms / 2;
-    list({first}); // from a copy some seconds old
+    list({first}); // the registry returns from a copy
     CHECK(notices_.is_leaving(first));
     list({second});
     notices_.note_leaving(second, leaving_source::response, now_);
-    list({first}); // with an older start than the one known
+    list({first}); // an older start than the one known
     CHECK(notices_.is_leaving(first));
     list({});
     now_ += departed_retention_ms + 1;
@@ -198,6 +199,7 @@
     for (int number = 0; number < 500; ++number) {
         ids.push_back("e" + std::to_string(number));
     }
+    std::sort(ids.begin(), ids.end());
     std::vector<endpoint_key> listed;
     for (const std::string& id : ids) {
         listed.push_back({id, 1});
@@ -316,6 +318,7 @@
 TEST_CASE("head_notices_of_each_form_are_read_as_stated") {
     gateway::header_names names;
     names.leaving_ = "X-Leaving";
+    names.leaving_value_ = "1";
     names.retry_after_ = "Retry-After";
     using headers = std::vector<http::header>;
     const auto leaves = [&](const headers& given) { return gateway::says_leaving(given, names); };
--- a/tests/direct/request_flow_fixture.hpp
+++ b/tests/direct/request_flow_fixture.hpp
@@ -15,7 +15,7 @@
 struct status_sink : response_sink {
     int status_ = 0;
     std::vector<http::header> headers_;
-    std::string data_;   // of a stream
+    std::string data_;   // a stream's events, or a body
     bool ended_ = false; // the stream is complete
 
     void send_response(int status, const std::vector<http::header>& headers, std::string_view body) override {
--- a/tests/direct/request_flow_notices_test.cpp
+++ b/tests/direct/request_flow_notices_test.cpp
@@ -47,7 +47,7 @@
     }
 };
 
-// The event that the truncated stream of a fake endpoint has before it breaks off: two of them.
+// The events of a fake endpoint's truncated stream before it breaks off.
 const std::string first_events = "id: 1\ndata: word\n\nid: 2\ndata: word\n\n";
 
 std::string reply(const std::string& status, const std::string& headers, const std::string& body) {
@@ -161,11 +161,11 @@
     second_.set_behaviours({behaviour::not_run});
     first_.set_headers("Retry-After: 0.4\r\n");
     second_.set_headers("Retry-After: 30\r\n");
-    send(); // at both endpoints
+    send(); // both endpoints turn it away
     REQUIRE(received_by("e-1") + received_by("e-2") == 2);
     sink_ = std::make_shared<status_sink>();
     const auto flow = start("m");
-    CHECK(sink_->status_ == 503); // without any wait
+    CHECK(sink_->status_ == 503); // the request was not held
     CHECK(retry_after_s() >= 0.1);
     CHECK(retry_after_s() <= 2.0 / 3); // what a client honours of its two seconds
     CHECK(received_by("e-1") + received_by("e-2") == 2);
--- a/tests/direct/retry_fleet_test.cpp
+++ b/tests/direct/retry_fleet_test.cpp
@@ -15,20 +15,21 @@
 constexpr time_ms step_ms = 50;
 constexpr time_ms window_ms = 10'000;
 constexpr time_ms end_ms = 45'000;
-constexpr time_ms listening_ms = 2'000; // after a start, in which a gateway does not hear the others
-constexpr int assumed_gateways = 8;     // meanwhile
+constexpr time_ms listening_ms =
+    2'000;                          // a gateway that has just started does not know the others for this long
+constexpr int assumed_gateways = 8; // number of gateways that it assumes meanwhile
 constexpr std::size_t steps = std::size_t(end_ms / step_ms);
 
 struct fleet_plan {
     std::uint64_t seed_ = 1;
     int gateways_ = 6;
-    double requests_per_s_ = 10; // at each gateway
+    double requests_per_s_ = 10; // requests that each gateway gets
     double slack_per_gateway_ = 3;
-    int starts_of_all_ = 0; // one after the other, as fast as gateways start
-    bool restarts_ = false; // of single gateways
-    bool freezes_ = false;  // of single gateways, which send all that waited when they wake
-    time_ms stale_ms_ = 0;  // after each start, every first send is rejected; at all other times one in fifty
-    time_ms most_delay_ = 0; // from the decision for a retry to its first byte
+    int starts_of_all_ = 0; // number of them, one after the other, as fast as gateways start
+    bool restarts_ = false; // single gateways start again
+    bool freezes_ = false;  // single gateways are suspended, and send all that waited when they resume
+    time_ms stale_ms_ = 0;  // time after each start in which every first send is rejected; later one in fifty
+    time_ms most_delay_ = 0; // longest time from the decision for a retry to its first byte
 };
 
 struct fleet_counts {
--- a/tests/soak/referee.hpp
+++ b/tests/soak/referee.hpp
@@ -27,8 +27,8 @@
     int sends_after_crashes_ = 3;     // requests with it that may still arrive, `stable_ms_` after that
     int crashes_of_request_ = 3;      // engines that may end under one request until the same bound holds
     int least_sound_requests_ = 20;   // fewer requests without it show nothing
-    time_ms back_off_told_ms_ = 500;  // until a gateway that was asked for a back-off must keep it
-    int sends_in_back_off_ = 2;       // that may arrive in it nevertheless
+    time_ms back_off_told_ms_ = 500;  // a back-off binds its gateway this long after it was asked for
+    int sends_in_back_off_ = 2;       // requests that may arrive in it nevertheless
     time_ms limit_told_ms_ = 500;     // until a gateway that got a response with the limit must keep it
 };
 
@@ -92,7 +92,7 @@
     // A request arrived at one incarnation of an engine.
     void arrived_at(const std::string& id, const std::string& engine, std::int64_t incarnation, time_ms now);
 
-    // A gateway was killed, stopped or suspended, which excuses what it was told before.
+    // A gateway was killed, stopped or suspended, and need not keep what it learned before.
     void forgets(const std::string& gateway);
 
     // An engine ended as it began to answer a request with the crashing part.
@@ -187,7 +187,8 @@
     std::map<std::string, std::pair<std::string, std::int64_t>> said_leaving_; // engines, by request
     // Time at which a gateway passed on that an incarnation of an engine leaves.
     std::map<std::tuple<std::string, std::string, std::int64_t>, time_ms> told_leaving_;
-    std::map<std::pair<std::string, std::string>, std::vector<back_off>> back_offs_; // by gateway and engine
+    std::map<std::pair<std::string, std::string>, std::vector<back_off>>
+        back_offs_; // key: gateway and engine
     crash_cause crashing_part_;
     std::map<std::string, crash_cause> crashing_requests_; // keyed by path
     std::vector<span> disturbances_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -19,7 +19,7 @@
 constexpr time_ms recovery_limit_ms = 12'000;
 constexpr time_ms recovery_look_ms = 1'000; // span of requests that must be served
 constexpr double recovered_share = 0.9;     // of them
-constexpr time_ms notice_lead_ms = 1'000;   // for which an endpoint leaves before the registry tells
+constexpr time_ms notice_lead_ms = 1'000;   // an endpoint leaves this long before the registry tells
 constexpr time_ms heartbeat_ms = 1'200;
 constexpr time_ms watch_ms = 100;
 constexpr time_ms last_answers_ms = 4'000; // after the last request
@@ -472,7 +472,7 @@
             co_return;
         }
         const time_ms away = between(2'500, 4'000);
-        const bool gives_notice = away % 2 == 0; // in the registry
+        const bool gives_notice = away % 2 == 0; // the registry lists it as leaving
         note((gives_notice ? "leaving of " : "leaving without notice of ") + one.engine_->id());
         one.engine_->set_leaving();
         const time_ms lead = draw(back_off_random_, 0, 1) * notice_lead_ms;
