Take a back-off from 503 alone, and from any response that only the endpoint itself can have sent

Callers of models that one engine holds were refused for a second after each 429 of an engine that turned away a part of its requests and would have served the next. Also: a response without stamp counts too unless it is a 421, since any other endpoint rejects a request that names its endpoint. Result: notices_*, head_* and request_* pass.

--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -193,10 +193,9 @@
 
 back_off_request requested_back_off(int status, const std::vector<http::header>& headers,
                                     const header_names& names) {
-    constexpr int too_many_requests = 429;
     constexpr int unavailable = 503;
     back_off_request requested;
-    if (status != too_many_requests && status != unavailable) {
+    if (status != unavailable) {
         return requested;
     }
     for (const http::header& one : headers) {
--- a/src/gateway/head_rewrite.hpp
+++ b/src/gateway/head_rewrite.hpp
@@ -55,8 +55,9 @@
     bool readable_ = true;          // all of its values were numbers of 0 or more
 };
 
-// Reads the back-off from the head of a response. Of several values, the longest counts; a value that cannot
-// be read counts as `notices::default_back_off_ms`.
+// Reads the back-off from the head of a response with status 503. A 429 turns away one request and says
+// nothing of others. Of several values, the longest counts; a value that cannot be read counts as
+// `notices::default_back_off_ms`.
 back_off_request requested_back_off(int status, const std::vector<http::header>& headers,
                                     const header_names& names);
 
--- a/src/gateway/request_flow_notices.cpp
+++ b/src/gateway/request_flow_notices.cpp
@@ -3,6 +3,12 @@
 
 namespace tamarack::gateway {
 
+namespace {
+
+constexpr int status_misdirected = 421;
+
+} // namespace
+
 // Takes what the head of a response says of its endpoint. Called as soon as the head is there, and once for
 // each attempt.
 void request_flow::note_response_head(const http::response_parser& response) {
@@ -13,12 +19,16 @@
                                http::find_header(response.headers_, names.not_run_) != nullptr;
     const bool from_another = responder != nullptr && responder->value_ != target.record().id_;
     const bool from_earlier_start = target.record().incarnation_ != attempt_->incarnation_;
-    if (!from_endpoint || from_another || from_earlier_start || std::exchange(response_head_noted_, true)) {
+    // Any other endpoint rejects the request as misdirected, since it names the one that it is for.
+    const bool may_be_another = from_another || (!from_endpoint && response.status_ == status_misdirected);
+    if (may_be_another || from_earlier_start || std::exchange(response_head_noted_, true)) {
         return;
     }
     note_leaving(response);
     note_back_off(response);
-    note_limit(response);
+    if (from_endpoint) {
+        note_limit(response);
+    }
 }
 
 void request_flow::note_leaving(const http::response_parser& response) {
