--- a/review/standins/engines.hpp
+++ b/review/standins/engines.hpp
@@ -77,6 +77,14 @@
                                  [&](const auto& one) { return one.first > from; }));
     }
 
+    // Adds how often each request has run here.
+    void count_runs(std::map<std::string, int>& runs) {
+        const std::lock_guard lock(mutex_);
+        for (const auto& [at, request] : arrivals_) {
+            ++runs[request];
+        }
+    }
+
     bool has_run(const std::string& request_id) {
         const std::lock_guard lock(mutex_);
         return ran_.contains(request_id);
@@ -143,14 +151,18 @@
                    clock_error_ms),
           work_ms_(work_ms), answer_bytes_(answer_bytes) {}
 
+    // Requests take this many times as long from now on.
+    void set_slowness(int factor) { slowness_ = factor; }
+
 protected:
     bool run(int socket, const message& call) override {
-        sleep_ms(work_ms_);
+        sleep_ms(work_ms_ * slowness_);
         return write_all(socket, reply_text(200, head(call), std::string(answer_bytes_, 'x')));
     }
 
 private:
     const int work_ms_;
+    std::atomic<int> slowness_ = 1;
     const std::size_t answer_bytes_;
 };
 
