Read the memory and descriptors of a gateway from its settings

Cause: a gateway does not know how much memory and how many descriptors it may use, so it cannot bound what clients make it hold. Nothing uses them yet. Result: a settings test; gateway and settings tests pass.

--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -16,6 +16,10 @@
 constexpr std::int64_t max_threads = 64;
 constexpr std::int64_t max_connections = 1'000'000;
 constexpr std::int64_t max_port = 65'535;
+constexpr std::int64_t min_memory_mb = 32; // a gateway of a small fleet, with one request of 4 MB
+constexpr std::int64_t max_memory_mb = 1024LL * 1024;
+constexpr std::int64_t min_descriptors = 256;
+constexpr std::int64_t max_descriptors = 16LL * 1024 * 1024;
 constexpr double max_grace_s = 3'600;
 constexpr double max_ratio = 100;
 constexpr double max_slack = 1'000'000;
@@ -164,6 +168,12 @@
     settings.platform_ = reader.text("platform", settings.platform_);
     settings.ready_path_ = reader.text("ready_path", settings.ready_path_);
     settings.agent_port_ = reader.number("agent_port", 1, max_port);
+    if (reader.has("memory_mb")) {
+        settings.memory_mb_ = reader.number("memory_mb", min_memory_mb, max_memory_mb);
+    }
+    if (reader.has("max_descriptors")) {
+        settings.max_descriptors_ = reader.number("max_descriptors", min_descriptors, max_descriptors);
+    }
     settings.shutdown_grace_s_ = reader.real("shutdown_grace_s", 0, max_grace_s, settings.shutdown_grace_s_);
     settings.retry_ratio_ = reader.real("retry_ratio", 0, max_ratio, settings.retry_ratio_);
     settings.retry_slack_ = reader.real("retry_slack", 0, max_slack, settings.retry_slack_);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -38,6 +38,31 @@
     }
 }
 
+// A gateway that is given less than one request needs could serve none.
+TEST_CASE("gateway_settings_memory_or_descriptors_out_of_range_are_rejected") {
+    nlohmann::json gateway = {{"id", "g"},
+                              {"data_centre", "dc1"},
+                              {"listen", "127.0.0.1:7000"},
+                              {"admin", "127.0.0.1:7001"},
+                              {"metrics", "127.0.0.1:7002"},
+                              {"store", "127.0.0.1:7003"},
+                              {"seeds", nlohmann::json::array()},
+                              {"agent_port", 7004}};
+    REQUIRE(ok(parse_gateway_settings(gateway.dump())));
+    CHECK(value(parse_gateway_settings(gateway.dump())).memory_mb_ == 0);
+    gateway["memory_mb"] = 120;
+    gateway["max_descriptors"] = 3'150;
+    REQUIRE(ok(parse_gateway_settings(gateway.dump())));
+    CHECK(value(parse_gateway_settings(gateway.dump())).memory_mb_ == 120);
+    CHECK(value(parse_gateway_settings(gateway.dump())).max_descriptors_ == 3'150);
+    gateway["memory_mb"] = 8;
+    gateway["max_descriptors"] = 100;
+    const auto parsed = parse_gateway_settings(gateway.dump());
+    REQUIRE_FALSE(ok(parsed));
+    CHECK(failure(parsed).message_.find("memory_mb") != std::string::npos);
+    CHECK(failure(parsed).message_.find("max_descriptors") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(settings_fixture, "settings_not_an_object_are_rejected") {
     for (const char* text : {"", "{", "[]", "1", "null", "\xff"}) {
         CHECK_FALSE(ok(parse_agent_settings(text)));
