Do not pause an exchange that has ended with the last events of its stream

Change: one function pauses, and only an exchange that runs. A table of what can happen to a stream whose client is behind. Result: the table crashes on the code before and passes now.

--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -141,6 +141,7 @@
     bool is_event_stream(const http::response_parser& response) const;
     void on_response_progress(http::response_parser& response);
     void forward_events(http::response_parser& response);
+    void pause_if_client_is_behind();
     void on_events_received();
     void on_exchange_ended(exchange_outcome outcome);
     bool finish_if_stream_complete();
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -68,9 +68,7 @@
         }
         on_events_received();
         sink_->send_data(complete_events);
-        if (sink_ != nullptr && sink_->unsent_bytes() > max_unsent_bytes) {
-            exchange_->pause();
-        }
+        pause_if_client_is_behind();
     }
     if (!in_order && exchange_) {
         // An event is missing or has no end; what follows must not be passed on.
@@ -80,6 +78,14 @@
     }
 }
 
+// Stops reading from the endpoint until the client has read what it was sent. The exchange may have ended
+// with the last events; what is unsent then belongs to the client's connection alone.
+void request_flow::pause_if_client_is_behind() {
+    if (exchange_ && sink_ && sink_->unsent_bytes() > max_unsent_bytes) {
+        exchange_->pause();
+    }
+}
+
 void request_flow::on_events_received() {
     const time_ms now = steady_now_ms();
     if (last_event_at_ == 0) {
--- a/tests/direct/request_flow_fixture.hpp
+++ b/tests/direct/request_flow_fixture.hpp
@@ -15,8 +15,9 @@
 struct status_sink : response_sink {
     int status_ = 0;
     std::vector<http::header> headers_;
-    std::string data_;   // a stream's events, or a body
-    bool ended_ = false; // the stream is complete
+    std::string data_;       // a stream's events, or a body
+    bool ended_ = false;     // the stream is complete
+    std::size_t unsent_ = 0; // what the client has not read
 
     void send_response(int status, const std::vector<http::header>& headers, std::string_view body) override {
         status_ = status;
@@ -27,7 +28,7 @@
     void send_data(std::string_view data) override { data_ += data; }
     void end_stream() override { ended_ = true; }
     void abort() override { status_ = -1; }
-    std::size_t unsent_bytes() const override { return 0; }
+    std::size_t unsent_bytes() const override { return unsent_; }
 };
 
 // Two engines that hold a model, and requests for one of its adapters. The test plays the engines' agents.
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -161,6 +161,63 @@
     CHECK(sent <= 25); // 9 a second within the objective of 2 s, and what may be sent at once
 }
 
+// What happens to a stream while its client is behind.
+enum class behind_event { none, client_reads_on, client_leaves, deadline };
+
+struct behind_case {
+    const char* name_;
+    fake_endpoint::behaviour reply_;
+    std::size_t unsent_; // bytes that the client has not read when the events arrive
+    behind_event event_;
+    bool complete_; // whether the client's stream ends as complete
+};
+
+// LOST: a gateway crashed when a stream ended whose client was behind. The end of the stream comes with its
+// last events here, and by itself where the exchange was paused before.
+TEST_CASE_FIXTURE(flow_fixture, "request_stream_ends_while_its_client_is_behind_each_event_is_handled") {
+    using behaviour = fake_endpoint::behaviour;
+    constexpr std::size_t far_behind = 1024 * 1024;
+    const behind_case cases[] = {
+        {"client keeps up", behaviour::complete_stream, 0, behind_event::none, true},
+        {"client is behind", behaviour::complete_stream, far_behind, behind_event::none, true},
+        {"client reads on", behaviour::complete_stream, far_behind, behind_event::client_reads_on, true},
+        {"client leaves", behaviour::complete_stream, far_behind, behind_event::client_leaves, false},
+        {"stream is cut", behaviour::truncated_stream, far_behind, behind_event::client_reads_on, false},
+        {"stream is cut and the client leaves", behaviour::truncated_stream, far_behind,
+         behind_event::client_leaves, false},
+        {"time runs out", behaviour::truncated_stream, far_behind, behind_event::deadline, false},
+    };
+    auto configuration = std::make_shared<fleet::configuration>(*fleet_.current()->configuration_);
+    configuration->version_ = 2;
+    configuration->routes_[0].repeat_ = fleet::repeat_rule::stream;
+    configuration->routes_[0].max_attempts_ = 1;
+    fleet_.apply_configuration(std::make_shared<const indexed_configuration>(configuration));
+    for (const behind_case& one : cases) {
+        CAPTURE(one.name_);
+        first_.set_behaviours({one.reply_});
+        second_.set_behaviours({one.reply_});
+        sink_ = std::make_shared<status_sink>();
+        sink_->unsent_ = one.unsent_;
+        const auto flow = start("m");
+        const time_ms until = steady_now_ms() + (one.event_ == behind_event::deadline ? 2'300 : 300);
+        bool left = false;
+        while (steady_now_ms() < until) {
+            context_.run_for(std::chrono::milliseconds(5));
+            context_.restart();
+            const bool begun = sink_->status_ == 200;
+            if (begun && one.event_ == behind_event::client_reads_on) {
+                sink_->unsent_ = 0;
+                flow->on_write_completed();
+            }
+            if (begun && one.event_ == behind_event::client_leaves && !std::exchange(left, true)) {
+                flow->on_client_disconnected();
+            }
+        }
+        CHECK((sink_->ended_ == one.complete_ || one.event_ == behind_event::client_leaves));
+        CHECK((sink_->status_ == 200 || sink_->status_ == -1));
+    }
+}
+
 // A gateway that had just started refused everything with a shared part until the store answered.
 TEST_CASE_FIXTURE(flow_fixture, "request_quarantine_is_not_known_waits_a_moment_and_is_served") {
     fleet_.quarantine_ = {};
