Bound what clients make the ports of readiness checks and metrics hold

Cause: these ports took 10,000 connections and bodies of 4 MB each; at the limit, new connections were refused in favour of those that sent nothing, and a failed accept was repeated at once. Change: 64 connections, bodies of 1 KB and heads of 8 KB there; at the limit, the connection that has waited longest for a request is closed for a new one; a pause after a failed accept. Gateway and agent.

--- a/include/tamarack/http.hpp
+++ b/include/tamarack/http.hpp
@@ -56,6 +56,10 @@
     std::chrono::milliseconds write_{30'000}; // time for writing one part of a response to the client
 };
 
+// Limits of a server for readiness checks and metrics. Their requests have no bodies and few clients, but
+// anyone who reaches the address may connect.
+server_limits observer_limits();
+
 // A request being served. Its handler responds once: either with `reply`, or with `begin`, any number of
 // `write` and `finish`.
 class exchange {
@@ -87,7 +91,8 @@
 using handler = std::function<awaitable<void>(exchange&)>;
 
 // Serves HTTP/1.1 on one io_context. Malformed and oversized requests get 400, 413 or 431 and the connection
-// is closed. Connections over the limit get 503.
+// is closed. At the limit of connections, a new one takes the place of the one that has waited longest for a
+// request or the rest of one, and gets 503 if all are being served.
 class server {
 public:
     server(boost::asio::io_context& context, server_limits limits, handler handle);
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -33,7 +33,7 @@
       signals_(context_, SIGTERM, SIGINT, SIGHUP), report_timer_(context_),
       engine_client_((*registry<engine::client_factory>::instance().find(settings.platform_))(
           context_, settings.engine_)),
-      scheduler_(settings.id_), metrics_server_(context_, http::server_limits(),
+      scheduler_(settings.id_), metrics_server_(context_, http::observer_limits(),
                                                 [this](http::exchange& current) -> asio::awaitable<void> {
                                                     co_await handle_metrics(current);
                                                 }) {}
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -60,10 +60,10 @@
                     });
                 },
                 [this] { asio::post(context_, [this] { quarantine_known_ = true; }); }}),
-      admin_(context_, http::server_limits(),
+      admin_(context_, http::observer_limits(),
              [this](http::exchange& current) -> asio::awaitable<void> { co_await handle_admin(current); }),
       metrics_server_(
-          context_, http::server_limits(),
+          context_, http::observer_limits(),
           [this](http::exchange& current) -> asio::awaitable<void> { co_await handle_metrics(current); }) {
     fleet::fleet_events handlers;
     handlers.configuration_ = [this](std::shared_ptr<const fleet::configuration> configuration,
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <map>
+
 #include <sys/socket.h>
 
 namespace tamarack::http {
@@ -21,6 +23,9 @@
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr int http_1_1 = 11;
 
+// Time until connections are accepted again after that failed.
+constexpr std::chrono::milliseconds accept_retry_delay{20};
+
 request convert(const bhttp::request<bhttp::string_body>& parsed) {
     request converted;
     converted.method_ = std::string(parsed.method_string());
@@ -182,9 +187,13 @@
             if (accept_error == asio::error::operation_aborted) {
                 co_return;
             }
-            if (!accept_error) {
-                asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+            if (accept_error) {
+                // Without a descriptor, accepting fails at once each time.
+                asio::steady_timer pause(context_, accept_retry_delay);
+                co_await pause.async_wait(no_throw);
+                continue;
             }
+            asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
         }
     }
 
@@ -194,7 +203,7 @@
         boost::system::error_code ignored;
         stream.socket().set_option(tcp::no_delay(true), ignored);
         ++connections_;
-        if (connections_ > limits_.connections_) {
+        if (connections_ > limits_.connections_ && !close_longest_waiting()) {
             co_await refuse(stream,
                             json_response(503, R"({"error":{"kind":"unavailable","message":"too many )"
                                                R"(connections","remedy":"come back later"}})"));
@@ -207,13 +216,27 @@
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     }
 
+    // Returns whether there was one.
+    bool close_longest_waiting() {
+        if (waiting_.empty()) {
+            return false;
+        }
+        // Its read fails in a later task, which ends the connection.
+        waiting_.begin()->second->close();
+        waiting_.erase(waiting_.begin());
+        return true;
+    }
+
     // Returns whether the connection may carry another request.
     awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
         bhttp::request_parser<bhttp::string_body> parser;
         parser.header_limit(std::uint32_t(limits_.header_bytes_));
         parser.body_limit(limits_.body_bytes_);
         stream.expires_after(limits_.idle_);
+        const std::uint64_t place = next_place_++;
+        waiting_[place] = &stream;
         auto [read_error, read] = co_await bhttp::async_read(stream, buffer, parser, no_throw);
+        waiting_.erase(place);
         if (read_error) {
             if (is_protocol_error(read_error)) {
                 co_await refuse(stream, error_response(read_error));
@@ -243,8 +266,21 @@
     server_limits limits_;
     handler handle_;
     std::size_t connections_ = 0;
+    // Connections that wait for a request or the rest of one, in the order in which they began to.
+    std::map<std::uint64_t, beast::tcp_stream*> waiting_;
+    std::uint64_t next_place_ = 0;
 };
 
+server_limits observer_limits() {
+    server_limits limits;
+    limits.header_bytes_ = 8 * 1024;
+    limits.body_bytes_ = 1024;
+    limits.connections_ = 64;                // the platform's checks and an operator's readers need some few
+    limits.idle_ = std::chrono::seconds(20); // longer than usual intervals between reads of metrics
+    limits.write_ = std::chrono::seconds(5);
+    return limits;
+}
+
 server::server(asio::io_context& context, server_limits limits, handler handle)
     : state_(std::make_shared<state>(context, limits, std::move(handle))) {}
 
