Bound what clients make a gateway hold, and give received bytes one owner

A body is held once for all attempts; a large one is refused with 503 where requests in service fill their pool. Streams run less far ahead of their client while memory is scarce. Headers of chunks and trailers have a bound.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <array>
 #include <charconv>
 
 namespace tamarack::gateway {
@@ -16,7 +17,6 @@
 constexpr std::chrono::milliseconds connect_timeout{450};
 constexpr std::size_t read_bytes = 16 * 1024;
 constexpr std::size_t max_response_bytes = 16 * 1024 * 1024; // of one response that is no stream
-constexpr std::size_t max_held_bytes = 48 * 1024 * 1024;     // of all of them
 constexpr std::size_t max_unmatched_bytes = 1024 * 1024;     // of responses to other requests
 constexpr std::uint64_t max_stream_bytes = 1024ULL * 1024 * 1024;
 constexpr int silence_limit_ms = 3'000;    // time without acknowledgements before the connection is dropped
@@ -29,23 +29,15 @@
 
 } // namespace
 
-bool response_budget::take(std::size_t bytes) {
-    if (held_ + bytes > max_held_bytes) {
-        return false;
-    }
-    held_ += bytes;
-    return true;
-}
-
-exchange::exchange(asio::any_io_executor executor, response_budget& budget, std::shared_ptr<endpoint> target,
+exchange::exchange(asio::any_io_executor executor, memory::account& memory, std::shared_ptr<endpoint> target,
                    exchange_request request, callbacks handlers)
-    : executor_(executor), budget_(budget), target_(std::move(target)), request_(std::move(request)),
+    : executor_(executor), memory_(memory), held_body_(memory, memory::pool::arriving),
+      target_(std::move(target)), request_(std::move(request)),
       handlers_(std::make_shared<const callbacks>(std::move(handlers))), timer_(executor),
       parser_(std::make_unique<http::response_parser>(max_stream_bytes)) {}
 
 exchange::~exchange() {
     abandon();
-    budget_.give_back(held_bytes_);
 }
 
 void exchange::start() {
@@ -93,11 +85,13 @@
         return;
     }
     sent_ = true;
-    asio::async_write(connection_->socket_, asio::buffer(request_.bytes_),
-                      [self](boost::system::error_code failed, std::size_t) {
-                          self->written_ = !failed;
-                          // A failed write does not end the exchange: the response may have arrived already.
-                      });
+    asio::async_write(
+        connection_->socket_,
+        std::array<asio::const_buffer, 2>{asio::buffer(request_.head_), asio::buffer(*request_.body_)},
+        [self](boost::system::error_code failed, std::size_t) {
+            self->written_ = !failed;
+            // A failed write does not end the exchange: the response may have arrived already.
+        });
     read();
 }
 
@@ -192,13 +186,12 @@
 // Accounts for the part of the body that the handlers left in memory. Returns false if it is too much.
 bool exchange::hold_body() {
     const std::size_t size = parser_->body_.size();
-    if (size <= held_bytes_) {
-        return true;
-    }
-    if (size > max_response_bytes || !budget_.take(size - held_bytes_)) {
+    const std::size_t others = memory_.held(memory::pool::arriving) - held_body_.bytes();
+    if (size > max_response_bytes ||
+        !memory::admits(memory_.allowed().of(memory::pool::arriving), others, size)) {
         return false;
     }
-    held_bytes_ = size;
+    held_body_.set(size);
     return true;
 }
 
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -3,19 +3,21 @@
 
 #include "gateway/endpoint.hpp"
 #include "http/message_parser.hpp"
+#include "tamarack/memory.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
 namespace tamarack::gateway {
 
 struct exchange_request {
-    std::string bytes_;              // the request as sent
-    std::string id_header_;          // name of the header that responses echo
-    std::string id_;                 // value expected in that header
-    time_ms max_idle_ms_ = 0;        // longest idle time of a connection that may be reused
-    int max_connections_ = 0;        // limit of the endpoint for all gateways together; 0 for none
-    int gateway_count_ = 1;          // gateways that share this limit
-    std::function<bool()> may_send_; // called once, immediately before the first byte is sent
+    std::string head_;                        // as sent
+    std::shared_ptr<const std::string> body_; // shared by all attempts
+    std::string id_header_;                   // name of the header that responses echo
+    std::string id_;                          // value expected in that header
+    time_ms max_idle_ms_ = 0;                 // longest idle time of a connection that may be reused
+    int max_connections_ = 0;                 // limit of the endpoint for all gateways together; 0 for none
+    int gateway_count_ = 1;                   // gateways that share this limit
+    std::function<bool()> may_send_;          // called once, immediately before the first byte is sent
 };
 
 // How an exchange ended.
@@ -26,17 +28,6 @@
     broken,        // the connection failed, or the bytes received are no response to this request
 };
 
-// Bytes of responses that a gateway holds until they are complete.
-class response_budget {
-public:
-    // Takes or gives back memory. Returns false, and takes none, if too much is held.
-    bool take(std::size_t bytes);
-    void give_back(std::size_t bytes) { held_ -= bytes; }
-
-private:
-    std::size_t held_ = 0;
-};
-
 // Calls `on_progress_` any number of times and then `on_ended_` once, unless it is abandoned before.
 class exchange : public std::enable_shared_from_this<exchange> {
 public:
@@ -46,7 +37,7 @@
         std::function<void(exchange_outcome)> on_ended_;
     };
 
-    exchange(boost::asio::any_io_executor executor, response_budget& budget, std::shared_ptr<endpoint> target,
+    exchange(boost::asio::any_io_executor executor, memory::account& memory, std::shared_ptr<endpoint> target,
              exchange_request request, callbacks handlers);
     ~exchange();
 
@@ -78,8 +69,8 @@
     time_ms keep_alive_ms() const;
 
     boost::asio::any_io_executor executor_;
-    response_budget& budget_;
-    std::size_t held_bytes_ = 0; // of the budget
+    memory::account& memory_;
+    memory::charge held_body_;
     std::size_t unmatched_bytes_ = 0;
     std::shared_ptr<endpoint> target_;
     exchange_request request_;
--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -103,11 +103,11 @@
     return metadata;
 }
 
-std::string forwarded_request(const http::request& incoming, const header_names& names,
-                              const forward_parameters& parameters) {
+std::string forwarded_head(const http::request& incoming, std::size_t body_bytes, const header_names& names,
+                           const forward_parameters& parameters) {
     const std::vector<std::string> listed_names = names_in_connection_header(incoming.headers_);
     std::string bytes;
-    bytes.reserve(1'024 + incoming.body_.size());
+    bytes.reserve(1'024);
     bytes += incoming.method_ + " " + incoming.target_ + " HTTP/1.1\r\n";
     for (const http::header& header : incoming.headers_) {
         const bool dropped =
@@ -130,11 +130,10 @@
     }
     const bool has_framing = http::find_header(incoming.headers_, "Content-Length") != nullptr ||
                              http::find_header(incoming.headers_, "Transfer-Encoding") != nullptr;
-    if (has_framing || !incoming.body_.empty()) {
-        bytes += "Content-Length: " + std::to_string(incoming.body_.size()) + "\r\n";
+    if (has_framing || body_bytes > 0) {
+        bytes += "Content-Length: " + std::to_string(body_bytes) + "\r\n";
     }
     bytes += "\r\n";
-    bytes += incoming.body_;
     return bytes;
 }
 
--- a/src/gateway/head_rewrite.hpp
+++ b/src/gateway/head_rewrite.hpp
@@ -32,10 +32,10 @@
     std::optional<std::int64_t> last_event_id_; // replacement of the client's, if set
 };
 
-// Returns the request as sent to the endpoint: method, target and body unchanged, without hop-by-hop headers
-// and without client headers that only the gateway may set.
-std::string forwarded_request(const http::request& incoming, const header_names& names,
-                              const forward_parameters& parameters);
+// Returns the head of the request as sent to the endpoint: method and target unchanged, the length of the
+// body, without hop-by-hop headers and without client headers that only the gateway may set.
+std::string forwarded_head(const http::request& incoming, std::size_t body_bytes, const header_names& names,
+                           const forward_parameters& parameters);
 
 // Returns a response's headers without the hop-by-hop ones.
 std::vector<http::header> forwarded_headers(const std::vector<http::header>& headers);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -61,6 +61,8 @@
     arrived_at_ = steady_now_ms();
     metadata_ = parse_request_metadata(incoming_, context_.fleet_.names_);
     suspects_ = name_suspects(incoming_, metadata_);
+    // All attempts send the same bytes; what a request holds is charged once.
+    body_ = std::make_shared<const std::string>(std::move(incoming_.body_));
     if (!find_route()) {
         return;
     }
@@ -389,7 +391,8 @@
         forward.last_event_id_ = splitter_.last_id();
     }
     exchange_request request;
-    request.bytes_ = forwarded_request(incoming_, context_.fleet_.names_, forward);
+    request.head_ = forwarded_head(incoming_, body_->size(), context_.fleet_.names_, forward);
+    request.body_ = body_;
     request.id_header_ = context_.fleet_.names_.request_id_;
     request.id_ = metadata_.id_;
     // A request that must not run twice cannot be resent if a reused connection turns out to be closed.
@@ -407,7 +410,7 @@
         std::make_unique<scoped_attempt>(context_.fleet_, target, metadata_.prompt_tokens_, urgency(now));
     const auto self = shared_from_this();
     exchange_ = std::make_shared<exchange>(
-        context_.fleet_.executor_, context_.budget_, target, std::move(request),
+        context_.fleet_.executor_, context_.memory_, target, std::move(request),
         exchange::callbacks{[self](http::response_parser& response) { self->on_response_progress(response); },
                             [self](exchange_outcome outcome) { self->on_exchange_ended(outcome); }});
     exchange_->start();
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -33,7 +33,7 @@
     // Finds out whether an endpoint has ended that no agent watches.
     std::function<void(const std::shared_ptr<endpoint>&)> probe_;
 
-    response_budget budget_ = {};
+    memory::account& memory_;
 };
 
 inline constexpr time_ms not_ready_retry_after_ms =
@@ -180,7 +180,8 @@
 
     flow_context& context_;
     std::shared_ptr<response_sink> sink_;
-    http::request incoming_;
+    http::request incoming_; // without its body
+    std::shared_ptr<const std::string> body_;
     request_metadata metadata_;
     std::vector<std::string> suspects_; // the request and the shared parts of its prompt
     std::shared_ptr<const indexed_configuration> configured_; // owner of `route_` and `service_`
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr std::size_t max_unsent_bytes = 256 * 1024; // limit above which reading from the endpoint pauses
-constexpr time_ms min_retry_time_ms = 30;            // least time left for another attempt
+constexpr std::size_t max_unsent_bytes_if_scarce = 16 * 1024; // the same while memory is scarce
+constexpr time_ms min_retry_time_ms = 30;                     // least time left for another attempt
 
 // Time without events after which a request may be moved to another endpoint: about a third of the shortest
 // pause after which clients leave a stream, so that the move comes before they leave.
@@ -81,7 +82,11 @@
 // Stops reading from the endpoint until the client has read what it was sent. The exchange may have ended
 // with the last events; what is unsent then belongs to the client's connection alone.
 void request_flow::pause_if_client_is_behind() {
-    if (exchange_ && sink_ && sink_->unsent_bytes() > max_unsent_bytes) {
+    if (!exchange_ || !sink_) {
+        return;
+    }
+    const std::size_t limit = sink_->is_memory_scarce() ? max_unsent_bytes_if_scarce : max_unsent_bytes;
+    if (sink_->unsent_bytes() > limit) {
         exchange_->pause();
     }
 }
@@ -308,7 +313,7 @@
         context_.fleet_.demand_.note_service(metadata_.model_,
                                              double(steady_now_ms() - attempt_->started_at_));
     }
-    sink_->send_response(response.status_, forwarded_headers(response.headers_), response.body_);
+    sink_->send_response(response.status_, forwarded_headers(response.headers_), std::move(response.body_));
     finish(response.status_, response.status_ < first_unsuccessful_status ? "served" : "endpoint_failed");
 }
 
--- a/src/gateway/response_sink.hpp
+++ b/src/gateway/response_sink.hpp
@@ -10,8 +10,7 @@
 class response_sink {
 public:
     virtual ~response_sink() = default;
-    virtual void send_response(int status, const std::vector<http::header>& headers,
-                               std::string_view body) = 0;
+    virtual void send_response(int status, const std::vector<http::header>& headers, std::string body) = 0;
     virtual void begin_stream(int status, const std::vector<http::header>& headers) = 0;
     virtual void send_data(std::string_view bytes) = 0;
     virtual void end_stream() = 0;
@@ -21,6 +20,9 @@
 
     // Number of bytes that are queued or being written to the client.
     virtual std::size_t unsent_bytes() const = 0;
+
+    // Whether the memory for responses is scarce, so that less should be sent ahead of the client.
+    virtual bool is_memory_scarce() const = 0;
 };
 
 // A request in service, as its connection sees it.
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -1,7 +1,5 @@
 #include "gateway/traffic.hpp"
 
-#include "net/socket_options.hpp"
-
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -21,6 +19,15 @@
 constexpr time_ms startup_digest_ms = 2'500;            // time after a start with a digest at each tick
 constexpr double ms_per_s = 1'000;
 
+constexpr std::size_t bytes_per_mb = 1024 * 1024;
+
+memory::limits client_limits(const gateway_settings& settings) {
+    return memory::limits_for(settings.memory_mb_ > 0 ? std::size_t(settings.memory_mb_) * bytes_per_mb
+                                                      : memory::machine_memory_bytes(),
+                              settings.max_descriptors_ > 0 ? int(settings.max_descriptors_)
+                                                            : memory::descriptor_limit());
+}
+
 dispatch::retry_limits retry_limits(const gateway_settings& settings) {
     return {settings.retry_ratio_, settings.retry_slack_, time_ms(settings.retry_window_s_ * ms_per_s)};
 }
@@ -30,7 +37,7 @@
 traffic::traffic(const gateway_settings& settings, header_names names, metrics& measures, event_log& events,
                  traffic_events handlers)
     : settings_(settings), incarnation_(new_incarnation()), measures_(measures), events_(events),
-      handlers_(std::move(handlers)), context_(1), work_guard_(context_.get_executor()), acceptor_(context_),
+      handlers_(std::move(handlers)), context_(1), work_guard_(context_.get_executor()),
       tick_timer_(context_),
       fleet_(settings.id_, context_.get_executor(), std::move(names), retry_limits(settings)),
       peers_(settings.id_, steady_now_ms()),
@@ -53,6 +60,15 @@
                   at.health_.note_unreachable(steady_now_ms());
                   fleet_.quarantine_.note_ended(at.record().id_, incarnation, boot_now_ms());
               }),
+      listener_(context_, client_limits(settings), measures, events,
+                {[this] {
+                     return fleet_.current() ? fleet_.current()->configuration_->limits_
+                                             : fleet::client_limits();
+                 },
+                 [this](std::shared_ptr<response_sink> sink, http::request incoming) {
+                     return start_request(std::move(sink), std::move(incoming));
+                 },
+                 [this] { return shutting_down_.load(); }}),
       flows_{fleet_,
              measures,
              events,
@@ -65,26 +81,12 @@
              },
              [this] { announce_notices(); },
              [this] { return reader_rank_ == 0; },
-             [this](const std::shared_ptr<endpoint>& at) { probes_.start(at); }},
-      started_at_(steady_now_ms()) {
-    session_callbacks_.limits_ = [this] {
-        return fleet_.current() ? fleet_.current()->configuration_->limits_ : fleet::client_limits();
-    };
-    session_callbacks_.start_request_ = [this](std::shared_ptr<response_sink> sink, http::request incoming) {
-        return start_request(std::move(sink), std::move(incoming));
-    };
-    session_callbacks_.is_shutting_down_ = [this] { return shutting_down_.load(); };
-    session_callbacks_.on_closed_ = [this](const std::shared_ptr<response_sink>& sink) {
-        sessions_.erase(sink);
-    };
-}
+             [this](const std::shared_ptr<endpoint>& at) { probes_.start(at); },
+             listener_.memory()},
+      started_at_(steady_now_ms()) {}
 
 result<done> traffic::listen() {
-    const result<done> listening = net::listen_on(acceptor_, settings_.listen_, "clients");
-    if (ok(listening)) {
-        accept();
-    }
-    return listening;
+    return listener_.listen(settings_.listen_);
 }
 
 void traffic::run() {
@@ -92,25 +94,10 @@
     context_.run();
 }
 
-void traffic::accept() {
-    acceptor_.async_accept([this](boost::system::error_code failed, asio::ip::tcp::socket socket) {
-        if (failed == asio::error::operation_aborted || !acceptor_.is_open()) {
-            return;
-        }
-        if (!failed) {
-            const auto session = std::make_shared<client_session>(std::move(socket), session_callbacks_);
-            sessions_.insert(session);
-            session->start();
-        }
-        accept();
-    });
-}
-
 std::shared_ptr<running_request> traffic::start_request(std::shared_ptr<response_sink> sink,
                                                         http::request incoming) {
     const auto flow = std::make_shared<request_flow>(flows_, std::move(sink), std::move(incoming));
-    ++in_service_;
-    flow->on_finished([this] { --in_service_; });
+    flow->on_finished([] {});
     flow->start();
     return flow;
 }
@@ -166,6 +153,7 @@
 void traffic::tick() {
     const time_ms now = steady_now_ms();
     agents_.tick(now);
+    listener_.tick();
     fleet_.set_gateway_count(peers_.gateway_count(now));
     fleet_.set_budget_sharers(peers_.budget_sharers(now));
     fleet_.notices_.limits().update(boot_now_ms(), !shutting_down_);
@@ -418,23 +406,11 @@
 }
 
 void traffic::close_idle() {
-    asio::post(context_, [this] {
-        boost::system::error_code ignored;
-        acceptor_.close(ignored);
-        const std::vector<std::shared_ptr<response_sink>> open(sessions_.begin(), sessions_.end());
-        for (const auto& one : open) {
-            std::static_pointer_cast<client_session>(one)->close_if_idle();
-        }
-    });
+    asio::post(context_, [this] { listener_.close_idle(); });
 }
 
 void traffic::refuse_unsent() {
-    asio::post(context_, [this] {
-        const std::vector<std::shared_ptr<response_sink>> open(sessions_.begin(), sessions_.end());
-        for (const auto& one : open) {
-            std::static_pointer_cast<client_session>(one)->refuse_if_unsent();
-        }
-    });
+    asio::post(context_, [this] { listener_.refuse_unsent(); });
 }
 
 void traffic::stop() {
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "gateway/agent_links.hpp"
-#include "gateway/client_session.hpp"
+#include "gateway/client_listener.hpp"
 #include "gateway/end_probe.hpp"
 #include "gateway/peers.hpp"
 #include "gateway/planner.hpp"
@@ -12,7 +12,6 @@
 #include <boost/asio/executor_work_guard.hpp>
 
 #include <atomic>
-#include <unordered_set>
 
 namespace tamarack::gateway {
 
@@ -74,10 +73,11 @@
     void refuse_unsent();
 
     void stop();
-    std::int64_t in_service() const { return in_service_.load(); }
+
+    // Requests whose responses have not been written to their clients yet.
+    std::int64_t in_service() const { return listener_.in_service(); }
 
 private:
-    void accept();
     std::shared_ptr<running_request> start_request(std::shared_ptr<response_sink> sink,
                                                    http::request incoming);
     void tick();
@@ -100,19 +100,16 @@
     traffic_events handlers_;
     boost::asio::io_context context_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_guard_;
-    boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer tick_timer_;
     fleet_state fleet_;
     peers peers_;
     agent_links agents_;
     end_probe probes_;
+    client_listener listener_;
     flow_context flows_;
-    session_callbacks session_callbacks_;
-    std::unordered_set<std::shared_ptr<response_sink>> sessions_;
     std::string encoded_configuration_;
     time_ms started_at_;
     std::int64_t ticks_ = 0;
-    std::atomic<std::int64_t> in_service_ = 0;
     std::atomic<bool> shutting_down_ = false;
     std::atomic<bool> store_reachable_ = false;
     bool planning_ = false;
--- a/src/gateway/traffic_quarantine.cpp
+++ b/src/gateway/traffic_quarantine.cpp
@@ -121,10 +121,7 @@
     };
     set("request", requests);
     set("part", std::int64_t(suspects.size()) - requests);
-    const std::vector<std::shared_ptr<response_sink>> open(sessions_.begin(), sessions_.end());
-    for (const auto& one : open) {
-        std::static_pointer_cast<client_session>(one)->end_if_quarantined();
-    }
+    listener_.end_quarantined();
 }
 
 // Tells the control thread what the store should keep.
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -22,6 +22,12 @@
                                      [&](const header& one) { return same_name(one.name_, name); }));
 }
 
+// Memory that a string allocates beside the object itself. Short ones allocate none.
+std::size_t allocated_bytes(const std::string& text) {
+    static const std::size_t in_place = std::string().capacity();
+    return text.capacity() > in_place ? text.capacity() : 0;
+}
+
 parse_fault fault_of(const boost::beast::error_code& failed) {
     if (failed == bhttp::error::header_limit) {
         return parse_fault::header_too_large;
@@ -59,6 +65,10 @@
         const std::size_t used = put(received.data(), failed);
         received.consume(used);
         if (failed == bhttp::error::need_more) {
+            // The parser itself bounds only the head.
+            if (is_header_done() && received.size() > max_unparsed_bytes) {
+                fault_ = parse_fault::malformed;
+            }
             return false;
         }
         if (failed) {
@@ -92,6 +102,10 @@
 
 void request_parser::on_header_impl(error_code& failed) {
     in_trailer_ = true;
+    head_bytes_ = request_.target_.capacity() + request_.headers_.capacity() * sizeof(header);
+    for (const header& one : request_.headers_) {
+        head_bytes_ += allocated_bytes(one.name_) + allocated_bytes(one.value_);
+    }
     const header* encoding = find_header(request_.headers_, "Transfer-Encoding");
     const bool framed_twice =
         count_headers(request_.headers_, "Transfer-Encoding") > 1 ||
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -14,6 +14,9 @@
 // The first header with that name, or null.
 const header* find_header(const std::vector<header>& headers, std::string_view name);
 
+// Most received bytes that may wait for the end of a chunk's header or a trailer, and of a response's head.
+inline constexpr std::size_t max_unparsed_bytes = 64 * 1024;
+
 // Why a request was rejected. The value is the status code of the response.
 enum class parse_fault {
     none = 0,
@@ -34,6 +37,9 @@
     bool begun() const { return begun_; }
     bool expects_continue() const;
 
+    // Memory that the parsed parts of the request take, in bytes.
+    std::size_t held_bytes() const { return head_bytes_ + request_.body_.size(); }
+
     // Whether the client accepts chunked responses.
     bool is_http_1_1() const { return version_ == 11; }
 
@@ -59,11 +65,9 @@
     bool begun_ = false;
     int version_ = 0;
     bool in_trailer_ = false;
+    std::size_t head_bytes_ = 0;
 };
 
-// Most received bytes that may wait for the end of a head, a chunk's header or a trailer.
-inline constexpr std::size_t max_unparsed_bytes = 64 * 1024;
-
 // Most interim responses (1xx) before the final one.
 inline constexpr int max_interim_responses = 3;
 
--- a/src/net/socket_options.cpp
+++ b/src/net/socket_options.cpp
@@ -22,11 +22,15 @@
 }
 
 result<done> listen_on(boost::asio::ip::tcp::acceptor& acceptor, const boost::asio::ip::tcp::endpoint& local,
-                       std::string_view clients) {
+                       std::string_view clients, int receive_buffer_bytes) {
     constexpr int backlog = 1'024;
     boost::system::error_code failed;
     acceptor.open(local.protocol(), failed);
     acceptor.set_option(boost::asio::socket_base::reuse_address(true), failed);
+    if (receive_buffer_bytes > 0) {
+        // Set before listening, since the window that connections offer is scaled by it.
+        acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receive_buffer_bytes), failed);
+    }
     acceptor.bind(local, failed);
     if (!failed) {
         acceptor.listen(backlog, failed);
--- a/src/net/socket_options.hpp
+++ b/src/net/socket_options.hpp
@@ -12,8 +12,9 @@
 void detect_dead_peer(boost::asio::ip::tcp::socket& socket, int limit_ms);
 
 // Binds the acceptor and listens. Fails with `unavailable`. `clients` names the connecting processes in the
-// error message.
+// error message. `receive_buffer_bytes` limits the kernel's buffer of each accepted connection; 0 leaves it
+// to the system.
 result<done> listen_on(boost::asio::ip::tcp::acceptor& acceptor, const boost::asio::ip::tcp::endpoint& local,
-                       std::string_view clients);
+                       std::string_view clients, int receive_buffer_bytes = 0);
 
 } // namespace tamarack::net
--- a/tests/direct/gateway_test.cpp
+++ b/tests/direct/gateway_test.cpp
@@ -49,7 +49,8 @@
     }
 
     std::string forward() const {
-        return forwarded_request(incoming_, names_, {700, "i-1", 2, std::nullopt});
+        return forwarded_head(incoming_, incoming_.body_.size(), names_, {700, "i-1", 2, std::nullopt}) +
+               incoming_.body_;
     }
 };
 
--- a/tests/direct/request_flow_fixture.hpp
+++ b/tests/direct/request_flow_fixture.hpp
@@ -19,7 +19,7 @@
     bool ended_ = false;     // the stream is complete
     std::size_t unsent_ = 0; // what the client has not read
 
-    void send_response(int status, const std::vector<http::header>& headers, std::string_view body) override {
+    void send_response(int status, const std::vector<http::header>& headers, std::string body) override {
         status_ = status;
         headers_ = headers;
         data_ += body;
@@ -29,6 +29,7 @@
     void end_stream() override { ended_ = true; }
     void abort() override { status_ = -1; }
     std::size_t unsent_bytes() const override { return unsent_; }
+    bool is_memory_scarce() const override { return false; }
 };
 
 // Two engines that hold a model, and requests for one of its adapters. The test plays the engines' agents.
@@ -42,6 +43,8 @@
     fleet_state fleet_{"gateway-1", context_.get_executor(),
                        *registry<header_names>::instance().find("log-store"), dispatch::retry_limits()};
     std::vector<std::pair<std::string, adapter_callback>> adapters_; // engine and callback of each request
+    memory::account memory_{memory::limits_for(memory::machine_memory_bytes(), memory::descriptor_limit()),
+                            [](memory::pool) {}};
     flow_context flows_{fleet_,
                         metrics_,
                         events_,
@@ -52,7 +55,8 @@
                         [](std::string_view, std::uint64_t) {},
                         [] {},
                         [] { return false; },
-                        [](const std::shared_ptr<endpoint>&) {}};
+                        [](const std::shared_ptr<endpoint>&) {},
+                        memory_};
     fake_endpoint first_{"e-1"};
     fake_endpoint second_{"e-2"};
     std::map<std::string, fleet::endpoint_record, std::less<>> records_;
