Bound what unidentified peers make an agent and the peers port hold

Cause: every connection to an agent's links or to a gateway's peers port could announce and nearly fill a frame of 2 MB, and nothing limited their number; the peers port also sent each of them all known state. Change: frames of 4 KB until a peer has said hello, and at most 64 such links at an agent; at most 16 transfers of state at the peers port, the oldest yields. A pause after a failed accept. The crowd moved to a header that both test files use.

--- a/include/tamarack/links.hpp
+++ b/include/tamarack/links.hpp
@@ -40,6 +40,9 @@
 // Largest accepted frame. A configuration with thousands of routes fits.
 inline constexpr std::size_t max_frame_bytes = 2 * 1024 * 1024;
 
+// Largest frame accepted from a peer that has not said who it is.
+inline constexpr std::size_t max_first_frame_bytes = 4 * 1024;
+
 // Limit on the bytes queued for a peer that does not read; a link that exceeds it is closed.
 inline constexpr std::size_t max_queued_bytes = 2 * 1024 * 1024;
 
@@ -115,7 +118,11 @@
         std::function<void()> closed_;            // called once, when the link has closed
     };
 
-    link(boost::asio::ip::tcp::socket socket, events handlers);
+    // A link whose peer sends a frame of more than `max_received_bytes` is closed.
+    link(boost::asio::ip::tcp::socket socket, events handlers,
+         std::size_t max_received_bytes = max_frame_bytes);
+
+    void set_max_received_bytes(std::size_t bytes) { max_received_bytes_ = bytes; }
 
     // Starts reading frames.
     void start();
@@ -140,6 +147,7 @@
     std::vector<shared_bytes> queued_;
     std::vector<shared_bytes> writing_;
     std::size_t queued_bytes_ = 0;
+    std::size_t max_received_bytes_;
     bool closed_ = false;
 };
 
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -18,6 +18,12 @@
 // Time between reads of the report while an order, an adapter request or a placement is pending.
 constexpr time_ms busy_report_interval_ms = 20;
 
+// Most links whose peer has not said hello. A gateway says it with its first bytes.
+constexpr std::ptrdiff_t max_unidentified_links = 64;
+
+// Time until links are accepted again after that failed, for example for want of descriptors.
+constexpr std::chrono::milliseconds accept_retry_delay{20};
+
 constexpr int failures_until_unreachable = 2; // consecutive failed reads of the report
 
 // Least time between two statuses to the gateways, unless a change is urgent.
@@ -103,14 +109,29 @@
                 events_.write(
                     {event_kind::dependency, "agent", "gateway_lost", {}, {{"gateway", connected->id_}}});
             };
-            connected->link_ = std::make_shared<links::link>(std::move(socket), std::move(handlers));
+            connected->link_ = std::make_shared<links::link>(std::move(socket), std::move(handlers),
+                                                             links::max_first_frame_bytes);
+            limit_unidentified();
             gateways_.push_back(connected);
             connected->link_->start();
+            accept();
+            return;
         }
-        accept();
+        const auto pause = std::make_shared<asio::steady_timer>(context_, accept_retry_delay);
+        pause->async_wait([this, pause](boost::system::error_code) { accept(); });
     });
 }
 
+// Closes the link that has waited longest for its hello if there are too many of them.
+void agent::limit_unidentified() {
+    const auto unidentified = [](const std::shared_ptr<gateway>& one) {
+        return !one->identified_ && !one->link_->closed();
+    };
+    if (std::count_if(gateways_.begin(), gateways_.end(), unidentified) >= max_unidentified_links) {
+        (*std::find_if(gateways_.begin(), gateways_.end(), unidentified))->link_->close();
+    }
+}
+
 void agent::handle_frame(const std::shared_ptr<gateway>& from, const links::frame& received) {
     switch (received.body.type) {
     case links::fbs::Body::Hello: {
@@ -120,6 +141,8 @@
             return;
         }
         from->id_ = hello.id;
+        from->identified_ = true;
+        from->link_->set_max_received_bytes(links::max_frame_bytes);
         engine_ids_[hello.engine_incarnation] = hello.engine;
         from->stamps_.note(hello.sent_at, boot_now_ms());
         events_.write({event_kind::dependency, "agent", "gateway_linked", {}, {{"gateway", from->id_}}});
--- a/src/engine_agent/agent.hpp
+++ b/src/engine_agent/agent.hpp
@@ -24,6 +24,7 @@
     struct gateway {
         std::string id_;
         std::shared_ptr<links::link> link_;
+        bool identified_ = false;                            // has said hello
         std::map<std::uint64_t, std::uint64_t> request_ids_; // this agent's id, by the gateway's number
         links::stamp_keeper stamps_;                         // of the gateway
     };
@@ -39,6 +40,7 @@
     result<done> listen();
     void watch_signals();
     void accept();
+    void limit_unidentified();
     void handle_frame(const std::shared_ptr<gateway>& from, const links::frame& received);
     void release_adapter(gateway& from, std::uint64_t number);
     void handle_placement(const links::placement_order& order);
--- a/src/gateway/seed_exchange.cpp
+++ b/src/gateway/seed_exchange.cpp
@@ -12,6 +12,12 @@
 constexpr std::chrono::milliseconds seed_timeout{350};       // time for one seed to respond
 constexpr std::chrono::milliseconds transfer_timeout{2'000}; // time for a gateway to receive the snapshot
 
+// Most transfers at a time. Each may hold all known state, and a gateway that is cut off asks the next seed.
+constexpr std::size_t max_transfers = 16;
+
+// Time until connections are accepted again after that failed, for example for want of descriptors.
+constexpr std::chrono::milliseconds accept_retry_delay{20};
+
 } // namespace
 
 seed_exchange::seed_exchange(asio::io_context& context, fleet::fleet_source& source,
@@ -50,24 +56,44 @@
             return;
         }
         if (!failed) {
-            const auto timer = std::make_shared<asio::steady_timer>(context_, transfer_timeout);
-            const auto requester = std::make_shared<links::link>(
-                std::move(socket),
-                links::link::events{[](const links::frame&) {}, [timer] { timer->cancel(); }});
-            requester->start();
-            const time_ms now = boot_now_ms();
-            for (const fleet::relayed_data& reading : source_.snapshot()) {
-                links::store_relay relay;
-                relay.bytes.assign(reading.bytes_.begin(), reading.bytes_.end());
-                relay.age_ms = reading.as_of_ == fleet::never ? -1 : now - reading.as_of_;
-                requester->send(links::make_frame(std::move(relay)));
-            }
-            timer->async_wait([requester, timer](boost::system::error_code) { requester->close(); });
+            transfer(std::move(socket));
+            accept();
+            return;
         }
-        accept();
+        const auto pause = std::make_shared<asio::steady_timer>(context_, accept_retry_delay);
+        pause->async_wait([this, pause](boost::system::error_code cancelled) {
+            if (!cancelled) {
+                accept();
+            }
+        });
     });
 }
 
+// Sends all known state to a gateway that has connected, which sends nothing itself.
+void seed_exchange::transfer(asio::ip::tcp::socket socket) {
+    std::erase_if(transfers_, [](const auto& one) { return one.expired(); });
+    if (transfers_.size() >= max_transfers) {
+        if (const auto oldest = transfers_.front().lock()) {
+            oldest->close();
+        }
+        transfers_.pop_front();
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(context_, transfer_timeout);
+    const auto requester = std::make_shared<links::link>(
+        std::move(socket), links::link::events{[](const links::frame&) {}, [timer] { timer->cancel(); }},
+        links::max_first_frame_bytes);
+    transfers_.push_back(requester);
+    requester->start();
+    const time_ms now = boot_now_ms();
+    for (const fleet::relayed_data& reading : source_.snapshot()) {
+        links::store_relay relay;
+        relay.bytes.assign(reading.bytes_.begin(), reading.bytes_.end());
+        relay.age_ms = reading.as_of_ == fleet::never ? -1 : now - reading.as_of_;
+        requester->send(links::make_frame(std::move(relay)));
+    }
+    timer->async_wait([requester, timer](boost::system::error_code) { requester->close(); });
+}
+
 void seed_exchange::ask_next_seed() {
     if (current_link_) {
         current_link_->close();
--- a/src/gateway/seed_exchange.hpp
+++ b/src/gateway/seed_exchange.hpp
@@ -9,6 +9,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
+
 namespace tamarack::gateway {
 
 class seed_exchange {
@@ -23,6 +25,7 @@
 
 private:
     void accept();
+    void transfer(boost::asio::ip::tcp::socket socket);
     void ask_next_seed();
     void ask_seed(const boost::asio::ip::tcp::endpoint& seed);
 
@@ -35,6 +38,7 @@
     boost::asio::steady_timer timer_;
     std::function<bool()> fleet_known_;
     std::shared_ptr<links::link> current_link_;
+    std::deque<std::weak_ptr<links::link>> transfers_; // to gateways that ask, oldest first
     std::size_t next_seed_ = 0;
 };
 
--- a/src/links/link.cpp
+++ b/src/links/link.cpp
@@ -49,8 +49,8 @@
     return decoded;
 }
 
-link::link(asio::ip::tcp::socket socket, events handlers)
-    : socket_(std::move(socket)), handlers_(std::move(handlers)) {}
+link::link(asio::ip::tcp::socket socket, events handlers, std::size_t max_received_bytes)
+    : socket_(std::move(socket)), handlers_(std::move(handlers)), max_received_bytes_(max_received_bytes) {}
 
 void link::start() {
     constexpr int silence_limit_ms = 2'000;
@@ -81,7 +81,7 @@
     while (received_.size() - consumed >= length_bytes) {
         const std::string_view rest = std::string_view(received_).substr(consumed);
         const std::size_t length = read_length(rest);
-        if (length > max_frame_bytes) {
+        if (length > max_received_bytes_) {
             close();
             return;
         }
--- a/tests/direct/engine_agent_test.cpp
+++ b/tests/direct/engine_agent_test.cpp
@@ -1,4 +1,5 @@
 // The process of an engine's agent, and what it relays.
+#include "direct/crowd.hpp"
 #include "direct/gateway_process.hpp"
 #include "tamarack/links.hpp"
 
@@ -94,6 +95,22 @@
     CHECK(harness::peak_kb(agent_.pid()) < memory_limit_kb);
 }
 
+// Connections that announce large frames and never fill them took more memory than the machine has.
+TEST_CASE_FIXTURE(engine_agent_process, "misbehaving_clients_at_the_links_of_an_agent_memory_is_bounded") {
+    constexpr int crowd_size = 128;
+    constexpr std::int64_t memory_limit_kb = 192 * 1024;
+    const shared_text frame = share(unfinished_frame());
+    crowd silent;
+    silent.play(std::vector<client_plan>(crowd_size, client_plan{port_, frame}), [] {});
+    wait_until_idle(agent_.pid(), [] {});
+    auto gateway = connect("gateway");
+    char byte = 0;
+    boost::system::error_code failed;
+    CHECK(gateway.read_some(boost::asio::buffer(&byte, 1), failed) == 1);
+    CHECK(agent_.running());
+    CHECK(harness::peak_kb(agent_.pid()) <= memory_limit_kb);
+}
+
 TEST_CASE("digest_many_models_in_demand_brief_one_keeps_the_busiest") {
     const links::gateway_digest brief = links::make_brief(make_digest(100));
     REQUIRE(brief.demand.size() == links::brief_demand_models);
--- a/tests/direct/misbehaving_clients_test.cpp
+++ b/tests/direct/misbehaving_clients_test.cpp
@@ -1,17 +1,11 @@
 // Crowds of clients that misbehave, at a gateway with the memory and descriptors of a small machine. What is
 // checked does not depend on the machine's speed: the process lives, its memory and descriptors stay bounded,
 // and ordinary requests are answered while the crowd's connections are still open.
+#include "direct/crowd.hpp"
 #include "direct/gateway_process.hpp"
 
-#include <boost/asio/write.hpp>
-
-#include <functional>
-#include <memory>
-
 namespace tamarack::direct {
 
-namespace asio = boost::asio;
-
 namespace {
 
 constexpr std::int64_t memory_mb = 64;
@@ -22,94 +16,6 @@
 constexpr int connecting_crowd_size = max_descriptors + 100; // more than the descriptors
 
 using harness::peak_kb;
-using shared_text = std::shared_ptr<const std::string>;
-
-shared_text share(std::string text) {
-    return std::make_shared<const std::string>(std::move(text));
-}
-
-// One client: what it sends, in what pieces, and whether it reads.
-struct client_plan {
-    std::uint16_t port_ = 0;
-    shared_text bytes_;
-    std::size_t piece_ = 256 * 1024; // bytes of one write
-    std::size_t read_per_round_ = 0; // bytes read after each write; 0 for a client that does not read
-};
-
-// Connections that stay open until the object is destroyed.
-class crowd {
-public:
-    // Opens the connections and sends their bytes in turns, until all is sent, the gateway has closed the
-    // connection, or it takes nothing more. `each_round_` is called after each turn.
-    void play(const std::vector<client_plan>& plans, const std::function<void()>& each_round) {
-        std::vector<member> joined;
-        for (const client_plan& plan : plans) {
-            joined.push_back({plan, open(plan.port_), 0, false});
-        }
-        constexpr int max_idle_rounds = 60;
-        constexpr unsigned idle_us = 5'000;
-        for (int idle_rounds = 0; idle_rounds < max_idle_rounds;) {
-            bool progress = false;
-            bool pending = false;
-            for (member& one : joined) {
-                progress = send_piece(one) || progress;
-                pending = pending || !one.done_;
-            }
-            each_round();
-            if (!pending) {
-                break;
-            }
-            idle_rounds = progress ? 0 : idle_rounds + 1;
-            if (!progress) {
-                ::usleep(idle_us);
-            }
-        }
-        for (member& one : joined) {
-            members_.push_back(std::move(one));
-        }
-    }
-
-private:
-    struct member {
-        client_plan plan_;
-        asio::ip::tcp::socket socket_;
-        std::size_t sent_ = 0;
-        bool done_ = false;
-    };
-
-    asio::ip::tcp::socket open(std::uint16_t port) {
-        asio::ip::tcp::socket socket(context_);
-        boost::system::error_code failed;
-        socket.open(asio::ip::tcp::v4(), failed);
-        // A small window, so that what a client does not read stays at the gateway.
-        socket.set_option(asio::socket_base::receive_buffer_size(4 * 1024), failed);
-        socket.connect({asio::ip::address_v4::loopback(), port}, failed);
-        socket.non_blocking(true, failed);
-        return socket;
-    }
-
-    // Returns whether bytes were taken or the connection has ended.
-    static bool send_piece(member& one) {
-        if (one.done_) {
-            return false;
-        }
-        boost::system::error_code failed;
-        if (one.plan_.read_per_round_ > 0) {
-            std::string ignored(one.plan_.read_per_round_, '\0');
-            one.socket_.read_some(asio::buffer(ignored), failed);
-        }
-        const std::string_view rest = std::string_view(*one.plan_.bytes_).substr(one.sent_);
-        const std::size_t count =
-            one.socket_.write_some(asio::buffer(rest.substr(0, one.plan_.piece_)), failed);
-        one.sent_ += count;
-        one.done_ = one.sent_ == one.plan_.bytes_->size() || (failed && failed != asio::error::would_block);
-        return count > 0 || one.done_;
-    }
-
-    asio::io_context context_;
-    std::vector<member> members_;
-};
-
 // Paths of a route, of no route, and of the readiness check.
 const char* path_of(int number) {
     constexpr const char* paths[] = {"/booking/x", "/nowhere/x", "/readyz"};
@@ -147,12 +53,15 @@
 }
 
 struct misbehaving_clients : gateway_process {
+    std::uint16_t peers_port_ = free_port();
     crowd crowd_;
     int most_descriptors_ = 0;
     int calls_ = 0;
 
     misbehaving_clients() {
-        further_settings_ = {{"memory_mb", memory_mb}, {"max_descriptors", max_descriptors}};
+        further_settings_ = {{"memory_mb", memory_mb},
+                             {"max_descriptors", max_descriptors},
+                             {"peers", "127.0.0.1:" + std::to_string(peers_port_)}};
         store_.put("keyed.op", "config", configuration_text(4, max_header_bytes, max_body_bytes));
         for (const fake_endpoint* one : {&first_, &second_}) {
             store_.put("keyed.servers", one->id(), endpoint_text(*one, "ready", crowd_size));
@@ -170,21 +79,7 @@
 
     void play(const std::vector<client_plan>& plans) {
         crowd_.play(plans, [this] { count_descriptors(); });
-        wait_until_idle();
-    }
-
-    // Waits until the gateway uses no more processor time, so that it has read all that it will read.
-    void wait_until_idle() {
-        constexpr int idle_polls = 4;
-        constexpr std::int64_t idle_cpu_ms = 20; // of its periodic work, in the time of the polls
-        std::vector<std::int64_t> used;
-        eventually([&] {
-            ::usleep(50'000);
-            count_descriptors();
-            used.push_back(harness::cpu_ms(process_.pid()));
-            return used.size() > idle_polls &&
-                   used.back() - used[used.size() - 1 - idle_polls] <= idle_cpu_ms;
-        });
+        wait_until_idle(process_.pid(), [this] { count_descriptors(); });
     }
 
     void play(int count, const std::function<client_plan(int)>& plan) {
@@ -358,6 +253,19 @@
     check();
 }
 
+// Frames between processes may announce 2 MB each and never be filled.
+TEST_CASE_FIXTURE(misbehaving_clients, "misbehaving_clients_at_the_peers_port_memory_is_bounded") {
+    const shared_text frame = share(unfinished_frame());
+    play(crowd_size, [&](int) { return client_plan{peers_port_, frame}; });
+    check();
+}
+
+TEST_CASE_FIXTURE(misbehaving_clients, "misbehaving_clients_at_the_peers_port_descriptors_are_bounded") {
+    const shared_text length = share(unfinished_frame().substr(0, 4));
+    play(connecting_crowd_size, [&](int) { return client_plan{peers_port_, length}; });
+    check();
+}
+
 TEST_CASE_FIXTURE(misbehaving_clients, "misbehaving_clients_of_all_kinds_at_once_memory_is_bounded") {
     set_answer_bytes(max_body_bytes);
     std::vector<client_plan> plans = bodies_that_stop_short(crowd_size / 2, 64 * 1024);
