Order two starts of an endpoint by the registry's log, not by its clock

Change: records carry their position in the log; within one epoch it decides. Where it is not known, the incarnation decides as before. What was noticed of the higher incarnation is forgotten once the log shows that it was replaced. Result: tests of the directory, of the notices and of a gateway process fail before and pass now.

--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -123,6 +123,12 @@
     bool operator==(const held_model&) const = default;
 };
 
+// Where a record stands in the registry's log. Offsets of one epoch grow with each record.
+struct registry_position {
+    std::int64_t epoch_ = 0;
+    std::int64_t offset_ = -1; // negative if unknown
+};
+
 // An endpoint's entry in the registry.
 struct endpoint_record {
     std::string id_;
@@ -132,12 +138,18 @@
     int slots_ = 1;
     bool leaving_ = false;
     std::vector<held_model> models_;
-    std::int64_t incarnation_ = 0; // increases with each start of the endpoint
+    std::int64_t incarnation_ = 0; // names a start of the endpoint; increases unless its clock is set back
     std::int64_t sequence_ = 0;    // increases with each record of one incarnation
     bool rolled_back_ = false; // read after the registry was rolled back; the endpoint may have left since
+    registry_position position_;
+
+    // Incarnation of the start before this one, if it is higher; 0 otherwise. Set by the directory.
+    std::int64_t replaced_incarnation_ = 0;
 };
 
-// Whether `candidate` was written before `known`. Used to ignore records that arrive out of order.
+// Whether `candidate` was written before `known`. Used to ignore records that arrive out of order. Starts are
+// ordered by the registry's log where it tells, since an endpoint's clock may be set back between two of
+// them.
 bool is_older(const endpoint_record& candidate, const endpoint_record& known);
 
 struct endpoint_removed {
--- a/src/fleet/directory.cpp
+++ b/src/fleet/directory.cpp
@@ -5,12 +5,25 @@
 namespace tamarack::fleet {
 
 bool is_older(const endpoint_record& candidate, const endpoint_record& known) {
-    if (candidate.incarnation_ != known.incarnation_) {
-        return candidate.incarnation_ < known.incarnation_;
+    if (candidate.incarnation_ == known.incarnation_) {
+        return candidate.sequence_ < known.sequence_;
     }
-    return candidate.sequence_ < known.sequence_;
+    const registry_position& position = candidate.position_;
+    if (position.offset_ >= 0 && position.epoch_ == known.position_.epoch_) {
+        return position.offset_ < known.position_.offset_;
+    }
+    return candidate.incarnation_ < known.incarnation_;
+}
+
+namespace {
+
+// The incarnation of the start that `record` replaces, if it is higher, and 0 otherwise.
+std::int64_t replaced_incarnation(const endpoint_record& record, std::int64_t before) {
+    return before > record.incarnation_ ? before : 0;
 }
 
+} // namespace
+
 const std::string& endpoint_id(const endpoint_change& change) {
     return std::visit([](const auto& one) -> const std::string& { return one.id_; }, change);
 }
@@ -70,10 +83,20 @@
         if (record->rolled_back_ && had_left) {
             return directory_effect::doubted;
         }
+        endpoint_record accepted = *record;
+        if (known == endpoints_.end()) {
+            accepted.replaced_incarnation_ =
+                departed == departed_.end() ? 0
+                                            : replaced_incarnation(*record, departed->second.incarnation_);
+        } else if (known->second.incarnation_ == record->incarnation_) {
+            accepted.replaced_incarnation_ = known->second.replaced_incarnation_;
+        } else {
+            accepted.replaced_incarnation_ = replaced_incarnation(*record, known->second.incarnation_);
+        }
         departed_.erase(record->id_);
         const bool left_before = known != endpoints_.end() && known->second.leaving_;
         lapsed_.erase(record->id_);
-        endpoints_.insert_or_assign(record->id_, *record);
+        endpoints_.insert_or_assign(record->id_, std::move(accepted));
         if (record->leaving_ && !left_before) {
             return directory_effect::leaving;
         }
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -67,7 +67,7 @@
     }
     std::vector<notices::endpoint_key> listed;
     for (const auto& [id, record] : records) {
-        listed.push_back({id, record.incarnation_});
+        listed.push_back({id, record.incarnation_, record.replaced_incarnation_});
     }
     notices_.set_listed(listed, boot_now_ms());
     for (const auto& [id, record] : records) {
--- a/src/notices/notices.cpp
+++ b/src/notices/notices.cpp
@@ -147,7 +147,7 @@
             continue;
         }
         state& one = found->second;
-        if (one.incarnation_ < at.incarnation_) {
+        if (one.incarnation_ < at.incarnation_ || one.incarnation_ == at.replaced_incarnation_) {
             states_.erase(found);
             continue;
         }
--- a/tests/direct/direct_path_test.cpp
+++ b/tests/direct/direct_path_test.cpp
@@ -14,6 +14,31 @@
 
 } // namespace
 
+// DRAIN: requests went on to an endpoint that drained, since it had started again with a lower time of day.
+TEST_CASE_FIXTURE(gateway_process,
+                  "direct_path_endpoint_starts_again_with_an_earlier_clock_and_drains_is_left") {
+    start_ready();
+    const auto entry = [&](const char* state, std::int64_t born, int sequence) {
+        nlohmann::json body = nlohmann::json::parse(endpoint_text(first_, state));
+        body["born"] = born;
+        body["sequence"] = sequence;
+        store_.put("keyed.servers", "i-1", body.dump());
+    };
+    constexpr std::int64_t first_start = 5'000;
+    const auto first_is_used = [&] {
+        set_behaviours_of_both({behaviour::complete});
+        for (int lookup = 0; lookup < 10; ++lookup) {
+            CHECK(status(request("lookup", "r-" + std::to_string(lookup))) == 200);
+        }
+        return !first_.received_requests().empty();
+    };
+    entry("ready", first_start, 1);
+    REQUIRE(eventually(first_is_used));
+    entry("ready", first_start - 2'400, 1);
+    entry("draining", first_start - 2'400, 2);
+    CHECK(eventually([&] { return !first_is_used(); }));
+}
+
 TEST_CASE_FIXTURE(gateway_process, "direct_path_endpoint_faults_give_expected_statuses") {
     start_ready();
     const fault_case cases[] = {
--- a/tests/direct/fleet_test.cpp
+++ b/tests/direct/fleet_test.cpp
@@ -157,6 +157,31 @@
     CHECK(directory_.apply(other, continuous(14'000)) == directory_effect::listed);
 }
 
+// DRAIN: an endpoint that started again after its clock was set back was taken for its earlier start, and its
+// shutdown went unnoticed.
+TEST_CASE_FIXTURE(directory_fixture, "directory_endpoint_starts_again_with_a_lower_incarnation_log_decides") {
+    const auto at = [](endpoint_record one, std::int64_t epoch, std::int64_t offset) {
+        one.position_ = {epoch, offset};
+        return one;
+    };
+    directory_.apply(at(record("e1", 9, 40), 1, 100), continuous(10'000));
+    CHECK(directory_.apply(at(record("e1", 6, 1), 1, 101), continuous(11'000)) == directory_effect::renewed);
+    CHECK(directory_.endpoints().at("e1").incarnation_ == 6);
+    CHECK(directory_.endpoints().at("e1").replaced_incarnation_ == 9);
+    endpoint_record draining = at(record("e1", 6, 2), 1, 102);
+    draining.leaving_ = true;
+    CHECK(directory_.apply(draining, continuous(12'000)) == directory_effect::leaving);
+    CHECK(directory_.endpoints().at("e1").replaced_incarnation_ == 9);
+    // A late record of the first start, and one from another epoch of the log, change nothing.
+    CHECK(directory_.apply(at(record("e1", 9, 41), 1, 99), continuous(13'000)) == directory_effect::none);
+    CHECK(directory_.apply(at(record("e1", 5, 1), 2, 500), continuous(13'000)) == directory_effect::none);
+    CHECK(directory_.endpoints().at("e1").leaving_);
+    // It leaves and starts once more.
+    directory_.apply(endpoint_removed{"e1"}, continuous(14'000));
+    CHECK(directory_.apply(at(record("e1", 4, 1), 1, 104), continuous(15'000)) == directory_effect::listed);
+    CHECK(directory_.endpoints().at("e1").replaced_incarnation_ == 6);
+}
+
 TEST_CASE_FIXTURE(directory_fixture, "directory_departed_endpoint_is_forgotten_after_the_retention") {
     directory_.apply(record("e1"), continuous(10'000));
     directory_.apply(record("e2"), continuous(10'000));
--- a/tests/direct/notices_test.cpp
+++ b/tests/direct/notices_test.cpp
@@ -139,6 +139,19 @@
     CHECK(notices_.leaving_count() == 0);
 }
 
+// An endpoint whose earlier start had left got no requests after it started again with its clock set back.
+TEST_CASE_FIXTURE(notices_fixture, "notices_endpoint_starts_again_with_a_lower_incarnation_gets_requests") {
+    list({second});
+    notices_.note_leaving(second, leaving_source::registry, now_);
+    const endpoint_key again{first.id_, first.incarnation_, second.incarnation_};
+    list({again});
+    CHECK_FALSE(notices_.is_leaving(first));
+    CHECK(notices_.begin(first, now_).has_value());
+    notices_.note_leaving(first, leaving_source::response, now_);
+    list({again});
+    CHECK(notices_.is_leaving(first));
+}
+
 TEST_CASE_FIXTURE(notices_fixture, "notices_back_off_ends_one_request_goes_and_each_answer_doubles_them") {
     notices_.start_back_off(first, 1'000, now_);
     now_ += 999;
