End a silent stream at a lost engine shortly before its client leaves

Change: the silence of every stream is watched. One whose engine is lost by the reports of its agent ends 300 ms before its client leaves, with an unknown outcome, so that the client learns it and can go on elsewhere. An engine that is only slow keeps its streams; only streams that may be repeated are moved.

--- a/include/tamarack/dispatch.hpp
+++ b/include/tamarack/dispatch.hpp
@@ -154,6 +154,14 @@
 // before it gives up.
 bool should_admit(const admission_facts& facts);
 
+// Time before a client leaves in which it is told that its stream has failed. It covers an interval between
+// two checks of the stream and the way to the client.
+inline constexpr time_ms leaving_margin_ms = 300;
+
+// Whether the client is about to abandon its stream: after `patience_ms` without an event (0 if unknown), or
+// when no time is left.
+bool is_client_about_to_leave(time_ms silent_ms, time_ms patience_ms, time_ms left_ms);
+
 // Priority with which engines admit requests, 0 first: by rank, and within a rank requests that can still
 // meet their objective before late ones. A late request loses little by more delay, while one that is in time
 // would become late.
--- a/src/dispatch/choose.cpp
+++ b/src/dispatch/choose.cpp
@@ -92,4 +92,9 @@
     return double(facts.wait_ms_) <= max_wait_share * longest;
 }
 
+bool is_client_about_to_leave(time_ms silent_ms, time_ms patience_ms, time_ms left_ms) {
+    const bool out_of_patience = patience_ms > 0 && silent_ms >= patience_ms - leaving_margin_ms;
+    return out_of_patience || left_ms <= leaving_margin_ms;
+}
+
 } // namespace tamarack::dispatch
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -414,7 +414,7 @@
         exchange::callbacks{[self](http::response_parser& response) { self->on_response_progress(response); },
                             [self](exchange_outcome outcome) { self->on_exchange_ended(outcome); }});
     exchange_->start();
-    if (route_->repeatable()) {
+    if (route_->repeatable() || is_stream_route()) {
         start_silence_watch();
     }
 }
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -164,6 +164,7 @@
     void start_silence_watch();
     void check_silence_after(time_ms delay);
     bool can_fail_over() const;
+    bool should_end_silent_stream() const;
 
     // Whether the first event can no longer meet the route's objective. A request that returned after a
     // refusal is late from the start, since the time before the refusal counts. A request that may have run
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -106,15 +106,14 @@
         note_writing();
     }
     last_event_at_ = now;
-    if (route_->repeatable()) {
-        start_silence_watch();
-    }
+    start_silence_watch();
 }
 
 // If the engine sends nothing and its agent has stopped reporting as well or cannot reach it, moves the
 // request to another endpoint before the client leaves. Once the client has left, the gateway cannot cancel
-// the request at a hung instance. If the request cannot be moved, or the engine is only slow, the attempt
-// continues.
+// the request at a hung instance. If the request cannot be moved, the attempt continues until the client is
+// about to leave, and is then ended with an unknown outcome, so that the client can go on elsewhere. An
+// engine that is only slow keeps its request.
 void request_flow::start_silence_watch() {
     check_silence_after(silence_limit_ms);
 }
@@ -125,7 +124,8 @@
         if (cancelled || self->finished_ || !self->exchange_) {
             return;
         }
-        if (self->sink_->unsent_bytes() > 0 || !self->can_fail_over()) {
+        const bool ends = self->can_fail_over() || self->should_end_silent_stream();
+        if (self->sink_->unsent_bytes() > 0 || !ends) {
             self->check_silence_after(silence_check_interval_ms);
             return;
         }
@@ -135,9 +135,18 @@
     });
 }
 
+bool request_flow::should_end_silent_stream() const {
+    const time_ms now = steady_now_ms();
+    return is_stream_route() && service_->engine_ &&
+           is_endpoint_lost(attempt_->target(), now, context_.fleet_.gateway_count()) &&
+           dispatch::is_client_about_to_leave(now - std::max(arrived_at_, last_event_at_),
+                                              route_->patience_ms_, left_ms(now));
+}
+
 bool request_flow::can_fail_over() const {
     const time_ms now = steady_now_ms();
-    return is_endpoint_lost(attempt_->target(), now, context_.fleet_.gateway_count()) &&
+    return route_->repeatable() &&
+           is_endpoint_lost(attempt_->target(), now, context_.fleet_.gateway_count()) &&
            possible_runs_ + 1 < max_attempts() && left_ms(now) > min_retry_time_ms &&
            context_.fleet_.retries(service_->name_).available(now, context_.fleet_.budget_sharers()) &&
            has_other_endpoint();
--- a/tests/direct/dispatch_test.cpp
+++ b/tests/direct/dispatch_test.cpp
@@ -190,6 +190,15 @@
     CHECK(should_admit(facts));
 }
 
+// A client that leaves a stream at a suspended instance cannot be told of its end, and nobody can cancel
+// there.
+TEST_CASE("client_of_a_silent_stream_is_about_to_leave_shortly_before_its_patience_or_time_ends") {
+    CHECK_FALSE(is_client_about_to_leave(2'000, 2'400, 10'000));
+    CHECK(is_client_about_to_leave(2'100, 2'400, 10'000));
+    CHECK(is_client_about_to_leave(100, 2'400, 300));
+    CHECK_FALSE(is_client_about_to_leave(5'000, 0, 10'000)); // patience is not known
+}
+
 TEST_CASE("should_admit_client_returned_is_admitted_if_it_would_be_served_before_it_gives_up") {
     admission_facts facts{900, 300, 2'400, 12'000, true};
     CHECK(should_admit(facts));
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -63,6 +63,39 @@
     CHECK(received_by("e-2") == 1);
 }
 
+// GONE: streams stayed at engines on suspended instances until their clients had left, and were held there
+// when the instances resumed.
+TEST_CASE_FIXTURE(flow_fixture,
+                  "request_engine_is_suspended_and_no_other_is_left_client_is_told_before_it_leaves") {
+    constexpr time_ms patience_ms = 1'500;
+    auto configuration = std::make_shared<fleet::configuration>(*fleet_.current()->configuration_);
+    configuration->version_ = 2;
+    configuration->routes_[0].repeat_ = fleet::repeat_rule::stream;
+    configuration->routes_[0].patience_ms_ = patience_ms;
+    fleet_.apply_configuration(std::make_shared<const indexed_configuration>(configuration));
+    records_.erase("e-2");
+    fleet_.apply_endpoints(records_);
+    for (const bool suspended : {true, false}) {
+        CAPTURE(suspended);
+        first_.set_behaviours({fake_endpoint::behaviour::silent});
+        sink_ = std::make_shared<status_sink>();
+        const time_ms began = steady_now_ms();
+        const auto flow = start("m");
+        let_reports_be_overdue();
+        const auto& engine = fleet_.endpoints().at("e-1")->engine_;
+        while (sink_->status_ == 0 && steady_now_ms() - began < patience_ms) {
+            context_.run_for(std::chrono::milliseconds(20));
+            context_.restart();
+            if (!suspended) {
+                fleet_.endpoints().at("e-1")->engine_.reported_at_ = steady_now_ms();
+            }
+        }
+        CHECK(engine.known_);
+        CHECK(sink_->status_ == (suspended ? 502 : 0));
+        flow->on_client_disconnected();
+    }
+}
+
 // The log of a 504 did not say what the request was waiting for, nor why its endpoint had been chosen.
 TEST_CASE_FIXTURE(flow_fixture, "request_endpoint_does_not_respond_in_time_log_says_what_it_waited_for") {
     first_.set_behaviours({fake_endpoint::behaviour::silent});
