Let no client decide the estimates for all others

Cause: a prompt size or deadline of nan, inf or 1e300 spoiled the averages of a gateway, one long deadline made all other requests of its route count as returned for good, and demand was kept, and told to all gateways, for every model that a client named. Change: numbers that are not finite are dropped and others cut; the usual deadline is at most the route's timeout and forgets an unusual one; demand is counted for models that the configuration lists.

--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -22,6 +22,10 @@
 // its time.
 constexpr double usual_deadline_share = 0.97;
 
+// Part of the difference to a shorter deadline by which the longest one seen is forgotten with each request,
+// so that one client with an unusual deadline does not decide for long what is usual.
+constexpr double deadline_decay = 0.002;
+
 constexpr double arrival_decay = 0.995;    // factor for each arrival; counts halve every 140 requests
 constexpr double arrival_weight = 2;       // number of waiting requests that the mix of arrivals counts as
 constexpr time_ms planning_delay_ms = 600; // time until the planner orders a missing model
@@ -137,9 +141,10 @@
 }
 
 bool fleet_state::note_deadline(const std::string& route, time_ms deadline_ms) {
-    time_ms& longest = longest_deadline_ms_[route];
-    longest = std::max(longest, deadline_ms);
-    return double(deadline_ms) < usual_deadline_share * double(longest);
+    double& longest = longest_deadline_ms_[route];
+    const auto deadline = double(deadline_ms);
+    longest = std::max(deadline, longest - deadline_decay * (longest - deadline));
+    return deadline < usual_deadline_share * longest;
 }
 
 void fleet_state::note_arrival(const std::string& service, int urgency) {
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -97,6 +97,12 @@
     // all slots.
     double demand_per_slot(std::string_view model, int copies, int slots) const;
 
+    // Whether the configuration lists the model for the service. Demand is counted for such models only,
+    // since clients may name any.
+    bool lists_model(std::string_view service, std::string_view model) const {
+        return find_model(service, model) != nullptr;
+    }
+
     // Expected time until an engine holds the model, in ms; 0 if the configuration does not list the model.
     time_ms model_wait_ms(std::string_view service, std::string_view model, time_ms now) const;
 
@@ -132,8 +138,8 @@
     std::optional<time_ms> found_old_at_; // when a request first found the view too old
     std::map<std::string, dispatch::retry_window> retries_;
     std::map<std::string, dispatch::engine_timing> timings_;
-    std::map<std::string, double> mean_prompt_tokens_;   // keyed by service
-    std::map<std::string, time_ms> longest_deadline_ms_; // keyed by route name
+    std::map<std::string, double> mean_prompt_tokens_;  // keyed by service
+    std::map<std::string, double> longest_deadline_ms_; // keyed by route name
 
     // Decaying counts of arrivals, and attempts without a first event; both keyed by service and urgency.
     std::map<std::string, std::map<int, double>> arrivals_;
--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -36,6 +36,14 @@
     return number;
 }
 
+// Reads a number of tokens or ms. What is not finite is no number, and others are cut to a range in which
+// sums of them stay exact: all gateways' estimates are averages of what clients send.
+std::optional<double> parse_amount(std::string_view text) {
+    constexpr double largest = 1e9;
+    const auto parsed = parse_number<double>(text);
+    return parsed && std::isfinite(*parsed) ? std::optional(std::clamp(*parsed, 0.0, largest)) : std::nullopt;
+}
+
 std::string header_value(const std::vector<http::header>& headers, std::string_view name) {
     const http::header* found = http::find_header(headers, name);
     return found == nullptr ? std::string() : found->value_;
@@ -84,17 +92,17 @@
     metadata.adapter_ = reference.adapter_;
     const std::vector<std::string> tokens = split_list(header_value(incoming.headers_, names.token_counts_));
     if (tokens.size() == 2) {
-        metadata.prompt_tokens_ = parse_number<double>(tokens[0]).value_or(0);
-        metadata.output_tokens_ = parse_number<double>(tokens[1]).value_or(0);
+        metadata.prompt_tokens_ = parse_amount(tokens[0]).value_or(0);
+        metadata.output_tokens_ = parse_amount(tokens[1]).value_or(0);
     }
     for (const std::string& part : split_list(header_value(incoming.headers_, names.prompt_parts_))) {
         const std::size_t colon = part.find(':');
         if (colon != std::string::npos) {
             metadata.prompt_parts_.emplace_back(trim(std::string_view(part).substr(0, colon)),
-                                                parse_number<double>(part.substr(colon + 1)).value_or(0));
+                                                parse_amount(part.substr(colon + 1)).value_or(0));
         }
     }
-    const auto left = parse_number<double>(header_value(incoming.headers_, names.deadline_));
+    const auto left = parse_amount(header_value(incoming.headers_, names.deadline_));
     if (left) {
         metadata.deadline_ms_ = time_ms(*left);
     }
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -71,7 +71,9 @@
     }
     const time_ms deadline = metadata_.deadline_ms_.value_or(default_timeout_ms);
     deadline_at_ = arrived_at_ + std::min(deadline, route_->timeout_ms_);
-    returned_after_refusal_ = context_.fleet_.note_deadline(route_->name_, deadline);
+    returned_after_refusal_ =
+        context_.fleet_.note_deadline(route_->name_, std::min(deadline, route_->timeout_ms_));
+    counts_demand_ = context_.fleet_.lists_model(service_->name_, metadata_.model_);
     context_.fleet_.note_arrival(service_->name_, urgency(arrived_at_));
     if (metadata_.last_event_id_) {
         splitter_.set_last_id(*metadata_.last_event_id_);
@@ -79,6 +81,8 @@
     context_.fleet_.retries(service_->name_).note_request(arrived_at_);
     if (!metadata_.model_.empty()) {
         context_.fleet_.note_prompt(service_->name_, metadata_.prompt_tokens_);
+    }
+    if (counts_demand_) {
         context_.fleet_.demand_.note_arrival(metadata_.model_, arrived_at_);
     }
     deadline_timer_.expires_after(std::chrono::milliseconds(std::max<time_ms>(0, left_ms(arrived_at_))));
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -204,6 +204,7 @@
     int misdirected_ = 0;              // rejections by endpoints that the view was wrong about
     bool response_head_noted_ = false; // of the current attempt
     bool stream_begun_ = false;
+    bool counts_demand_ = false; // whether the configuration lists the model
     bool waiting_for_model_ = false;
     bool wants_noted_ = false;
     std::shared_ptr<endpoint> awaited_endpoint_; // of which the request waits for a place
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -209,7 +209,9 @@
     update_health(dispatch::send_end::answered, status_ok);
     context_.fleet_.quarantine_.note_sound(suspects_, boot_now_ms());
     const time_ms now = steady_now_ms();
-    context_.fleet_.demand_.note_service(metadata_.model_, double(now - attempt_->started_at_));
+    if (counts_demand_) {
+        context_.fleet_.demand_.note_service(metadata_.model_, double(now - attempt_->started_at_));
+    }
     context_.fleet_.note_slot_time(service_->name_, now - attempt_->first_event_at());
     sink_->end_stream();
     finish(status_ok, "served");
@@ -318,7 +320,7 @@
     if (response.status_ < first_unproved) {
         context_.fleet_.quarantine_.note_sound(suspects_, boot_now_ms());
     }
-    if (response.status_ < first_unsuccessful_status && !metadata_.model_.empty()) {
+    if (response.status_ < first_unsuccessful_status && counts_demand_) {
         context_.fleet_.demand_.note_service(metadata_.model_,
                                              double(steady_now_ms() - attempt_->started_at_));
     }
--- a/src/gateway/request_flow_waits.cpp
+++ b/src/gateway/request_flow_waits.cpp
@@ -69,7 +69,9 @@
     const time_ms wait = context_.fleet_.model_wait_ms(service_->name_, metadata_.model_, now);
     if (!waiting_for_model_) {
         waiting_for_model_ = true;
-        context_.fleet_.demand_.add_waiting(metadata_.model_, 1);
+        if (counts_demand_) {
+            context_.fleet_.demand_.add_waiting(metadata_.model_, 1);
+        }
         context_.events_.write({event_kind::admission,
                                 "gateway",
                                 "held_for_model",
@@ -93,7 +95,7 @@
 }
 
 void request_flow::stop_waiting_for_model() {
-    if (std::exchange(waiting_for_model_, false)) {
+    if (std::exchange(waiting_for_model_, false) && counts_demand_) {
         context_.fleet_.demand_.add_waiting(metadata_.model_, -1);
     }
 }
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -96,6 +96,37 @@
     }
 }
 
+// Demand was kept for every model that a client named, also for those that do not exist, and told to all
+// gateways.
+TEST_CASE_FIXTURE(flow_fixture, "request_model_is_not_in_the_configuration_its_demand_is_not_counted") {
+    auto configuration = std::make_shared<fleet::configuration>(*fleet_.current()->configuration_);
+    configuration->version_ = 2;
+    configuration->services_[0].engine_->models_.push_back({});
+    configuration->services_[0].engine_->models_.back().name_ = "m";
+    fleet_.apply_configuration(std::make_shared<const indexed_configuration>(configuration));
+    std::vector<std::shared_ptr<request_flow>> flows;
+    for (int number = 0; number < 50; ++number) {
+        flows.push_back(start("no-such-model-" + std::to_string(number)));
+    }
+    flows.push_back(start("m"));
+    const auto levels = fleet_.demand_.levels(steady_now_ms());
+    CHECK(levels.size() == 1);
+    CHECK(levels.contains("m"));
+    run();
+}
+
+// One client with a longer deadline made all others count as returned, for good.
+TEST_CASE_FIXTURE(flow_fixture, "request_one_client_has_an_unusual_deadline_others_count_as_usual_again") {
+    CHECK_FALSE(fleet_.note_deadline("drafts", 12'000));
+    CHECK_FALSE(fleet_.note_deadline("drafts", 20'000));
+    CHECK(fleet_.note_deadline("drafts", 12'000));
+    for (int request = 0; request < 2'000; ++request) {
+        fleet_.note_deadline("drafts", request % 10 == 0 ? 12'000 : 9'000); // most of them return
+    }
+    CHECK_FALSE(fleet_.note_deadline("drafts", 12'000));
+    CHECK(fleet_.note_deadline("drafts", 9'000));
+}
+
 // The log of a 504 did not say what the request was waiting for, nor why its endpoint had been chosen.
 TEST_CASE_FIXTURE(flow_fixture, "request_endpoint_does_not_respond_in_time_log_says_what_it_waited_for") {
     first_.set_behaviours({fake_endpoint::behaviour::silent});
