--- a/src/gateway/endpoint.cpp
+++ b/src/gateway/endpoint.cpp
@@ -51,10 +51,17 @@
 }
 
 bool endpoint::report_overdue(time_ms now, int gateway_count) const {
+    return silent_for_reports(allowed_missed_reports, now, gateway_count);
+}
+
+bool endpoint::report_missed(time_ms now, int gateway_count) const {
+    return silent_for_reports(1, now, gateway_count);
+}
+
+bool endpoint::silent_for_reports(time_ms reports, time_ms now, int gateway_count) const {
     const time_ms interval =
         std::max(min_report_interval_ms, report_interval_ms_per_gateway * time_ms(gateway_count));
-    return engine_.known_ &&
-           now - engine_.reported_at_ > allowed_missed_reports * interval + report_transit_ms;
+    return engine_.known_ && now - engine_.reported_at_ > reports * interval + report_transit_ms;
 }
 
 const std::vector<fleet::held_model>& endpoint::models() const {
--- a/src/gateway/endpoint.hpp
+++ b/src/gateway/endpoint.hpp
@@ -60,6 +60,9 @@
     // report less often when there are many gateways.
     bool report_overdue(time_ms now, int gateway_count) const;
 
+    // Whether one report is missing. Less certain, and known sooner.
+    bool report_missed(time_ms now, int gateway_count) const;
+
     // The models that the engine holds, as reported by its agent or, without a report, by the registry.
     const std::vector<fleet::held_model>& models() const;
     const fleet::held_model* find_model(std::string_view name) const;
@@ -100,6 +103,7 @@
     int waiting_for_place_ = 0;             // requests of this gateway that wait until its limit lets them go
 
 private:
+    bool silent_for_reports(time_ms reports, time_ms now, int gateway_count) const;
     void watch_idle_connection(const std::shared_ptr<endpoint_connection>& connection);
     void drop_idle_connection(const std::shared_ptr<endpoint_connection>& connection);
 
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -137,8 +137,11 @@
 
 bool request_flow::should_end_silent_stream() const {
     const time_ms now = steady_now_ms();
-    return is_stream_route() && service_->engine_ &&
-           is_endpoint_lost(attempt_->target(), now, context_.fleet_.gateway_count()) &&
+    const endpoint& target = attempt_->target();
+    const int gateways = context_.fleet_.gateway_count();
+    // One missing report is enough here: the client would leave the stream now in any case.
+    const bool doubted = is_endpoint_lost(target, now, gateways) || target.report_missed(now, gateways);
+    return is_stream_route() && service_->engine_ && doubted &&
            dispatch::is_client_about_to_leave(now - std::max(arrived_at_, last_event_at_),
                                               route_->patience_ms_, left_ms(now));
 }
