Let clients of the soak misbehave and read late

Change: six connections at a time stop within a head, a body or a chunk, or send ahead to a path without a route and do not read; one stream in eight is read late. They draw numbers of their own, so seeds keep their requests.

--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -1,8 +1,10 @@
 #include "soak/clients.hpp"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
 namespace tamarack::soak {
 
@@ -51,11 +53,71 @@
 }
 
 clients::clients(asio::io_context& context, fleet& parts, referee& judge, std::uint64_t seed)
-    : context_(context), fleet_(parts), judge_(judge), random_(seed), part_random_(seed + 3), seed_(seed),
-      idle_(parts.gateways().size()) {}
+    : context_(context), fleet_(parts), judge_(judge), random_(seed), part_random_(seed + 3),
+      pace_random_(seed + 5), seed_(seed), idle_(parts.gateways().size()) {}
 
 void clients::start(double requests_per_s) {
+    constexpr std::uint64_t misbehaving = 6;
     asio::co_spawn(context_, send_all(requests_per_s), asio::detached);
+    for (std::uint64_t number = 0; number < misbehaving; ++number) {
+        asio::co_spawn(context_, misbehave(seed_ + 100 + number), asio::detached);
+    }
+}
+
+namespace {
+
+// What a client sends that misbehaves. None of it is a whole request for an endpoint.
+std::string misbehaving_bytes(std::mt19937_64& random) {
+    constexpr std::uint64_t kinds = 4;
+    const std::string head =
+        "POST /booking/x HTTP/1.1\r\nHost: soak.example\r\nTamarackbeam-Request-Id: none\r\n";
+    switch (random() % kinds) {
+    case 0: // stops within its head
+        return head.substr(0, 1 + random() % (head.size() - 1));
+    case 1: // stops short of the end of its body
+        return head + "Content-Length: 500000\r\n\r\n" + std::string(random() % 499'999, 'x');
+    case 2: // stops within a chunk
+        return head + "Transfer-Encoding: chunked\r\n\r\n400\r\n" + std::string(random() % 1'024, 'x');
+    default: { // sends ahead, to a path without a route
+        std::string all;
+        for (std::uint64_t count = 1 + random() % 300; count > 0; --count) {
+            all += "GET /nowhere HTTP/1.1\r\nHost: soak.example\r\nTamarackbeam-Request-Id: none\r\n\r\n";
+        }
+        return all;
+    }
+    }
+}
+
+} // namespace
+
+// Opens one connection after the other, sends without reading, and stays for a while.
+awaitable<void> clients::misbehave(std::uint64_t seed) {
+    constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+    std::mt19937_64 random(seed);
+    asio::steady_timer timer(context_);
+    while (!stopped_) {
+        const std::size_t gateway = random() % fleet_.gateways().size();
+        const std::string bytes = misbehaving_bytes(random);
+        const std::chrono::milliseconds stay(100 + random() % 2'900);
+        asio::ip::tcp::socket socket(context_);
+        boost::system::error_code failed;
+        socket.open(asio::ip::tcp::v4(), failed);
+        timer.expires_after(stay);
+        timer.async_wait([&socket](boost::system::error_code cancelled) {
+            if (!cancelled) {
+                boost::system::error_code ignored;
+                socket.close(ignored);
+            }
+        });
+        const auto [unreachable] =
+            co_await socket.async_connect(fleet_.gateways()[gateway].clients_->address(), no_throw);
+        if (!unreachable) {
+            co_await asio::async_write(socket, asio::buffer(bytes), no_throw);
+        }
+        timer.cancel();
+        timer.expires_after(stay);
+        co_await timer.async_wait(no_throw);
+    }
 }
 
 awaitable<void> clients::send_all(double requests_per_s) {
@@ -149,6 +211,12 @@
     received_answer seen;
     std::string text;
     bool ended = false;
+    constexpr int late_readers = 8; // one in so many
+    constexpr std::chrono::milliseconds late{400};
+    if (ok(opened) && pace_random_() % late_readers == 0) {
+        asio::steady_timer timer(context_, late);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
     if (ok(opened)) {
         seen.status_ = value(opened)->status();
         while (!ended) {
--- a/tests/soak/clients.hpp
+++ b/tests/soak/clients.hpp
@@ -31,6 +31,7 @@
 
 private:
     boost::asio::awaitable<void> send_all(double requests_per_s);
+    boost::asio::awaitable<void> misbehave(std::uint64_t seed);
     // Returns the status of the response, or 0.
     boost::asio::awaitable<int> call_stream(std::size_t gateway, http::request outgoing);
     void call_plain(std::size_t gateway, http::request outgoing);
@@ -42,6 +43,7 @@
     referee& judge_;
     std::mt19937_64 random_;
     std::mt19937_64 part_random_;
+    std::mt19937_64 pace_random_; // of clients that read late
     std::uint64_t seed_;
     std::string crashing_part_;
     double crashing_share_ = 0;
