--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -150,6 +150,9 @@
     if (is_done()) {
         return progress::done;
     }
+    if (!got_some()) {
+        return progress::broken; // the parser takes no end before the first byte
+    }
     boost::beast::error_code failed;
     put_eof(failed);
     return !failed && is_done() ? progress::done : progress::broken;
--- a/tests/direct/gateway_test.cpp
+++ b/tests/direct/gateway_test.cpp
@@ -70,6 +70,12 @@
 
 } // namespace
 
+// Found by fuzzing: the end of a connection before the first byte failed an assertion of the parser.
+TEST_CASE("response_connection_ends_before_the_first_byte_is_broken") {
+    http::response_parser parser(1'000);
+    CHECK(parser.take_end() == http::response_parser::progress::broken);
+}
+
 // Numbers that clients send are averaged, so one that is not finite or huge would have spoiled every
 // estimate.
 TEST_CASE("metadata_numbers_of_clients_are_not_finite_or_huge_are_dropped_or_cut") {
--- a/tools/install_dependencies.sh
+++ b/tools/install_dependencies.sh
@@ -6,7 +6,7 @@
   build-essential cmake ninja-build ccache clang-format clang-tidy
   libboost1.81-dev libgflags-dev liblog4cxx-dev doctest-dev
   libflatbuffers-dev prometheus-cpp-dev nlohmann-json3-dev libxxhash-dev libsodium-dev
-  libbenchmark-dev librapidcheck-dev curl python3
+  clang libclang-rt-14-dev libbenchmark-dev librapidcheck-dev curl python3
 )
 
 missing=()
