--- a/include/tamarack/memory.hpp
+++ b/include/tamarack/memory.hpp
@@ -24,8 +24,8 @@
 
 // Limits of one process.
 struct limits {
-    std::array<std::size_t, pool_count> bytes_ = {}; // of each pool
-    int connections_ = 0;                            // of clients
+    std::array<std::size_t, pool_count> bytes_ = {}; // limit of each pool, in bytes
+    int connections_ = 0;                            // limit of client connections
 
     std::size_t of(pool which) const { return bytes_[std::size_t(which)]; }
 };
--- a/include/tamarack/notices.hpp
+++ b/include/tamarack/notices.hpp
@@ -33,8 +33,9 @@
 struct endpoint_key {
     std::string_view id_;
     std::int64_t incarnation_ = 0;
-    std::int64_t replaced_incarnation_ =
-        0; // of the start before, if the registry tells that it was a higher one
+
+    // Incarnation of the start before, if the registry tells that it was a higher one; else 0.
+    std::int64_t replaced_incarnation_ = 0;
 };
 
 // How a gateway learned that an endpoint shuts down.
--- a/src/gateway/client_listener.hpp
+++ b/src/gateway/client_listener.hpp
@@ -61,7 +61,7 @@
     session_context session_context_;
     std::unordered_set<std::shared_ptr<client_session>> sessions_;
     std::array<bool, memory::pool_count> relief_scheduled_ = {};
-    std::array<std::int64_t, memory::pool_count> evicted_ = {}; // since the last tick
+    std::array<std::int64_t, memory::pool_count> evicted_ = {}; // requests and responses since the last tick
     std::int64_t connections_evicted_ = 0;
     std::int64_t connections_refused_ = 0;
     std::atomic<std::int64_t> in_service_ = 0;
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -302,7 +302,7 @@
     for (const std::string& bytes : writing_) {
         buffers.emplace_back(asio::buffer(bytes));
     }
-    asio::async_write(socket_, std::move(buffers),
+    asio::async_write(socket_, buffers,
                       [self = shared_from_this()](boost::system::error_code failed, std::size_t) {
                           self->writing_.clear();
                           self->writing_bytes_ = 0;
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -67,7 +67,7 @@
 private:
     enum class phase {
         receiving,  // between requests, or while one is received
-        responding, // from the end of a request until its response is written
+        responding, // a request is complete, and its response is not written yet
         closing,    // the last response is being or has been written; input is discarded
         closed,
     };
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -10,7 +10,7 @@
 namespace tamarack::gateway {
 
 struct exchange_request {
-    std::string head_;                        // as sent
+    std::string head_;                        // bytes of the head as sent
     std::shared_ptr<const std::string> body_; // shared by all attempts
     std::string id_header_;                   // name of the header that responses echo
     std::string id_;                          // value expected in that header
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -181,7 +181,7 @@
 
     flow_context& context_;
     std::shared_ptr<response_sink> sink_;
-    http::request incoming_; // without its body
+    http::request incoming_; // the body is in `body_`
     std::shared_ptr<const std::string> body_;
     request_metadata metadata_;
     std::vector<std::string> suspects_; // the request and the shared parts of its prompt
--- a/src/gateway/seed_exchange.hpp
+++ b/src/gateway/seed_exchange.hpp
@@ -38,7 +38,7 @@
     boost::asio::steady_timer timer_;
     std::function<bool()> fleet_known_;
     std::shared_ptr<links::link> current_link_;
-    std::deque<std::weak_ptr<links::link>> transfers_; // to gateways that ask, oldest first
+    std::deque<std::weak_ptr<links::link>> transfers_; // gateways being sent the state, oldest first
     std::size_t next_seed_ = 0;
 };
 
--- a/src/memory/memory.cpp
+++ b/src/memory/memory.cpp
@@ -17,11 +17,11 @@
 constexpr std::array<double, pool_count> pool_shares = {0.12, 0.26, 0.14, 0.18};
 constexpr double connections_share = 0.08;
 
-constexpr std::size_t connection_bytes = 8 * 1024; // of an idle connection, its operations included
+constexpr std::size_t connection_bytes = 8 * 1024; // memory of an idle connection and its operations
 constexpr int file_descriptors = 200;              // kept for files, listeners and the event loop
 constexpr double client_descriptors_share = 0.6;   // the others are for endpoints, agents and the store
 
-constexpr double target_share = 0.875;         // of a pool's limit that is held after evictions
+constexpr double target_share = 0.875;         // share of a pool's limit that is held after evictions
 constexpr std::size_t small_bytes = 64 * 1024; // always admitted
 
 // A machine may be shared by processes, so one that is told no limit does not use all of its memory.
--- a/tests/direct/crowd.hpp
+++ b/tests/direct/crowd.hpp
@@ -115,7 +115,7 @@
 inline void wait_until_idle(pid_t pid, const std::function<void()>& each_poll) {
     constexpr std::size_t max_polls = 200;
     constexpr std::size_t idle_polls = 4;
-    constexpr std::int64_t idle_cpu_ms = 20; // in the time of these polls
+    constexpr std::int64_t idle_cpu_ms = 20; // processor time of periodic work during these polls
     constexpr unsigned poll_us = 50'000;
     std::vector<std::int64_t> used = {harness::cpu_ms(pid)};
     while (used.size() < max_polls &&
--- a/tests/direct/misbehaving_clients_test.cpp
+++ b/tests/direct/misbehaving_clients_test.cpp
@@ -12,8 +12,8 @@
 constexpr int max_descriptors = 700;
 constexpr std::size_t max_header_bytes = 16 * 1024;
 constexpr std::size_t max_body_bytes = 1024 * 1024;
-constexpr int crowd_size = 96;                               // with 1 MB each, more than the memory
-constexpr int connecting_crowd_size = max_descriptors + 100; // more than the descriptors
+constexpr int crowd_size = 96;                               // connections; 1 MB each is more than the memory
+constexpr int connecting_crowd_size = max_descriptors + 100; // connections
 
 using harness::peak_kb;
 // Paths of a route, of no route, and of the readiness check.
