Log why the gateway broke off a stream, not that its client left

Cause: the connection that the gateway closed reported its end before the request had noted the reason. Change: the reason is noted first. Result: a test with a connection that reports its end fails before and passes now.

--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -349,8 +349,10 @@
 // Ends the request with an unknown outcome, without telling the client to retry.
 void request_flow::fail(std::string_view reason) {
     if (stream_begun_) {
-        sink_->abort();
+        // The end of the connection would otherwise be taken for the client's.
+        const auto sink = sink_;
         finish(0, reason);
+        sink->abort();
         return;
     }
     send_own_response(status_bad_gateway, reason);
--- a/tests/direct/request_flow_fixture.hpp
+++ b/tests/direct/request_flow_fixture.hpp
@@ -27,7 +27,11 @@
     void begin_stream(int status, const std::vector<http::header>&) override { status_ = status; }
     void send_data(std::string_view data) override { data_ += data; }
     void end_stream() override { ended_ = true; }
-    void abort() override { status_ = -1; }
+    std::function<void()> on_abort_ = [] {};
+    void abort() override {
+        status_ = -1;
+        on_abort_();
+    }
     std::size_t unsent_bytes() const override { return unsent_; }
     bool is_memory_scarce() const override { return false; }
 };
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -96,6 +96,23 @@
     }
 }
 
+// The log said of a stream that the gateway broke off that its client had gone.
+TEST_CASE_FIXTURE(flow_fixture, "request_stream_is_broken_off_log_does_not_say_that_its_client_left") {
+    auto configuration = std::make_shared<fleet::configuration>(*fleet_.current()->configuration_);
+    configuration->version_ = 2;
+    configuration->routes_[0].repeat_ = fleet::repeat_rule::stream;
+    fleet_.apply_configuration(std::make_shared<const indexed_configuration>(configuration));
+    first_.set_behaviours({fake_endpoint::behaviour::truncated_stream});
+    second_.set_behaviours({fake_endpoint::behaviour::truncated_stream});
+    const auto flow = start("m");
+    sink_->on_abort_ = [&] { flow->on_client_disconnected(); }; // as a connection does
+    run();
+    events_.stop(std::chrono::seconds(2));
+    CHECK(sink_->status_ == -1);
+    CHECK(log_.find(R"("outcome":"broken")") != std::string::npos);
+    CHECK(log_.find("client_gone") == std::string::npos);
+}
+
 // Demand was kept for every model that a client named, also for those that do not exist, and told to all
 // gateways.
 TEST_CASE_FIXTURE(flow_fixture, "request_model_is_not_in_the_configuration_its_demand_is_not_counted") {
