Log what of a configuration is not followed, and whether requests carry keys

Cause: a configuration may ask for more than the gateway does. It listed organisations; no line, no metric and no test told that nothing read them, so the hypotheses on the incident could not be told apart from logs.

Change: decoding names the fields, and the values of fields that decide how requests are handled, that are not followed; a gateway writes them as configuration_terms_ignored when they change and counts them in tamarack_configuration_terms_ignored. configuration_in_force tells the number of organisations, request_ended the number of keys that the request carried (never a key). Organisations and public routes are decoded; nothing uses them yet.

Tests: platform_configuration_with_terms_that_are_not_followed_names_them, platform_configuration_with_organisations_is_decoded.

--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -72,6 +72,7 @@
     time_ms patience_ms_ = 0;    // pause in a stream after which its clients abandon it; 0 if unknown
     int rank_ = 0;               // priority; 0 is the most urgent
     int max_attempts_ = 1;       // limit of attempts that may have run; rejected ones do not count
+    bool public_ = false;        // takes requests without a key where organisations are configured
     std::vector<route_target> targets_;
 
     // Whether a request that may have run may be sent again.
@@ -88,6 +89,22 @@
     time_ms idle_ms_ = 15'000;  // idle time between requests on one connection
 };
 
+// What an organisation may use, over all gateways together. A request counts as 1, or as its tokens.
+struct usage_limit {
+    double per_s_ = 0; // 0 for no limit
+    double burst_ = 0; // what may be used at once beyond the rate
+    bool counts_tokens_ = false;
+    double default_tokens_ = 0; // tokens of a request that does not say how many it has
+};
+
+// A customer. Its programs present one of its keys with each request.
+struct organisation {
+    std::string name_;
+    std::vector<std::string> keys_;
+    std::optional<int> rank_; // replaces the rank of the route
+    usage_limit limit_;
+};
+
 // One version of the operator's configuration. Immutable once built.
 struct configuration {
     std::int64_t version_ = -1;
@@ -95,6 +112,13 @@
     std::vector<service_spec> services_;
     client_limits limits_;
 
+    // If set, only requests with a key of one of these are taken, except on public routes. Otherwise requests
+    // carry no key.
+    std::optional<std::vector<organisation>> organisations_;
+
+    // Terms of the operator's record that this program does not know and does not follow.
+    std::vector<std::string> ignored_terms_;
+
     const service_spec* find_service(std::string_view name) const;
 };
 
--- a/include/tamarack/gateway.hpp
+++ b/include/tamarack/gateway.hpp
@@ -14,8 +14,10 @@
     std::string token_counts_; // "prompt tokens,max output tokens"
     std::string prompt_parts_; // "id:tokens,..."; the last part belongs to this request alone
     std::string last_event_id_;
+    std::string key_; // key of the client's organisation; never passed on
 
     // Set by the gateway on requests to endpoints.
+    std::string organisation_;      // name of the organisation whose request it is
     std::string expected_endpoint_; // endpoint id; any other endpoint rejects the request without running it
     std::string priority_;          // 0 is the most urgent, 9 the least
 
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -131,10 +131,31 @@
         return;
     }
     configuration_version_ = configuration->version_;
+    log_ignored_terms(*configuration);
     traffic_.set_configuration(std::make_shared<const indexed_configuration>(std::move(configuration)),
                                encoded);
 }
 
+// Reports what a configuration asks for and this program does not do, when that changes.
+void control::log_ignored_terms(const fleet::configuration& configuration) {
+    if (configuration.ignored_terms_ == ignored_terms_) {
+        return;
+    }
+    ignored_terms_ = configuration.ignored_terms_;
+    std::string terms;
+    for (const std::string& one : ignored_terms_) {
+        terms += (terms.empty() ? "" : ",") + one;
+    }
+    events_.write({event_kind::fleet_view,
+                   "gateway",
+                   "configuration_terms_ignored",
+                   {},
+                   {{"version", configuration.version_}, {"terms", terms}}});
+    measures_.set("tamarack_configuration_terms_ignored",
+                  "Terms of the configuration that this program does not follow", {},
+                  double(ignored_terms_.size()));
+}
+
 void control::apply_endpoints(const std::vector<fleet::endpoint_change>& changes,
                               const fleet::freshness& current) {
     registry_freshness_ = current;
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -21,6 +21,7 @@
 private:
     void apply_configuration(std::shared_ptr<const fleet::configuration> configuration,
                              const std::string& encoded);
+    void log_ignored_terms(const fleet::configuration& configuration);
     void apply_endpoints(const std::vector<fleet::endpoint_change>& changes, const fleet::freshness& current);
     bool erase_expired();
     void log_endpoint(std::string_view id, std::string_view decision);
@@ -49,6 +50,7 @@
     http::server admin_;
     http::server metrics_server_;
     std::int64_t configuration_version_ = -1;
+    std::vector<std::string> ignored_terms_; // of the configuration in force
     bool endpoints_known_ = false;
     bool quarantine_known_ = false;
     bool shutting_down_ = false;
--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -108,6 +108,11 @@
     }
     metadata.last_event_id_ =
         parse_number<std::int64_t>(header_value(incoming.headers_, names.last_event_id_));
+    for (const http::header& header : incoming.headers_) {
+        if (!names.key_.empty() && http::same_name(header.name_, names.key_)) {
+            metadata.keys_.push_back(header.value_);
+        }
+    }
     return metadata;
 }
 
--- a/src/gateway/head_rewrite.hpp
+++ b/src/gateway/head_rewrite.hpp
@@ -20,6 +20,7 @@
                                                                // part belongs to this request alone
     std::optional<time_ms> deadline_ms_;                       // time left when the request arrived
     std::optional<std::int64_t> last_event_id_;
+    std::vector<std::string> keys_; // values of all key headers; never to be logged
 };
 
 request_metadata parse_request_metadata(const http::request& incoming, const header_names& names);
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -467,6 +467,7 @@
                             metadata_.id_,
                             {{"route", route_ == nullptr ? std::string() : route_->name_},
                              {"configuration", version},
+                             {"keys", int(metadata_.keys_.size())},
                              {"model", metadata_.model_},
                              {"endpoint", attempt_ ? attempt_->target().record().id_ : std::string()},
                              {"limit_per_s", limit_of_endpoint()},
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -28,6 +28,11 @@
                                                             : memory::descriptor_limit());
 }
 
+// Number of organisations; -1 if requests carry no keys.
+std::int64_t organisation_count(const fleet::configuration& configuration) {
+    return configuration.organisations_ ? std::int64_t(configuration.organisations_->size()) : -1;
+}
+
 dispatch::retry_limits retry_limits(const gateway_settings& settings) {
     return {settings.retry_ratio_, settings.retry_slack_, time_ms(settings.retry_window_s_ * ms_per_s)};
 }
@@ -115,7 +120,8 @@
                                   "configuration_in_force",
                                   {},
                                   {{"version", configuration->configuration_->version_},
-                                   {"routes", std::int64_t(configuration->configuration_->routes_.size())}}});
+                                   {"routes", std::int64_t(configuration->configuration_->routes_.size())},
+                                   {"organisations", organisation_count(*configuration->configuration_)}}});
                    measures_.set("tamarack_config_version", "Version of the configuration in force", {},
                                  double(configuration->configuration_->version_));
                });
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -26,6 +26,53 @@
     CHECK_FALSE(ok(platform::decode_configuration("no json")));
 }
 
+// UNASKED, ROUTE, CONFIG, QUOTA: the configuration listed organisations, and no line said that nothing
+// followed it.
+TEST_CASE("platform_configuration_with_terms_that_are_not_followed_names_them") {
+    nlohmann::json body = nlohmann::json::parse(configuration_text(7));
+    body["new_part"] = nlohmann::json::array();
+    body["services"][0]["protocol"] = "h2";
+    body["services"][0]["tls"] = true;
+    body["tenants"] = {{{"name", "o"}, {"unit", "bytes"}, {"per_day", 1}}};
+    const auto decoded = platform::decode_configuration(body.dump());
+    REQUIRE(ok(decoded));
+    const std::vector<std::string> expected = {
+        "new_part",          "routes.unknown_field", "services.protocol=h2",
+        "services.tls=true", "tenants.per_day",      "tenants.unit=bytes"};
+    CHECK(value(decoded)->ignored_terms_ == expected);
+}
+
+TEST_CASE("platform_configuration_with_organisations_is_decoded") {
+    nlohmann::json body = nlohmann::json::parse(configuration_text(7));
+    CHECK_FALSE(value(platform::decode_configuration(body.dump()))->organisations_);
+    body["tenants"] = {{{"name", "o-1"},
+                        {"api_keys", {"k-1", 5, "k-2"}},
+                        {"priority", 2},
+                        {"unit", "tokens"},
+                        {"plain_tokens", 200},
+                        {"rate_per_s", 4'200},
+                        {"burst", 8'400}},
+                       {{"name", "o-2"}},
+                       {{"api_keys", {"k-3"}}},
+                       "odd"};
+    const auto decoded = platform::decode_configuration(body.dump());
+    REQUIRE(ok(decoded));
+    const auto& organisations = value(decoded)->organisations_;
+    REQUIRE(organisations);
+    REQUIRE(organisations->size() == 2);
+    const fleet::organisation& first = organisations->front();
+    CHECK(first.keys_ == std::vector<std::string>{"k-1", "k-2"});
+    CHECK(first.rank_ == 2);
+    CHECK(first.limit_.per_s_ == 4'200);
+    CHECK(first.limit_.burst_ == 8'400);
+    CHECK(first.limit_.counts_tokens_);
+    CHECK(first.limit_.default_tokens_ == 200);
+    CHECK(organisations->back().keys_.empty());
+    CHECK_FALSE(organisations->back().rank_);
+    body["tenants"] = "odd";
+    CHECK_FALSE(ok(platform::decode_configuration(body.dump())));
+}
+
 TEST_CASE("platform_malformed_endpoint_entries_are_rejected") {
     const char* entries[] = {"",
                              "[]",
