Let clients of the soak use keys of organisations, which the operator changes

Cause: no run of the real programs had organisations, so nothing showed that gateways passed keys on, ran requests without a valid one and kept no limit. Requests that are not owed do not count for recovery.

--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -79,6 +79,21 @@
     check(1);
 }
 
+// UNASKED, ROUTE, CONFIG, QUOTA: endpoints got keys and no names of organisations, requests with unknown and
+// revoked keys ran, and no limit of an organisation was kept.
+TEST_CASE_FIXTURE(soak_fixture, "fleet_organisations_change_gateways_keep_their_keys_names_and_limits") {
+    use_calm_fleet();
+    settings_.duration_ms_ = 16'000;
+    settings_.organisations_ = true;
+    check(1);
+}
+
+// The same among faults of all kinds.
+TEST_CASE_FIXTURE(soak_fixture, "soak_seed_3_with_organisations_keeps_the_promises") {
+    settings_.organisations_ = true;
+    check(3);
+}
+
 // Requests with one part in their prompts ended one engine after the other for as long as they came.
 TEST_CASE_FIXTURE(soak_fixture, "fleet_prompt_part_crashes_engines_gateways_together_stop_sending_it") {
     use_calm_fleet();
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -28,6 +28,15 @@
     return seen;
 }
 
+http::request make_public_request(const std::string& id) {
+    return {"GET",
+            "/open/x",
+            {{"Host", "soak.example"},
+             {"Tamarackbeam-Request-Id", id},
+             {"Tamarackbeam-Deadline-Ms", std::to_string(deadline_ms)}},
+            ""};
+}
+
 // Whether the text is the whole stream of the request.
 bool whole_stream(const std::string& id, const std::string& text) {
     std::string expected;
@@ -54,7 +63,7 @@
 
 clients::clients(asio::io_context& context, fleet& parts, referee& judge, std::uint64_t seed)
     : context_(context), fleet_(parts), judge_(judge), random_(seed), part_random_(seed + 3),
-      pace_random_(seed + 5), seed_(seed), idle_(parts.gateways().size()) {}
+      pace_random_(seed + 5), key_random_(seed + 7), seed_(seed), idle_(parts.gateways().size()) {}
 
 void clients::start(double requests_per_s) {
     constexpr std::uint64_t misbehaving = 6;
@@ -126,12 +135,13 @@
     while (!stopped_) {
         const std::size_t gateway = random_() % fleet_.gateways().size();
         http::request outgoing = make_request();
-        const bool plain =
-            outgoing.target_.starts_with("/lookup") || outgoing.target_.starts_with("/booking");
         sent_request sent;
+        add_key(outgoing, sent);
+        const bool plain = !outgoing.target_.starts_with("/chat") && !outgoing.target_.starts_with("/quote");
         sent.id_ = std::string(*outgoing.find("Tamarackbeam-Request-Id"));
         sent.gateway_ = fleet_.gateways()[gateway].process_.name_;
-        sent.repeatable_ = outgoing.target_.starts_with("/lookup") || outgoing.target_.starts_with("/chat");
+        sent.repeatable_ =
+            !outgoing.target_.starts_with("/booking") && !outgoing.target_.starts_with("/quote");
         sent.sent_at_ = steady_now_ms();
         sent.limit_ms_ = deadline_ms;
         if (!plain) {
@@ -187,6 +197,73 @@
         {"Tamarackbeam-Prompt-Prefix", sent.first_part_ + ":80," + middle + ":60," + sent.id_ + ":60"});
 }
 
+// Adds a key, at times an unsound one, or turns the request into one for the public route. With random
+// numbers of its own.
+void clients::add_key(http::request& outgoing, sent_request& sent) {
+    organisations* customers = fleet_.customers();
+    if (customers == nullptr) {
+        return;
+    }
+    constexpr std::uint64_t percent = 100;
+    constexpr std::uint64_t public_share = 8;
+    constexpr std::uint64_t unsound_share = 15;
+    constexpr std::uint64_t own_name_share = 10;
+    constexpr std::uint64_t odd_case_share = 10;
+    const bool names_organisation = key_random_() % percent < own_name_share;
+    const bool odd_case = key_random_() % percent < odd_case_share;
+    const bool is_public = key_random_() % percent < public_share;
+    if (is_public) {
+        outgoing = make_public_request(std::string(*outgoing.find("Tamarackbeam-Request-Id")));
+    }
+    if (names_organisation) {
+        outgoing.headers_.push_back(
+            {odd_case ? "tamarackBEAM-tenant" : "Tamarackbeam-Tenant", customers->largest().name_});
+    }
+    sent.tokens_ = plain_tokens; // as many as prompts with parts have
+    sent.key_rule_ = is_public ? key_rule::open : key_rule::needed;
+    if (is_public) {
+        if (odd_case) {
+            sent.keys_ = {customers->unknown_key(key_random_)};
+            outgoing.headers_.push_back({"X-Api-Key", sent.keys_.front()});
+        }
+        return;
+    }
+    const organisation* drawn = customers->draw(key_random_);
+    if (drawn == nullptr || key_random_() % percent < unsound_share) {
+        sent.owed_ = false;
+        add_unsound_key(outgoing, sent);
+        return;
+    }
+    sent.owed_ = !drawn->limit_;
+    sent.keys_ = {drawn->keys_[key_random_() % drawn->keys_.size()]};
+    outgoing.headers_.push_back({odd_case ? "x-aPI-kEY" : "X-Api-Key", sent.keys_.front()});
+}
+
+void clients::add_unsound_key(http::request& outgoing, sent_request& sent) {
+    const organisations& customers = *fleet_.customers();
+    const std::vector<std::string>& revoked = customers.revoked();
+    constexpr std::uint64_t kinds = 6;
+    switch (key_random_() % kinds) {
+    case 0:
+        sent.keys_ = {customers.unknown_key(key_random_)};
+        break;
+    case 1:
+        sent.keys_ = {""};
+        break;
+    case 2: // no key
+        break;
+    case 3:
+        sent.keys_ = {customers.largest().keys_.front(), customers.unknown_key(key_random_)};
+        break;
+    default:
+        sent.keys_ = {revoked.empty() ? customers.unknown_key(key_random_)
+                                      : revoked[key_random_() % revoked.size()]};
+    }
+    for (const std::string& key : sent.keys_) {
+        outgoing.headers_.push_back({"X-Api-Key", key});
+    }
+}
+
 void clients::call_plain(std::size_t gateway, http::request outgoing) {
     const std::string id(*outgoing.find("Tamarackbeam-Request-Id"));
     auto& idle = idle_[gateway];
@@ -251,9 +328,14 @@
             sent.sent_at_ = steady_now_ms();
             sent.limit_ms_ = deadline_ms;
             sent.crashing_request_ = std::string(request.path());
+            http::request outgoing = request;
+            if (const organisations* customers = fleet_.customers()) {
+                sent.key_rule_ = key_rule::needed;
+                sent.keys_ = {customers->largest().keys_.front()};
+                outgoing.headers_.push_back({"X-Api-Key", sent.keys_.front()});
+            }
             judge_.sent(sent);
             ++open_;
-            http::request outgoing = request;
             outgoing.headers_.push_back({"Tamarackbeam-Request-Id", sent.id_});
             outgoing.headers_.push_back({"Tamarackbeam-Deadline-Ms", std::to_string(deadline_ms)});
             status = co_await call_stream(gateway, std::move(outgoing));
--- a/tests/soak/clients.hpp
+++ b/tests/soak/clients.hpp
@@ -37,6 +37,8 @@
     void call_plain(std::size_t gateway, http::request outgoing);
     http::request make_request();
     void add_prompt(http::request& outgoing, sent_request& sent);
+    void add_key(http::request& outgoing, sent_request& sent);
+    void add_unsound_key(http::request& outgoing, sent_request& sent);
 
     boost::asio::io_context& context_;
     fleet& fleet_;
@@ -44,6 +46,7 @@
     std::mt19937_64 random_;
     std::mt19937_64 part_random_;
     std::mt19937_64 pace_random_; // of clients that read late
+    std::mt19937_64 key_random_;
     std::uint64_t seed_;
     std::string crashing_part_;
     double crashing_share_ = 0;
--- a/tests/soak/engine_stand_in.cpp
+++ b/tests/soak/engine_stand_in.cpp
@@ -1,5 +1,7 @@
 #include "soak/engine_stand_in.hpp"
 
+#include "http/message_parser.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -24,6 +26,19 @@
     return std::string(call.find(name).value_or(""));
 }
 
+// What the endpoint got of a request, as the referee judges it.
+received_request received(const http::request& call) {
+    received_request seen;
+    for (const http::header& header : call.headers_) {
+        if (http::same_name(header.name_, "Tamarackbeam-Tenant")) {
+            seen.organisations_.push_back(header.value_);
+        }
+        seen.text_ += header.name_ + ": " + header.value_ + "\n";
+    }
+    seen.text_ += call.target_ + "\n" + call.body_;
+    return seen;
+}
+
 } // namespace
 
 std::string plain_answer(const std::string& request_id) {
@@ -177,6 +192,7 @@
         co_return;
     }
     judge_.ran(request_id, id_, steady_now_ms());
+    judge_.ran_as(request_id, received(call.incoming()), steady_now_ms());
     const std::int64_t incarnation = incarnation_;
     ++running_;
     if (has_models_) {
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -54,7 +54,7 @@
             {"max_attempts", 2}, {"can_resume", resumes}};
 }
 
-std::string configuration_text(int version) {
+json configuration_of(int version) {
     json models = json::array();
     for (int model = 0; model < model_count; ++model) {
         models.push_back({{"name", model_name(model)},
@@ -67,7 +67,7 @@
     }
     const json engine = {{"slots", 16},      {"kv_tokens", 100'000},           {"weights_mb", engine_mb},
                          {"loads_per_s", 2}, {"adapter_slots", adapter_slots}, {"models", models}};
-    const json body = {
+    return {
         {"version", version},
         {"routes",
          {route("lookup", "safe", "plain", false), route("booking", "unsafe", "plain", false),
@@ -76,7 +76,6 @@
          {{{"name", "plain"}, {"health_path", "/healthz"}, {"max_connections", 100}},
           {{"name", "engines"}, {"health_path", "/healthz"}, {"max_connections", 200}, {"engine", engine}}}},
         {"limits", {{"max_header_bytes", 8'192}, {"max_body_bytes", 100'000}}}};
-    return body.dump();
 }
 
 } // namespace
@@ -92,6 +91,17 @@
     : context_(context), folder_(std::move(folder)) {
     std::filesystem::create_directories(folder_);
     agent_port_ = free_port(first_endpoint_host);
+    if (size.organisations_) {
+        organisations_.emplace(seed);
+        for (const organisation& one : organisations_->all()) {
+            for (const std::string& key : one.keys_) {
+                judge.key_added(key, one.name_, 0);
+            }
+            if (one.limit_) {
+                judge.limits_organisation(one.name_, *one.limit_, 0);
+            }
+        }
+    }
     put_configuration();
     for (int number = 0; number < size.engines_ + size.plain_endpoints_; ++number) {
         add_endpoint(number, number < size.engines_, judge, seed * 101 + std::uint64_t(number));
@@ -202,14 +212,25 @@
     }
 }
 
+std::string fleet::configuration_text() const {
+    json body = configuration_of(version_);
+    if (organisations_) {
+        json open = route("open", "safe", "plain", false);
+        open["public"] = true;
+        body["routes"].push_back(open);
+        body["tenants"] = organisations_->rows();
+    }
+    return body.dump();
+}
+
 void fleet::put_configuration() {
     constexpr int version_step = 3; // versions need not follow each other
     version_ += version_step;
-    store_.put("keyed.op", "config", configuration_text(version_));
+    store_.put("keyed.op", "config", configuration_text());
 }
 
 void fleet::write_again() {
-    store_.put("keyed.op", "config", configuration_text(version_));
+    store_.put("keyed.op", "config", configuration_text());
     for (const endpoint_place& one : endpoints_) {
         if (!one.registered_) {
             store_.drop("keyed.servers", one.engine_->id());
--- a/tests/soak/fleet.hpp
+++ b/tests/soak/fleet.hpp
@@ -6,6 +6,7 @@
 #include "harness/process.hpp"
 #include "soak/engine_stand_in.hpp"
 #include "soak/faulty_proxy.hpp"
+#include "soak/organisations.hpp"
 
 #include <filesystem>
 
@@ -15,6 +16,7 @@
     int gateways_ = 3;
     int engines_ = 4;
     int plain_endpoints_ = 2;
+    bool organisations_ = false; // whether requests need keys
 };
 
 // One of the fleet's processes, which can be started again.
@@ -75,6 +77,9 @@
     std::vector<gateway_place>& gateways() { return gateways_; }
     std::vector<endpoint_place>& endpoints() { return endpoints_; }
     direct::fake_store& store() { return store_; }
+
+    // Null if requests need no keys. A change takes effect with the next version of the configuration.
+    organisations* customers() { return organisations_ ? &*organisations_ : nullptr; }
     std::vector<fleet_process*> processes();
 
     // Reports processes that ended by themselves.
@@ -83,6 +88,7 @@
 private:
     void add_endpoint(int number, bool has_models, referee& judge, std::uint64_t seed);
     void add_gateway(int number, const std::vector<std::string>& seeds, std::uint16_t seed_port);
+    std::string configuration_text() const;
     std::string write_settings(const std::string& name, const std::string& text) const;
 
     boost::asio::io_context& context_;
@@ -91,6 +97,7 @@
     std::vector<gateway_place> gateways_;
     std::vector<endpoint_place> endpoints_;
     std::uint16_t agent_port_ = 0;
+    std::optional<organisations> organisations_;
     int version_ = 0;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -16,6 +16,8 @@
 DEFINE_int32(back_offs, 1, "endpoints that turn requests away and ask for time without any, at a time");
 DEFINE_int32(crashing_parts, 0, "spans in which a part of prompts ends engines");
 DEFINE_int32(crashing_requests, 0, "spans in which a client repeats a request that ends endpoints");
+DEFINE_bool(organisations, false, "whether requests need keys of organisations, which the operator changes");
+DEFINE_double(quota_slack, 17'000, "tokens that an organisation may use beside its limit in 8 s");
 DEFINE_int32(plain_endpoints, 2, "endpoints of the plain service");
 DEFINE_bool(drills, true, "whether the store returns from a copy now and then");
 DEFINE_bool(faults, true, "whether there are faults beside the limits and drills");
@@ -42,6 +44,8 @@
         settings.crashing_parts_ = FLAGS_crashing_parts;
         settings.crashing_requests_ = FLAGS_crashing_requests;
         settings.plain_endpoints_ = FLAGS_plain_endpoints;
+        settings.organisations_ = FLAGS_organisations;
+        settings.quota_slack_ = FLAGS_quota_slack;
         settings.drills_ = FLAGS_drills;
         settings.faults_ = FLAGS_faults;
         settings.folder_ = (base / ("seed-" + std::to_string(settings.seed_))).string();
--- a/tests/soak/referee.cpp
+++ b/tests/soak/referee.cpp
@@ -80,6 +80,10 @@
         one.served_ = answer.genuine_ && answer.gapless_;
         served_ += one.served_ ? 1 : 0;
     }
+    constexpr int unauthorized = 401;
+    if (answer.status_ == unauthorized) {
+        judge_refused_key(one.sent_, now);
+    }
     const time_ms due = one.sent_.sent_at_ + one.sent_.limit_ms_ + bounds_.late_answer_ms_;
     if (now > due && !disturbed(one.sent_.gateway_, one.sent_.sent_at_, now)) {
         broken("a final answer came " + std::to_string(now - due) + " ms too late: " + id);
@@ -265,7 +269,7 @@
         const sent_request& sent = one.sent_;
         const bool before = sent.sent_at_ + bounds_.stable_ms_ < crashes.front();
         const bool after = sent.sent_at_ >= from && sent.sent_at_ + sent.limit_ms_ < now;
-        if (sent.first_part_.empty() || sent.crashing_ || (!before && !after) ||
+        if (sent.first_part_.empty() || sent.crashing_ || !sent.owed_ || (!before && !after) ||
             disturbed(sent.gateway_, sent.sent_at_, sent.sent_at_) ||
             disturbed("store", sent.sent_at_, sent.sent_at_) ||
             disturbed("links", sent.sent_at_, sent.sent_at_)) {
@@ -334,7 +338,7 @@
     int sent = 0;
     int served = 0;
     for (const auto& [id, one] : requests_) {
-        if (one.sent_.sent_at_ >= from && one.sent_.sent_at_ < until) {
+        if (one.sent_.owed_ && one.sent_.sent_at_ >= from && one.sent_.sent_at_ < until) {
             ++sent;
             served += one.served_ ? 1 : 0;
         }
--- a/tests/soak/referee.hpp
+++ b/tests/soak/referee.hpp
@@ -30,6 +30,17 @@
     time_ms back_off_told_ms_ = 500;  // a back-off binds its gateway this long after it was asked for
     int sends_in_back_off_ = 2;       // requests that may arrive in it nevertheless
     time_ms limit_told_ms_ = 500;     // until a gateway that got a response with the limit must keep it
+    time_ms config_ms_ = 3'000;       // until a change of keys and limits takes effect
+    time_ms quota_window_ms_ = 8'000; // in which the limit of an organisation is judged
+    double quota_share_ = 1.1;        // of the limit that may be used in that time,
+    double quota_slack_ = 17'000;     // and tokens beside it
+};
+
+// Whether a request needs the key of an organisation.
+enum class key_rule {
+    none,   // there are no organisations
+    needed, // exactly one key that is in force
+    open    // a public route
 };
 
 // What a client knows of its request.
@@ -42,6 +53,22 @@
     std::string first_part_;       // id of the first part of its prompt; empty without one
     bool crashing_ = false;        // has the part that ends engines
     std::string crashing_request_; // path of a request that itself ends engines; empty for others
+    key_rule key_rule_ = key_rule::none;
+    std::vector<std::string> keys_; // values of its key headers
+    double tokens_ = 0;             // that count for the limit of its organisation
+    bool owed_ = true;              // a refusal can only be the system's fault
+};
+
+// What an endpoint received of a request.
+struct received_request {
+    std::vector<std::string> organisations_; // values of all headers that name an organisation
+    std::string text_;                       // of its head and body
+};
+
+// What an organisation may use, in tokens.
+struct usage_limit {
+    double per_s_ = 0;
+    double burst_ = 0;
 };
 
 // What a client received.
@@ -114,6 +141,17 @@
     // A process that was told to stop still ran after its grace time.
     void overstayed(const std::string& process) { broken("a process did not stop in time: " + process); }
 
+    // A version of the configuration with this key, or without it, was acknowledged. The keys of the first
+    // version are added at 0.
+    void key_added(const std::string& key, const std::string& organisation, time_ms now);
+    void key_revoked(const std::string& key, time_ms now);
+
+    // A version with this limit of an organisation was acknowledged.
+    void limits_organisation(const std::string& organisation, const usage_limit& limit, time_ms now);
+
+    // An endpoint began to work on a request that it received in this form.
+    void ran_as(const std::string& id, const received_request& seen, time_ms now);
+
     // Requests without a final answer whose time is over.
     void check_unanswered(time_ms now);
 
@@ -121,7 +159,7 @@
     int requests() const { return int(requests_.size()); }
     int served() const { return served_; }
 
-    // Shares of the requests sent in a span that were served; 1 if there were none.
+    // Share of the owed requests sent in a span that were served; 1 if there were none.
     double served_share(time_ms from, time_ms until) const;
 
 private:
@@ -167,6 +205,34 @@
         int arrivals_ = 0;
     };
 
+    // A key that a version of the configuration had.
+    struct known_key {
+        std::string organisation_;
+        time_ms added_at_ = 0;
+        std::optional<time_ms> revoked_at_;
+    };
+
+    // One request that ran, as it counts for the limit of its organisation.
+    struct usage {
+        time_ms sent_at_ = 0;
+        time_ms ran_at_ = 0;
+        double tokens_ = 0;
+    };
+
+    struct limited_organisation {
+        std::vector<std::pair<time_ms, usage_limit>> limits_; // with the times of their versions
+        std::deque<usage> used_;
+        std::set<std::string> counted_; // ids of requests
+        bool reported_ = false;
+    };
+
+    const known_key* sole_key(const sent_request& one) const;
+    bool out_of_touch(const std::string& gateway, time_ms from, time_ms until) const;
+    void judge_refused_key(const sent_request& one, time_ms now);
+    void note_usage(const std::string& organisation, const sent_request& one, time_ms now);
+    double allowed_by(const limited_organisation& one, time_ms now) const;
+    void broken_rule(const std::string& rule, const std::string& what);
+
     void note_arrival_after_leaving(const std::string& gateway, const std::string& engine,
                                     std::int64_t incarnation, time_ms now);
     void note_arrival_in_back_off(const std::string& gateway, const std::string& engine, time_ms now);
@@ -191,6 +257,9 @@
         back_offs_; // key: gateway and engine
     crash_cause crashing_part_;
     std::map<std::string, crash_cause> crashing_requests_; // keyed by path
+    std::map<std::string, known_key> keys_;
+    std::map<std::string, limited_organisation> organisations_; // that have a limit
+    std::map<std::string, int> broken_rules_;                   // how often
     std::vector<span> disturbances_;
     std::vector<std::string> broken_;
     int served_ = 0;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -29,12 +29,13 @@
 class soak_run {
 public:
     explicit soak_run(const soak_settings& settings)
-        : settings_(settings), random_(settings.seed_),
+        : settings_(settings), random_(settings.seed_), judge_(bounds_of(settings)),
           fleet_(context_, judge_, settings.folder_, settings.seed_,
-                 {settings.gateways_, settings.engines_, settings.plain_endpoints_}),
+                 {settings.gateways_, settings.engines_, settings.plain_endpoints_, settings.organisations_}),
           clients_(context_, fleet_, judge_, settings.seed_), limit_random_(settings.seed_ + 1),
           drill_random_(settings.seed_ + 2), part_random_(settings.seed_ + 4),
-          request_random_(settings.seed_ + 5), back_off_random_(settings.seed_ + 6) {}
+          request_random_(settings.seed_ + 5), back_off_random_(settings.seed_ + 6),
+          operator_random_(settings.seed_ + 8) {}
 
     soak_outcome run() {
         asio::co_spawn(context_, script(), asio::detached);
@@ -50,6 +51,12 @@
 private:
     using fault = awaitable<void> (soak_run::*)();
 
+    static promises bounds_of(const soak_settings& settings) {
+        promises bounds;
+        bounds.quota_slack_ = settings.quota_slack_;
+        return bounds;
+    }
+
     awaitable<void> pause(time_ms duration) {
         asio::steady_timer timer(context_, std::chrono::milliseconds(duration));
         co_await timer.async_wait(asio::use_awaitable);
@@ -93,6 +100,10 @@
             ++active_;
             asio::co_spawn(context_, ask_for_back_offs(until), asio::detached);
         }
+        if (settings_.organisations_) {
+            ++active_;
+            asio::co_spawn(context_, change_organisations(until), asio::detached);
+        }
         if (settings_.crashing_parts_ > 0) {
             ++active_;
             asio::co_spawn(context_, crash_on_parts(), asio::detached);
@@ -188,6 +199,59 @@
         --active_;
     }
 
+    // The operator adds keys and revokes them, at times all of an organisation, and changes a limit. With
+    // random numbers of its own.
+    awaitable<void> change_organisations(time_ms until) {
+        constexpr std::size_t emptied = 1; // organisation that loses all its keys
+        organisations& customers = *fleet_.customers();
+        while (steady_now_ms() < until) {
+            co_await pause(draw(operator_random_, 800, 2'500));
+            const std::size_t number = operator_random_() % customers.all().size();
+            std::vector<std::string> revoked;
+            std::optional<std::pair<std::string, std::string>> added;
+            bool limit_changes = false;
+            constexpr std::uint64_t kinds = 4;
+            switch (operator_random_() % kinds) {
+            case 0:
+                added = customers.add_key(number);
+                break;
+            case 1:
+                if (customers.all()[number].keys_.size() > 1) {
+                    revoked = customers.revoke(number, false);
+                }
+                break;
+            case 2:
+                if (customers.all()[emptied].keys_.empty()) {
+                    added = customers.add_key(emptied);
+                } else {
+                    revoked = customers.revoke(emptied, true);
+                }
+                break;
+            default:
+                limit_changes = true;
+                customers.limited().limit_ = usage_limit{double(draw(operator_random_, 50, 300)),
+                                                         double(draw(operator_random_, 100, 600))};
+            }
+            fleet_.put_configuration();
+            const time_ms now = steady_now_ms();
+            for (const std::string& key : revoked) {
+                note("key revoked: " + key);
+                judge_.key_revoked(key, now);
+            }
+            if (added) {
+                note("key of " + added->first + " added: " + added->second);
+                judge_.key_added(added->second, added->first, now);
+            }
+            if (limit_changes) {
+                const organisation& limited = customers.limited();
+                note("limit of " + limited.name_ + ": " + std::to_string(limited.limit_->per_s_) +
+                     " a second, burst " + std::to_string(limited.limit_->burst_));
+                judge_.limits_organisation(limited.name_, *limited.limit_, now);
+            }
+        }
+        --active_;
+    }
+
     // The store is away for a moment and returns from a copy some seconds old, at times twice in short
     // succession. What it lost is written again after a while. With random numbers of its own.
     awaitable<void> drill_store(time_ms until) {
@@ -517,6 +581,7 @@
     std::mt19937_64 part_random_;
     std::mt19937_64 request_random_;
     std::mt19937_64 back_off_random_;
+    std::mt19937_64 operator_random_;
     std::mt19937_64 crash_random_{1};
     soak_outcome outcome_;
     time_ms started_at_ = 0;
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -14,12 +14,14 @@
     int limits_ = 1;    // endpoints that name a limit on their requests at a time
     int back_offs_ = 1; // endpoints that turn requests away and ask for time without any, at a time
     int plain_endpoints_ = 2;
-    int crashing_parts_ = 0;    // spans in which a part of prompts ends engines, one after the other
-    int crashing_requests_ = 0; // the same of single requests, to the plain service and to engines in turn
-    bool drills_ = true;        // whether the store returns from a copy now and then
-    bool leaving_only_ = false; // endpoints leave by their responses alone, and nothing else happens
-    bool faults_ = true;        // otherwise only the limits and drills
-    std::string folder_;        // folder of the settings and logs
+    int crashing_parts_ = 0;      // spans in which a part of prompts ends engines, one after the other
+    int crashing_requests_ = 0;   // the same of single requests, to the plain service and to engines in turn
+    bool organisations_ = false;  // whether requests need keys, which the operator changes
+    double quota_slack_ = 17'000; // tokens that an organisation may use beside its limit
+    bool drills_ = true;          // whether the store returns from a copy now and then
+    bool leaving_only_ = false;   // endpoints leave by their responses alone, and nothing else happens
+    bool faults_ = true;          // otherwise only the limits and drills
+    std::string folder_;          // folder of the settings and logs
 };
 
 struct soak_outcome {
