Identify the organisation of each request at one door

What callers saw: nothing. Endpoints saw the keys of all clients and no name of an organisation (UNASKED), and ran requests with unknown keys (ROUTE) and with keys that had been taken away (CONFIG).

Cause: the gateway did not know that organisations exist. Their part of the configuration was skipped, and their key is one of the headers that no list names, so it was copied.

Change: `identity`, a rule without network and clock, is asked when a request is routed, whenever an endpoint is chosen, and before the first byte of each attempt. All requests of clients reach endpoints by one function and with one head, from which keys and the headers that only a gateway sets are dropped; the name of the organisation is written there. An unknown key gets 503 instead of 401 from a gateway whose view of the store is old. Names of requests in the quarantine come from the organisation instead of credentials.

--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -93,6 +93,11 @@
     }
 }
 
+bool fleet_state::is_view_old(time_ms now) const {
+    const time_ms age = view_age_ms(now);
+    return age < 0 || age > max_view_age_ms;
+}
+
 bool fleet_state::newer_view_is_due(time_ms now) {
     if (view_age_ms(now) <= max_view_age_ms) {
         return false;
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -4,6 +4,7 @@
 #include "gateway/demand.hpp"
 #include "gateway/endpoint.hpp"
 #include "tamarack/gateway.hpp"
+#include "tamarack/identity.hpp"
 #include "tamarack/notices.hpp"
 #include "tamarack/provisioning.hpp"
 #include "tamarack/quarantine.hpp"
@@ -12,13 +13,14 @@
 
 namespace tamarack::gateway {
 
-// A configuration with its route index. Requests share ownership of the one that routed them.
+// A configuration with its indexes. Requests share ownership of the one that routed them.
 struct indexed_configuration {
     explicit indexed_configuration(std::shared_ptr<const fleet::configuration> configuration)
-        : configuration_(std::move(configuration)), index_(*configuration_) {}
+        : configuration_(std::move(configuration)), index_(*configuration_), keys_(*configuration_) {}
 
     std::shared_ptr<const fleet::configuration> configuration_;
     fleet::route_index index_;
+    identity::key_index keys_;
 };
 
 // The endpoint and its present incarnation.
@@ -50,6 +52,9 @@
     // Age of the data that a choice of an endpoint rests on; -1 if there has been none.
     time_ms view_age_ms(time_ms now) const { return fleet::age_ms(registry_freshness_, now); }
 
+    // Whether the platform's store has not been read for longer than a process in touch with it lets pass.
+    bool is_view_old(time_ms now) const;
+
     // Whether a request should wait a moment for a newer view of the endpoints before one is chosen. The view
     // is then older than a process that runs lets it become, so a newer one is a read away unless the store
     // serves nobody.
--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -94,6 +94,7 @@
     if (tokens.size() == 2) {
         metadata.prompt_tokens_ = parse_amount(tokens[0]).value_or(0);
         metadata.output_tokens_ = parse_amount(tokens[1]).value_or(0);
+        metadata.counts_tokens_ = parse_amount(tokens[0]) && parse_amount(tokens[1]);
     }
     for (const std::string& part : split_list(header_value(incoming.headers_, names.prompt_parts_))) {
         const std::size_t colon = part.find(':');
@@ -128,6 +129,7 @@
             http::same_name(header.name_, names.deadline_) ||
             (parameters.last_event_id_ && http::same_name(header.name_, names.last_event_id_)) ||
             contains(names.reserved_, header.name_) ||
+            (parameters.drops_keys_ && http::same_name(header.name_, names.key_)) ||
             (contains(listed_names, header.name_) && !is_always_forwarded(header.name_, names));
         if (!dropped) {
             bytes += header.name_ + ": " + header.value_ + "\r\n";
@@ -135,6 +137,9 @@
     }
     bytes += names.deadline_ + ": " + std::to_string(std::max<time_ms>(1, parameters.left_ms_)) + "\r\n";
     bytes += names.expected_endpoint_ + ": " + std::string(parameters.endpoint_) + "\r\n";
+    if (!parameters.organisation_.empty()) {
+        bytes += names.organisation_ + ": " + std::string(parameters.organisation_) + "\r\n";
+    }
     if (parameters.urgency_ >= 0) {
         bytes += names.priority_ + ": " + std::to_string(parameters.urgency_) + "\r\n";
     }
--- a/src/gateway/head_rewrite.hpp
+++ b/src/gateway/head_rewrite.hpp
@@ -16,11 +16,17 @@
     std::string adapter_; // empty if none is named
     double prompt_tokens_ = 0;
     double output_tokens_ = 0;                                 // limit of generated tokens
+    bool counts_tokens_ = false;                               // whether the request names both numbers
     std::vector<std::pair<std::string, double>> prompt_parts_; // id and number of tokens, in order; the last
                                                                // part belongs to this request alone
     std::optional<time_ms> deadline_ms_;                       // time left when the request arrived
     std::optional<std::int64_t> last_event_id_;
     std::vector<std::string> keys_; // values of all key headers; never to be logged
+
+    // Most tokens that the request reads and generates together, if it says so.
+    std::optional<double> tokens() const {
+        return counts_tokens_ ? std::optional(prompt_tokens_ + output_tokens_) : std::nullopt;
+    }
 };
 
 request_metadata parse_request_metadata(const http::request& incoming, const header_names& names);
@@ -30,11 +36,14 @@
     time_ms left_ms_ = 0;
     std::string_view endpoint_;
     int urgency_ = -1;                          // negative for plain services, which get no such header
+    std::string_view organisation_;             // empty if the request belongs to none
+    bool drops_keys_ = false;                   // whether the key header is the gateway's own concern
     std::optional<std::int64_t> last_event_id_; // replacement of the client's, if set
 };
 
 // Returns the head of the request as sent to the endpoint: method and target unchanged, the length of the
-// body, without hop-by-hop headers and without client headers that only the gateway may set.
+// body, without hop-by-hop headers, keys, and client headers that only the gateway may set. All requests of
+// clients go to endpoints with such a head.
 std::string forwarded_head(const http::request& incoming, std::size_t body_bytes, const header_names& names,
                            const forward_parameters& parameters);
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -60,12 +60,12 @@
 void request_flow::start() {
     arrived_at_ = steady_now_ms();
     metadata_ = parse_request_metadata(incoming_, context_.fleet_.names_);
-    suspects_ = name_suspects(incoming_, metadata_);
-    // All attempts send the same bytes; what a request holds is charged once.
-    body_ = std::make_shared<const std::string>(std::move(incoming_.body_));
-    if (!find_route()) {
+    if (!find_route() || !identify()) {
         return;
     }
+    suspects_ = name_suspects(incoming_, metadata_, caller_.organisation_);
+    // All attempts send the same bytes; what a request holds is charged once.
+    body_ = std::make_shared<const std::string>(std::move(incoming_.body_));
     if (refuse_if_quarantined()) {
         return;
     }
@@ -216,6 +216,9 @@
 }
 
 void request_flow::try_next_endpoint() {
+    if (!is_still_identified() && !identify()) {
+        return;
+    }
     if (is_quarantined()) {
         refuse("quarantined", quarantine_retry_after_ms);
         return;
@@ -370,7 +373,7 @@
     const dispatch::budget_sharers& sharers = context_.fleet_.budget_sharers();
     dispatch::retry_window& retries = context_.fleet_.retries(service_->name_);
     const bool repeats = arrived_attempts_ > 0;
-    if (is_quarantined() || !context_.fleet_.accepts_requests(target) ||
+    if (!is_still_identified() || is_quarantined() || !context_.fleet_.accepts_requests(target) ||
         context_.fleet_.notices_.back_off_ms(key_of(target), boot_now_ms()) ||
         (repeats && !retries.available(now, sharers)) || !confirm_place(target.record().id_)) {
         return false;
@@ -391,6 +394,8 @@
     forward.left_ms_ = left_ms(now);
     forward.endpoint_ = target->record().id_;
     forward.urgency_ = service_->engine_ ? urgency(now) : -1;
+    forward.organisation_ = caller_.organisation_;
+    forward.drops_keys_ = caller_.keyed_;
     if (stream_begun_) {
         forward.last_event_id_ = splitter_.last_id();
     }
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -39,6 +39,9 @@
 inline constexpr time_ms not_ready_retry_after_ms =
     400; // expected time until a gateway has learned the fleet's state
 
+inline constexpr int status_unavailable = 503;
+inline constexpr int status_too_many_requests = 429;
+
 // Time after which a request that is quarantined may be sent again, unless an operator releases it.
 inline constexpr time_ms quarantine_retry_after_ms = quarantine::usual_trial_ms;
 
@@ -71,6 +74,14 @@
     time_ms taken_at_ = 0;
 };
 
+// Whose request it is, by the configuration that it was identified with.
+struct caller {
+    std::string organisation_; // empty if the request belongs to none
+    std::optional<int> rank_;  // replaces the rank of the route
+    fleet::usage_limit limit_;
+    bool keyed_ = false; // whether the configuration lists organisations
+};
+
 // What the last choice of an endpoint rested on.
 struct endpoint_choice {
     int candidates_ = 0;
@@ -96,6 +107,8 @@
 
 private:
     bool find_route();
+    bool identify();
+    bool is_still_identified() const;
     bool refuse_if_quarantined();
     bool is_quarantined() const;
     void end_trial();
@@ -151,7 +164,7 @@
     void on_attempt_ended(dispatch::send_end end, http::response_parser& response);
     void deliver(http::response_parser& response);
 
-    void refuse(std::string_view reason, time_ms wait_ms);
+    void refuse(std::string_view reason, time_ms wait_ms, int status = status_unavailable);
     void fail(std::string_view reason);
     void send_own_response(int status, std::string_view reason, std::vector<http::header> headers = {});
     void on_deadline();
@@ -173,7 +186,8 @@
     bool is_late(time_ms now) const {
         return possible_runs_ == 0 && (returned_after_refusal_ || now - arrived_at_ > route_->objective_ms_);
     }
-    int urgency(time_ms now) const { return dispatch::urgency(route_->rank_, is_late(now)); }
+    int rank() const { return caller_.rank_.value_or(route_->rank_); }
+    int urgency(time_ms now) const { return dispatch::urgency(rank(), is_late(now)); }
 
     bool is_stream_route() const { return route_->repeat_ == fleet::repeat_rule::stream; }
     time_ms left_ms(time_ms now) const { return deadline_at_ - now; }
@@ -184,6 +198,7 @@
     http::request incoming_; // the body is in `body_`
     std::shared_ptr<const std::string> body_;
     request_metadata metadata_;
+    caller caller_;
     std::vector<std::string> suspects_; // the request and the shared parts of its prompt
     std::shared_ptr<const indexed_configuration> configured_; // owner of `route_` and `service_`
     const fleet::route_rule* route_ = nullptr;
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -24,7 +24,6 @@
 constexpr int first_server_error_status = 500;
 constexpr int status_misdirected = 421;
 constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 
 } // namespace
@@ -332,7 +331,7 @@
 }
 
 // Tells the client that the request has not run and when to retry. Fails the request if it may have run.
-void request_flow::refuse(std::string_view reason, time_ms wait_ms) {
+void request_flow::refuse(std::string_view reason, time_ms wait_ms, int status) {
     if (possible_runs_ > 0) {
         fail(reason);
         return;
@@ -343,7 +342,7 @@
     constexpr double ms_per_s = 1'000;
     char seconds[32];
     std::snprintf(seconds, sizeof(seconds), "%.3f", double(after) / ms_per_s);
-    send_own_response(status_unavailable, reason, {{"Retry-After", seconds}});
+    send_own_response(status, reason, {{"Retry-After", seconds}});
 }
 
 // Ends the request with an unknown outcome, without telling the client to retry.
@@ -429,6 +428,7 @@
         return;
     }
     if (exchange_) {
+        possible_runs_ += exchange_->sent() ? 1 : 0;
         std::exchange(exchange_, nullptr)->abandon();
     }
     finish(0, "client_gone");
@@ -468,6 +468,7 @@
                             {{"route", route_ == nullptr ? std::string() : route_->name_},
                              {"configuration", version},
                              {"keys", int(metadata_.keys_.size())},
+                             {"organisation", caller_.organisation_},
                              {"model", metadata_.model_},
                              {"endpoint", attempt_ ? attempt_->target().record().id_ : std::string()},
                              {"limit_per_s", limit_of_endpoint()},
@@ -477,7 +478,7 @@
                              {"view_age_ms", view_age_ms_},
                              {"status", status},
                              {"outcome", outcome}}});
-    const std::string rank = route_ == nullptr ? "none" : std::to_string(route_->rank_);
+    const std::string rank = route_ == nullptr ? "none" : std::to_string(this->rank());
     context_.metrics_.count("tamarack_requests_total",
                             "Requests by the rank of their route and their outcome",
                             {{"rank", rank}, {"outcome", std::string(outcome)}});
--- a/src/gateway/suspects.cpp
+++ b/src/gateway/suspects.cpp
@@ -5,13 +5,16 @@
 
 namespace tamarack::gateway {
 
-std::vector<std::string> name_suspects(const http::request& incoming, const request_metadata& metadata) {
+std::vector<std::string> name_suspects(const http::request& incoming, const request_metadata& metadata,
+                                       std::string_view organisation) {
     const http::header* credentials = http::find_header(incoming.headers_, "Authorization");
     quarantine::request_identity identity;
     identity.method_ = incoming.method_;
     identity.host_ = metadata.host_;
     identity.target_ = incoming.target_;
-    identity.caller_ = credentials == nullptr ? std::string_view() : credentials->value_;
+    identity.caller_ = !organisation.empty()    ? organisation
+                       : credentials == nullptr ? std::string_view()
+                                                : std::string_view(credentials->value_);
     identity.body_ = incoming.body_;
     std::vector<std::string> suspects;
     std::string prompt;
--- /dev/null
+++ b/tests/direct/identity_test.cpp
@@ -0,0 +1,223 @@
+// Whose request it is, by the key that it presents.
+#include "direct/request_flow_fixture.hpp"
+#include "gateway/suspects.hpp"
+#include "tamarack/identity.hpp"
+
+#include <array>
+
+namespace tamarack::gateway {
+
+using identity::outcome;
+
+namespace {
+
+// Two engines that hold a model, and two organisations of which one has two keys.
+struct identity_fixture : flow_fixture {
+    identity_fixture() {
+        configure(2, {{"o-1", {"key-1", "key-2"}, std::nullopt, {}}, {"o-2", {"key-3"}, std::nullopt, {}}});
+        fleet_.set_registry_freshness({boot_now_ms(), boot_now_ms(), false});
+    }
+
+    void configure(std::int64_t version, std::vector<fleet::organisation> organisations,
+                   bool public_route = false) {
+        auto configuration = std::make_shared<fleet::configuration>(*fleet_.current()->configuration_);
+        configuration->version_ = version;
+        configuration->organisations_ = std::move(organisations);
+        configuration->routes_.front().public_ = public_route;
+        fleet_.apply_configuration(std::make_shared<const indexed_configuration>(configuration));
+    }
+
+    std::shared_ptr<request_flow> start_with(std::vector<http::header> further,
+                                             const std::string& model = "m") {
+        std::vector<http::header> headers = {{"Host", "shop.example"},
+                                             {"Tamarackbeam-Request-Id", "r-1"},
+                                             {"Tamarackbeam-Deadline-Ms", "2000"},
+                                             {"Tamarackbeam-Model", model}};
+        headers.insert(headers.end(), further.begin(), further.end());
+        auto flow = std::make_shared<request_flow>(
+            flows_, sink_, http::request{"POST", "/drafts/x", std::move(headers), "body"});
+        flow->on_finished([] {});
+        flow->start();
+        return flow;
+    }
+
+    std::string received() const {
+        std::string all;
+        for (const fake_endpoint* one : {&first_, &second_}) {
+            for (const std::string& request : one->received_requests()) {
+                all += request;
+            }
+        }
+        return all;
+    }
+
+    std::string header(const std::string& name) const {
+        const http::header* found = http::find_header(sink_->headers_, name);
+        return found == nullptr ? std::string() : found->value_;
+    }
+};
+
+} // namespace
+
+// UNASKED: an endpoint got the key of a client, and not the name of its organisation.
+TEST_CASE_FIXTURE(identity_fixture, "request_with_a_key_is_sent_with_its_organisation_and_without_the_key") {
+    start_with({{"x-aPI-kEY", "key-2"}, {"tamarackbeam-tenant", "o-2"}});
+    run();
+    CHECK(sink_->status_ == 200);
+    CHECK(received().find("Tamarackbeam-Tenant: o-1\r\n") != std::string::npos);
+    CHECK(received().find("o-2") == std::string::npos);
+    CHECK(received().find("key-") == std::string::npos);
+    CHECK(log_.find("key-") == std::string::npos);
+    CHECK(metrics_.text().find("key-") == std::string::npos);
+}
+
+// ROUTE: requests with keys that no configuration held were run.
+TEST_CASE_FIXTURE(identity_fixture, "request_without_exactly_one_known_key_is_refused_and_not_sent") {
+    const std::vector<std::vector<http::header>> cases = {
+        {},
+        {{"X-Api-Key", ""}},
+        {{"X-Api-Key", "key-9"}},
+        {{"X-Api-Key", "KEY-1"}},
+        {{"X-Api-Key", "key-1,key-1"}},
+        {{"X-Api-Key", std::string(8'192, 'k')}},
+        {{"X-Api-Key", "key-1"}, {"X-Api-Key", "key-1"}},
+        {{"Tamarackbeam-Tenant", "o-1"}},
+    };
+    for (const auto& headers : cases) {
+        CAPTURE(headers.size());
+        sink_ = std::make_shared<status_sink>();
+        start_with(headers);
+        run();
+        context_.restart();
+        CHECK(sink_->status_ == 401);
+    }
+    CHECK(received().empty());
+}
+
+TEST_CASE_FIXTURE(identity_fixture, "request_on_a_public_route_is_sent_without_key_and_organisation") {
+    configure(3, *fleet_.current()->configuration_->organisations_, true);
+    start_with({{"X-Api-Key", "key-9"}, {"Tamarackbeam-Tenant", "o-1"}});
+    run();
+    CHECK(sink_->status_ == 200);
+    CHECK(received().find("key-9") == std::string::npos);
+    CHECK(received().find("o-1") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(flow_fixture, "request_without_configured_organisations_keeps_its_headers") {
+    http::request request{"POST",
+                          "/drafts/x",
+                          {{"Host", "shop.example"},
+                           {"Tamarackbeam-Request-Id", "r-1"},
+                           {"Tamarackbeam-Model", "m"},
+                           {"X-Api-Key", "k"}},
+                          "body"};
+    const auto flow = std::make_shared<request_flow>(flows_, sink_, std::move(request));
+    flow->on_finished([] {});
+    flow->start();
+    run();
+    CHECK(sink_->status_ == 200);
+    const auto sent =
+        first_.received_requests().empty() ? second_.received_requests() : first_.received_requests();
+    CHECK(sent.front().find("X-Api-Key: k\r\n") != std::string::npos);
+}
+
+// CONFIG: a request that waited was run after its key had been taken away.
+TEST_CASE_FIXTURE(identity_fixture, "request_key_is_revoked_while_its_adapter_is_loaded_is_refused") {
+    const auto flow = start_with({{"X-Api-Key", "key-1"}}, "m/a1");
+    REQUIRE(adapters_.size() == 1);
+    configure(3, {{"o-1", {"key-2"}, std::nullopt, {}}});
+    adapters_.front().second(true);
+    run();
+    CHECK(sink_->status_ == 401);
+    CHECK(received().empty());
+}
+
+// UNASKED: a request that waited was run for the organisation that had held its key before.
+TEST_CASE_FIXTURE(identity_fixture,
+                  "request_key_changes_hands_while_its_adapter_is_loaded_runs_for_its_holder") {
+    const auto flow = start_with({{"X-Api-Key", "key-1"}}, "m/a1");
+    REQUIRE(adapters_.size() == 1);
+    configure(3, {{"o-1", {}, std::nullopt, {}}, {"o-2", {"key-1"}, std::nullopt, {}}});
+    adapters_.front().second(true);
+    for (std::size_t next = 1; next < 3 && sink_->status_ == 0; ++next) {
+        context_.run_for(std::chrono::milliseconds(100));
+        if (adapters_.size() > next) {
+            adapters_[next].second(true);
+        }
+    }
+    run();
+    CHECK(sink_->status_ == 200);
+    CHECK(received().find("Tamarackbeam-Tenant: o-2\r\n") != std::string::npos);
+    CHECK(received().find("o-1") == std::string::npos);
+}
+
+// DENIED: a gateway that had lost the store refused a key of a newer configuration for good.
+TEST_CASE_FIXTURE(identity_fixture, "request_with_an_unknown_key_while_the_view_is_old_may_return") {
+    fleet_.set_registry_freshness({boot_now_ms() - 10'000, boot_now_ms() - 20'000, false});
+    start_with({{"X-Api-Key", "key-9"}});
+    CHECK(sink_->status_ == 503);
+    CHECK_FALSE(header("Retry-After").empty());
+    CHECK(received().empty());
+}
+
+TEST_CASE_FIXTURE(identity_fixture, "request_rank_of_its_organisation_replaces_that_of_the_route") {
+    configure(3, {{"o-1", {"key-1"}, 2, {}}});
+    start_with({{"X-Api-Key", "key-1"}});
+    run();
+    const int expected = dispatch::urgency(2, false);
+    CHECK(received().find("Tamarackbeam-Request-Priority: " + std::to_string(expected) + "\r\n") !=
+          std::string::npos);
+}
+
+// Repeats of a request under two keys of one organisation are the same request, and no name of one is made
+// from its key.
+TEST_CASE("suspects_of_an_organisation_do_not_depend_on_its_keys") {
+    http::request incoming{"GET", "/x", {{"Host", "h"}, {"X-Api-Key", "key-1"}}, ""};
+    const request_metadata metadata;
+    const auto names = name_suspects(incoming, metadata, "o-1");
+    incoming.headers_.back().value_ = "key-2";
+    CHECK(name_suspects(incoming, metadata, "o-1") == names);
+    CHECK(name_suspects(incoming, metadata, "o-2") != names);
+}
+
+TEST_CASE("key_index_with_many_organisations_finds_the_holder_of_each_key") {
+    constexpr int organisation_count = 1'000;
+    constexpr int keys_each = 100;
+    fleet::configuration configuration;
+    configuration.organisations_.emplace();
+    for (int index = 0; index < organisation_count; ++index) {
+        fleet::organisation one{"o-" + std::to_string(index), {}, std::nullopt, {}};
+        for (int key = 0; key < keys_each; ++key) {
+            one.keys_.push_back(one.name_ + "-" + std::to_string(key));
+        }
+        configuration.organisations_->push_back(std::move(one));
+    }
+    const identity::key_index index(configuration);
+    CHECK(index.required());
+    for (const fleet::organisation& one : *configuration.organisations_) {
+        for (const std::string& key : one.keys_) {
+            REQUIRE(index.find(key) == &one);
+        }
+        REQUIRE(index.find(one.name_) == nullptr);
+    }
+    CHECK(index.find("") == nullptr);
+}
+
+TEST_CASE("identify_empty_list_of_organisations_accepts_nobody_and_no_list_everybody") {
+    fleet::configuration configuration;
+    const fleet::route_rule route;
+    const std::array<std::string, 1> key = {"k"};
+    CHECK(identity::identify(identity::key_index(configuration), route, key).outcome_ == outcome::anonymous);
+    configuration.organisations_.emplace();
+    CHECK(identity::identify(identity::key_index(configuration), route, key).outcome_ ==
+          outcome::unknown_key);
+    CHECK(identity::identify(identity::key_index(configuration), route, {}).outcome_ == outcome::no_key);
+}
+
+TEST_CASE("usage_counts_requests_or_their_tokens") {
+    CHECK(identity::usage({10, 10, false, 200}, 900) == 1);
+    CHECK(identity::usage({10, 10, true, 200}, 900) == 900);
+    CHECK(identity::usage({10, 10, true, 200}, std::nullopt) == 200);
+}
+
+} // namespace tamarack::gateway
