--- /dev/null
+++ b/include/tamarack/quotas.hpp
@@ -0,0 +1,92 @@
+// Quotas: how all gateways together keep the limits on what organisations use.
+//
+// Each gateway estimates one common token bucket for each organisation. It is refilled at the organisation's
+// rate, and reduced by the gateway's own use and by what the other gateways announce. Between two
+// announcements of a gateway, its use is extrapolated at the rate that it announced. Nothing here does I/O or
+// reads a clock: times are those of `boot_now_ms`, so that a process that stood still knows it.
+#pragma once
+
+#include "tamarack/kernel.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace tamarack::quotas {
+
+// What an organisation may use. Amounts are tokens or requests.
+struct quota {
+    double per_s_ = 0; // 0: no limit
+    double burst_ = 0;
+    // Amount by which the use in a window may exceed rate * window + burst. Gateways learn of each other's use
+    // only after a moment, so with little tolerance and many gateways a quota may be exceeded by the requests
+    // that several gateways send in this moment, and some requests are refused below it.
+    double tolerance_ = 0;
+    bool operator==(const quota&) const = default;
+};
+
+// What one gateway tells the others about one organisation.
+struct announcement {
+    std::string organisation_;
+    double used_ = 0;         // total since the sender's start
+    double used_per_s_ = 0;   // that it expects to use next
+    double wanted_per_s_ = 0; // that its clients ask for
+    double level_ = 0;        // of the common bucket, as the sender estimates it
+};
+
+// Most announcements in one message.
+inline constexpr std::size_t max_announcements = 64;
+
+// State of one organisation, for metrics and logs.
+struct quota_state {
+    std::string organisation_;
+    quota quota_;
+    double level_ = 0;
+    double used_ = 0;    // by this gateway, since its start
+    double refused_ = 0; // by this gateway, since its start
+    int sharers_ = 0;    // gateways that use the quota, with this one
+};
+
+// The quotas that one gateway knows, and its estimate of what is left of each.
+class shared_quotas {
+public:
+    shared_quotas(std::string own_id, time_ms started_at);
+
+    // Sets the quotas of a new configuration. Organisations without an entry have no limit.
+    void set_quotas(std::map<std::string, quota, std::less<>> quotas, time_ms now);
+
+    // Takes an amount for a request. Returns nothing if it was taken or the organisation has no limit; else the
+    // expected time until there is room for it.
+    [[nodiscard]] std::optional<time_ms> take(std::string_view organisation, double amount, time_ms now);
+
+    // Returns an amount that was taken and not used.
+    void give_back(std::string_view organisation, double amount, time_ms now);
+
+    // Another gateway announced this. `late_ms` is how much longer than usual the message was on its way.
+    // Announcements come from other processes: numbers that are not finite or negative are ignored.
+    void apply(const std::string& from, std::uint64_t incarnation, std::span<const announcement> announced,
+               time_ms late_ms, time_ms now);
+
+    // What this gateway tells the others, at most `max_announcements`, those with most recent demand first.
+    // Remembers it as told at `now`, so it is to be called only for a message that is sent.
+    std::vector<announcement> announce(time_ms now);
+
+    // To be called a few times a second. A gateway that is shutting down passes false.
+    void update(time_ms now, bool takes_part);
+
+    bool limited(std::string_view organisation) const;
+    std::size_t count() const;
+
+    // States of all organisations that have a limit, those with most recent demand first.
+    std::vector<quota_state> report(time_ms now);
+
+private:
+    struct state;
+    struct peer;
+};
+
+} // namespace tamarack::quotas
