Keep the quotas of organisations by announcements between gateways

Cause: an organisation's limit counts over all gateways, and no service stands between them. Change: each gateway estimates one common token bucket for each organisation, from its own use and from totals and rates in the digests. A gateway uses a bounded part of the level beyond what the others expect of it, and keeps to its part of the rate while the level is low. The digest names organisations by hash, 32 bytes each. Metrics are bounded to 16 organisations and the rest.

--- a/include/tamarack/links.hpp
+++ b/include/tamarack/links.hpp
@@ -30,6 +30,7 @@
 using engine_end = fbs::EngineEndT;
 using leaving_endpoint = fbs::LeavingEndpointT;
 using part_state = fbs::PartStateT;
+using quota_use = fbs::QuotaUse;
 using store_relay = fbs::StoreRelayT;
 using echo = fbs::EchoT;
 using frame = fbs::FrameT;
--- a/include/tamarack/quotas.hpp
+++ b/include/tamarack/quotas.hpp
@@ -22,9 +22,9 @@
 struct quota {
     double per_s_ = 0; // 0: no limit
     double burst_ = 0;
-    // Amount by which the use in a window may exceed rate * window + burst. Gateways learn of each other's use
-    // only after a moment, so with little tolerance and many gateways a quota may be exceeded by the requests
-    // that several gateways send in this moment, and some requests are refused below it.
+    // Amount by which the use in a window may exceed rate * window + burst. Gateways learn of each other's
+    // use only after a moment, so with little tolerance and many gateways a quota may be exceeded by the
+    // requests that several gateways send in this moment, and some requests are refused below it.
     double tolerance_ = 0;
     bool operator==(const quota&) const = default;
 };
@@ -59,8 +59,8 @@
     // Sets the quotas of a new configuration. Organisations without an entry have no limit.
     void set_quotas(std::map<std::string, quota, std::less<>> quotas, time_ms now);
 
-    // Takes an amount for a request. Returns nothing if it was taken or the organisation has no limit; else the
-    // expected time until there is room for it.
+    // Takes an amount for a request. Returns nothing if it was taken or the organisation has no limit; else
+    // the expected time until there is room for it.
     [[nodiscard]] std::optional<time_ms> take(std::string_view organisation, double amount, time_ms now);
 
     // Returns an amount that was taken and not used.
@@ -75,9 +75,15 @@
     // Remembers it as told at `now`, so it is to be called only for a message that is sent.
     std::vector<announcement> announce(time_ms now);
 
+    // Whether the others should be told at once, since this gateway uses much more than they expect.
+    bool announcement_is_due() const { return announcement_is_due_; }
+
     // To be called a few times a second. A gateway that is shutting down passes false.
     void update(time_ms now, bool takes_part);
 
+    // Names of the organisations that have a limit.
+    std::vector<std::string> organisations() const;
+
     bool limited(std::string_view organisation) const;
     std::size_t count() const;
 
@@ -85,8 +91,72 @@
     std::vector<quota_state> report(time_ms now);
 
 private:
-    struct state;
-    struct peer;
+    // What this gateway told the others at some time.
+    struct told_use {
+        time_ms at_ = 0;
+        double used_ = 0;
+        double used_per_s_ = 0;
+        double wanted_per_s_ = 0;
+    };
+
+    // What another gateway uses of one quota.
+    struct peer_use {
+        double used_ = 0;    // as announced
+        double counted_ = 0; // beyond that, extrapolated
+        double counted_per_s_ = 0;
+        time_ms counted_at_ = 0;
+        double used_per_s_ = 0; // as announced
+        double wanted_per_s_ = 0;
+        double level_ = 0;
+    };
+
+    struct peer {
+        std::uint64_t incarnation_ = 0;
+        time_ms heard_at_ = 0;
+        bool holds_part_ = true;
+        std::map<std::string, peer_use, std::less<>> uses_; // by organisation
+    };
+
+    // What this gateway knows of one organisation's quota.
+    struct state {
+        quota quota_;
+        double level_ = 0;
+        time_ms settled_at_ = 0;
+        double others_per_s_ = 0; // use of the others, as extrapolated
+        double others_wanted_per_s_ = 0;
+        int others_ = 0; // gateways that hold a part
+        std::optional<time_ms> forgives_at_;
+
+        double used_ = 0;
+        double refused_ = 0;
+        double wanted_ = 0; // decaying sum of the amounts asked for
+        time_ms wanted_at_ = 0;
+        double request_ = 0; // decaying average of the amounts
+        std::deque<told_use> told_;
+
+        bool paced_ = false;
+        double credit_ = 0; // of the pace; negative while a request is owed
+        std::uint64_t paced_count_ = 0;
+    };
+
+    bool listens(time_ms now) const;
+    void settle(state& one, std::string_view organisation, time_ms now) const;
+    double wanted_per_s(const state& one, time_ms now) const;
+    double share(const state& one) const;
+    double pace_per_s(const state& one, time_ms now) const;
+    bool overloaded(const state& one, time_ms now) const;
+    void recount(time_ms now);
+    void adopt_levels(time_ms now);
+
+    std::string own_id_;
+    time_ms listens_until_;
+    time_ms updated_at_;
+    bool adopts_levels_ = true; // once it has listened
+    bool takes_part_ = true;
+    bool isolated_ = false; // most others fell silent
+    bool announcement_is_due_ = false;
+    std::map<std::string, state, std::less<>> states_;
+    std::map<std::string, peer, std::less<>> peers_;
 };
 
 } // namespace tamarack::quotas
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -7,6 +7,7 @@
 #include "tamarack/notices.hpp"
 #include "tamarack/provisioning.hpp"
 #include "tamarack/quarantine.hpp"
+#include "tamarack/quotas.hpp"
 
 #include <random>
 
@@ -125,6 +126,7 @@
     demand_meter demand_;
     notices::endpoint_notices notices_;
     quarantine::suspect_quarantine quarantine_;
+    quotas::shared_quotas quotas_;
 
 private:
     const fleet::model_spec* find_model(std::string_view service, std::string_view model) const;
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -47,6 +47,7 @@
                    apply_limits(digest, late_ms);
                    apply_leaving(digest);
                    apply_quarantine(digest, late_ms);
+                   apply_quotas(digest, late_ms);
                },
                [this](const links::configuration_relay& relay) {
                    const auto& current = fleet_.current();
@@ -165,9 +166,10 @@
     measures_.set("tamarack_leaving_endpoints", "Endpoints that are known to shut down", {},
                   double(fleet_.notices_.leaving_count()));
     update_quarantine();
+    update_quotas();
     const bool just_started = now - started_at_ < startup_digest_ms;
     if (++ticks_ % ticks_per_digest == 0 || just_started || notices_changed_ ||
-        fleet_.quarantine_.announcement_is_due()) {
+        fleet_.quarantine_.announcement_is_due() || fleet_.quotas_.announcement_is_due()) {
         send_digest(now);
     }
     relay_configuration(now);
@@ -249,6 +251,7 @@
         digest.leaving.push_back(std::move(leaving));
     }
     add_quarantine(digest);
+    add_quotas(digest);
     agents_.relay(links::make_frame(std::move(digest)));
 }
 
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -35,6 +35,13 @@
     std::function<void()> quarantine_known_; // this gateway has learned what is quarantined
 };
 
+// Totals of an organisation's quota, as last added to the metrics.
+struct quota_totals {
+    double used_ = 0;
+    double refused_ = 0;
+    bool own_series_ = false;
+};
+
 class traffic {
 public:
     traffic(const gateway_settings& settings, header_names names, metrics& measures, event_log& events,
@@ -88,6 +95,9 @@
     void apply_leaving(const links::gateway_digest& digest);
     void apply_quarantine(const links::gateway_digest& digest, time_ms late_ms);
     void update_quarantine();
+    void add_quotas(links::gateway_digest& digest);
+    void apply_quotas(const links::gateway_digest& digest, time_ms late_ms);
+    void update_quotas();
     void tell_quarantine_memory();
     void relay_configuration(time_ms now);
     void log_demand(const fleet_snapshot& seen);
@@ -118,6 +128,7 @@
     time_ms peers_outdated_since_ = 0;
     int reader_rank_ = 0;
     bool quarantine_known_ = false;
+    std::map<std::string, quota_totals, std::less<>> quota_totals_; // by organisation
 };
 
 } // namespace tamarack::gateway
--- a/src/links/link_generated.h
+++ b/src/links/link_generated.h
@@ -69,6 +69,8 @@
 struct PartStateBuilder;
 struct PartStateT;
 
+struct QuotaUse;
+
 struct GatewayDigest;
 struct GatewayDigestBuilder;
 struct GatewayDigestT;
@@ -345,6 +347,52 @@
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QuotaUse FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t organisation_;
+  double used_;
+  float used_per_s_;
+  float wanted_per_s_;
+  float level_;
+  int32_t padding0__;
+
+ public:
+  QuotaUse()
+      : organisation_(0),
+        used_(0),
+        used_per_s_(0),
+        wanted_per_s_(0),
+        level_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  QuotaUse(uint64_t _organisation, double _used, float _used_per_s, float _wanted_per_s, float _level)
+      : organisation_(flatbuffers::EndianScalar(_organisation)),
+        used_(flatbuffers::EndianScalar(_used)),
+        used_per_s_(flatbuffers::EndianScalar(_used_per_s)),
+        wanted_per_s_(flatbuffers::EndianScalar(_wanted_per_s)),
+        level_(flatbuffers::EndianScalar(_level)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t organisation() const {
+    return flatbuffers::EndianScalar(organisation_);
+  }
+  double used() const {
+    return flatbuffers::EndianScalar(used_);
+  }
+  float used_per_s() const {
+    return flatbuffers::EndianScalar(used_per_s_);
+  }
+  float wanted_per_s() const {
+    return flatbuffers::EndianScalar(wanted_per_s_);
+  }
+  float level() const {
+    return flatbuffers::EndianScalar(level_);
+  }
+};
+FLATBUFFERS_STRUCT_END(QuotaUse, 32);
+
 struct EchoT : public flatbuffers::NativeTable {
   typedef Echo TableType;
   int64_t sent_at = 0;
@@ -1832,6 +1880,7 @@
   std::vector<std::unique_ptr<tamarack::links::fbs::PartStateT>> parts{};
   bool parts_complete = false;
   std::vector<std::unique_ptr<tamarack::links::fbs::LeavingEndpointT>> leaving{};
+  std::vector<tamarack::links::fbs::QuotaUse> quotas{};
   GatewayDigestT() = default;
   GatewayDigestT(const GatewayDigestT &o);
   GatewayDigestT(GatewayDigestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1855,7 +1904,8 @@
     VT_ENDS = 24,
     VT_PARTS = 26,
     VT_PARTS_COMPLETE = 28,
-    VT_LEAVING = 30
+    VT_LEAVING = 30,
+    VT_QUOTAS = 32
   };
   const flatbuffers::String *from() const {
     return GetPointer<const flatbuffers::String *>(VT_FROM);
@@ -1899,6 +1949,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>> *leaving() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>> *>(VT_LEAVING);
   }
+  const flatbuffers::Vector<const tamarack::links::fbs::QuotaUse *> *quotas() const {
+    return GetPointer<const flatbuffers::Vector<const tamarack::links::fbs::QuotaUse *> *>(VT_QUOTAS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FROM) &&
@@ -1928,6 +1981,8 @@
            VerifyOffset(verifier, VT_LEAVING) &&
            verifier.VerifyVector(leaving()) &&
            verifier.VerifyVectorOfTables(leaving()) &&
+           VerifyOffset(verifier, VT_QUOTAS) &&
+           verifier.VerifyVector(quotas()) &&
            verifier.EndTable();
   }
   GatewayDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1981,6 +2036,9 @@
   void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>>> leaving) {
     fbb_.AddOffset(GatewayDigest::VT_LEAVING, leaving);
   }
+  void add_quotas(flatbuffers::Offset<flatbuffers::Vector<const tamarack::links::fbs::QuotaUse *>> quotas) {
+    fbb_.AddOffset(GatewayDigest::VT_QUOTAS, quotas);
+  }
   explicit GatewayDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2007,12 +2065,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>>> ends = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::PartState>>> parts = 0,
     bool parts_complete = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>>> leaving = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>>> leaving = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const tamarack::links::fbs::QuotaUse *>> quotas = 0) {
   GatewayDigestBuilder builder_(_fbb);
   builder_.add_sent_at(sent_at);
   builder_.add_configuration_version(configuration_version);
   builder_.add_uptime_ms(uptime_ms);
   builder_.add_incarnation(incarnation);
+  builder_.add_quotas(quotas);
   builder_.add_leaving(leaving);
   builder_.add_parts(parts);
   builder_.add_ends(ends);
@@ -2041,7 +2101,8 @@
     const std::vector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>> *ends = nullptr,
     const std::vector<flatbuffers::Offset<tamarack::links::fbs::PartState>> *parts = nullptr,
     bool parts_complete = false,
-    const std::vector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>> *leaving = nullptr) {
+    const std::vector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>> *leaving = nullptr,
+    const std::vector<tamarack::links::fbs::QuotaUse> *quotas = nullptr) {
   auto from__ = from ? _fbb.CreateString(from) : 0;
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::ModelDemand>>(*demand) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::EndpointLimit>>(*limits) : 0;
@@ -2049,6 +2110,7 @@
   auto ends__ = ends ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::EngineEnd>>(*ends) : 0;
   auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::PartState>>(*parts) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>>(*leaving) : 0;
+  auto quotas__ = quotas ? _fbb.CreateVectorOfStructs<tamarack::links::fbs::QuotaUse>(*quotas) : 0;
   return tamarack::links::fbs::CreateGatewayDigest(
       _fbb,
       from__,
@@ -2064,7 +2126,8 @@
       ends__,
       parts__,
       parts_complete,
-      leaving__);
+      leaving__,
+      quotas__);
 }
 
 flatbuffers::Offset<GatewayDigest> CreateGatewayDigest(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2928,7 +2991,8 @@
         sent_at(o.sent_at),
         planners(o.planners),
         plans(o.plans),
-        parts_complete(o.parts_complete) {
+        parts_complete(o.parts_complete),
+        quotas(o.quotas) {
   demand.reserve(o.demand.size());
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new tamarack::links::fbs::ModelDemandT(*demand_) : nullptr); }
   limits.reserve(o.limits.size());
@@ -2956,6 +3020,7 @@
   std::swap(parts, o.parts);
   std::swap(parts_complete, o.parts_complete);
   std::swap(leaving, o.leaving);
+  std::swap(quotas, o.quotas);
   return *this;
 }
 
@@ -2982,6 +3047,7 @@
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = std::unique_ptr<tamarack::links::fbs::PartStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = parts_complete(); _o->parts_complete = _e; }
   { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = std::unique_ptr<tamarack::links::fbs::LeavingEndpointT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = quotas(); if (_e) { _o->quotas.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quotas[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<GatewayDigest> GatewayDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3006,6 +3072,7 @@
   auto _parts = _o->parts.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::PartState>> (_o->parts.size(), [](size_t i, _VectorArgs *__va) { return CreatePartState(*__va->__fbb, __va->__o->parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _parts_complete = _o->parts_complete;
   auto _leaving = _o->leaving.size() ? _fbb.CreateVector<flatbuffers::Offset<tamarack::links::fbs::LeavingEndpoint>> (_o->leaving.size(), [](size_t i, _VectorArgs *__va) { return CreateLeavingEndpoint(*__va->__fbb, __va->__o->leaving[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _quotas = _o->quotas.size() ? _fbb.CreateVectorOfStructs(_o->quotas) : 0;
   return tamarack::links::fbs::CreateGatewayDigest(
       _fbb,
       _from,
@@ -3021,7 +3088,8 @@
       _ends,
       _parts,
       _parts_complete,
-      _leaving);
+      _leaving,
+      _quotas);
 }
 
 inline StoreRelayT::StoreRelayT(const StoreRelayT &o)
--- a/tools/tidy.sh
+++ b/tools/tidy.sh
@@ -9,7 +9,7 @@
   mapfile -t files < <(git ls-files 'src/kernel/*.cpp' 'src/tables/*.cpp' 'src/configuration/*.cpp' 'src/placement/*.cpp' \
     'src/planning/*.cpp' 'src/membership/*.cpp' 'src/routing/*.cpp' 'src/admission/*.cpp' 'src/claims/*.cpp' 'src/ledger/*.cpp' \
     'src/observe/*.cpp' 'src/wire/*code.cpp' 'src/wire/assembly.cpp' 'src/agent/shutdown_machine.cpp' \
-    'src/fleet/*.cpp' 'src/memory/*.cpp' 'src/dispatch/*.cpp' 'src/provisioning/*.cpp' 'src/engine/*.cpp' 'src/engine_agent/order_book.cpp' \
+    'src/fleet/*.cpp' 'src/memory/*.cpp' 'src/dispatch/*.cpp' 'src/quotas/*.cpp' 'src/provisioning/*.cpp' 'src/engine/*.cpp' 'src/engine_agent/order_book.cpp' \
     'src/gateway/demand.cpp' 'src/gateway/peers.cpp' 'src/gateway/planner.cpp' 'src/gateway/event_splitter.cpp' \
     'src/gateway/head_rewrite.cpp' 'src/gateway/endpoint.cpp' 'src/gateway/fleet_state.cpp' 'src/links/link.cpp' 'src/ctl/story.cpp' \
     'src/net/*.cpp' 'src/http/message_parser.cpp' 'src/http/kept_client.cpp' 'src/gateway/exchange.cpp' \
