Hand chunk headers to Beast's parser only whole

Cause: Beast's parser goes on with a last chunk of which it has seen a part, and asserts there that at least five bytes have arrived. "0\r\n" and one more byte are four, also in a well-formed message. The programs are built with assertions, so one client or endpoint that sent the last chunk of an empty body in such pieces ended the gateway.

Change: the parsers of requests and responses share a base that hands over the header of a chunk, and of the last chunk with its trailer, only once it has arrived whole, so that Beast never goes on with a part of one. Data of a chunk is still available as it arrives. A failure is final: no later bytes and no end of the connection complete the message.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -38,6 +38,18 @@
     return parse_fault::malformed;
 }
 
+constexpr std::string_view line_break = "\r\n";
+constexpr std::string_view trailer_end = "\r\n\r\n";
+
+// Whether a chunk's header line names the size 0. A trailer follows it then.
+bool is_last_chunk(std::string_view line) {
+    const std::size_t size_end = line.find_first_not_of('0');
+    constexpr std::string_view before_extension = " \t;";
+    return size_end != 0 && !line.empty() &&
+           (size_end == std::string_view::npos ||
+            before_extension.find(line[size_end]) != std::string_view::npos);
+}
+
 } // namespace
 
 bool same_name(std::string_view left, std::string_view right) {
@@ -52,31 +64,94 @@
     return found == headers.end() ? nullptr : &*found;
 }
 
+template <bool IsRequest>
+boost::beast::error_code incremental_parser<IsRequest>::feed(boost::beast::flat_buffer& received) {
+    if (failed_) {
+        return failed_;
+    }
+    const error_code failed = parse_received(received);
+    if (failed && failed != bhttp::error::need_more) {
+        failed_ = failed;
+    }
+    return failed;
+}
+
+template <bool IsRequest>
+boost::beast::error_code incremental_parser<IsRequest>::parse_received(boost::beast::flat_buffer& received) {
+    while (!this->is_done()) {
+        const std::string_view bytes(static_cast<const char*>(received.data().data()), received.size());
+        if (bytes.empty()) {
+            return bhttp::error::need_more;
+        }
+        if (awaits_chunk_header(bytes)) {
+            // Beast bounds only the head.
+            return bytes.size() > max_unparsed_bytes ? bhttp::error::bad_chunk : bhttp::error::need_more;
+        }
+        const bool in_body = this->is_header_done();
+        error_code failed;
+        received.consume(this->put(received.data(), failed));
+        if (failed) {
+            const bool unfinished = in_body && failed == bhttp::error::need_more;
+            return unfinished ? error_code(bhttp::error::bad_chunk) : failed;
+        }
+    }
+    return {};
+}
+
+// Whether the header of a chunk comes next and a part of it is still missing.
+template <bool IsRequest>
+bool incremental_parser<IsRequest>::awaits_chunk_header(std::string_view received) {
+    if (!this->is_header_done() || !this->chunked() || chunk_left_ > 0) {
+        return false;
+    }
+    if (line_end_ == std::string_view::npos) {
+        line_end_ = received.find(line_break, searched_);
+        if (line_end_ == std::string_view::npos) {
+            searched_ = std::max(searched_, received.size() - 1);
+            return true;
+        }
+        searched_ = line_end_;
+    }
+    if (!is_last_chunk(received.substr(line_begin_, line_end_ - line_begin_))) {
+        return false;
+    }
+    if (received.find(trailer_end, searched_) != std::string_view::npos) {
+        return false;
+    }
+    searched_ = std::max(searched_, received.size() - (trailer_end.size() - 1));
+    return true;
+}
+
+template <bool IsRequest>
+void incremental_parser<IsRequest>::on_chunk_header_impl(std::uint64_t size, string_view, error_code&) {
+    chunk_left_ = size;
+    line_begin_ = line_break.size();
+    line_end_ = std::string_view::npos;
+    searched_ = line_begin_;
+}
+
+template <bool IsRequest>
+std::size_t incremental_parser<IsRequest>::on_chunk_body_impl(std::uint64_t left, string_view body,
+                                                              error_code& failed) {
+    chunk_left_ = left - body.size();
+    return this->on_body_impl(body, failed);
+}
+
+template class incremental_parser<true>;
+template class incremental_parser<false>;
+
 request_parser::request_parser(std::size_t header_limit, std::size_t body_limit) {
     this->header_limit(std::uint32_t(header_limit));
     this->body_limit(body_limit);
-    eager(true);
 }
 
 bool request_parser::take(boost::beast::flat_buffer& received) {
-    while (received.size() > 0 && !is_done()) {
-        begun_ = true;
-        boost::beast::error_code failed;
-        const std::size_t used = put(received.data(), failed);
-        received.consume(used);
-        if (failed == bhttp::error::need_more) {
-            // The parser itself bounds only the head.
-            if (is_header_done() && received.size() > max_unparsed_bytes) {
-                fault_ = parse_fault::malformed;
-            }
-            return false;
-        }
-        if (failed) {
-            fault_ = fault_of(failed);
-            return false;
-        }
+    begun_ = begun_ || received.size() > 0;
+    const error_code failed = feed(received);
+    if (failed && failed != bhttp::error::need_more) {
+        fault_ = fault_of(failed);
     }
-    return is_done();
+    return !failed;
 }
 
 bool request_parser::expects_continue() const {
@@ -122,40 +197,28 @@
     return body.size();
 }
 
-std::size_t request_parser::on_chunk_body_impl(std::uint64_t, string_view body, error_code& failed) {
-    return on_body_impl(body, failed);
-}
-
 response_parser::response_parser(std::size_t body_limit) {
     this->body_limit(body_limit);
-    eager(true);
 }
 
 response_parser::progress response_parser::take(boost::beast::flat_buffer& received) {
-    while (received.size() > 0 && !is_done()) {
-        boost::beast::error_code failed;
-        const std::size_t used = put(received.data(), failed);
-        received.consume(used);
-        if (failed == bhttp::error::need_more) {
-            return received.size() > max_unparsed_bytes ? progress::broken : progress::more;
-        }
-        if (failed) {
-            return progress::broken;
-        }
+    const error_code failed = feed(received);
+    if (failed == bhttp::error::need_more) {
+        return received.size() > max_unparsed_bytes ? progress::broken : progress::more;
     }
-    return is_done() ? progress::done : progress::more;
+    return failed ? progress::broken : progress::done;
 }
 
 response_parser::progress response_parser::take_end() {
     if (is_done()) {
         return progress::done;
     }
-    if (!got_some()) {
+    if (failed() || !got_some()) {
         return progress::broken; // the parser takes no end before the first byte
     }
-    boost::beast::error_code failed;
-    put_eof(failed);
-    return !failed && is_done() ? progress::done : progress::broken;
+    error_code ended;
+    put_eof(ended);
+    return !ended && is_done() ? progress::done : progress::broken;
 }
 
 void response_parser::on_response_impl(int status, string_view, int, error_code&) {
@@ -177,8 +240,4 @@
     return body.size();
 }
 
-std::size_t response_parser::on_chunk_body_impl(std::uint64_t, string_view body, error_code& failed) {
-    return on_body_impl(body, failed);
-}
-
 } // namespace tamarack::http
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -25,8 +25,41 @@
     header_too_large = 431,
 };
 
+// Beast's parser, fed as bytes arrive. The header of a chunk, and of the last chunk with its trailer, is
+// handed over only whole: where Beast goes on with a part of one, it asserts what the sender decides.
+template <bool IsRequest>
+class incremental_parser : public boost::beast::http::basic_parser<IsRequest> {
+protected:
+    using string_view = boost::beast::string_view;
+    using error_code = boost::beast::error_code;
+
+    incremental_parser() { this->eager(false); }
+
+    // Consumes received bytes. Fails with `need_more` until the message is complete. Any other failure is
+    // final.
+    error_code feed(boost::beast::flat_buffer& received);
+
+    bool failed() const { return bool(failed_); }
+
+private:
+    error_code parse_received(boost::beast::flat_buffer& received);
+    bool awaits_chunk_header(std::string_view received);
+    void on_chunk_header_impl(std::uint64_t size, string_view, error_code&) override;
+    std::size_t on_chunk_body_impl(std::uint64_t left, string_view body, error_code& failed) override;
+
+    error_code failed_;
+    std::uint64_t chunk_left_ = 0; // bytes of the current chunk that have not arrived
+    // Positions in the received bytes, which begin with the line break that ends the previous chunk.
+    std::size_t line_begin_ = 0;
+    std::size_t line_end_ = std::string_view::npos;
+    std::size_t searched_ = 0;
+};
+
+extern template class incremental_parser<true>;
+extern template class incremental_parser<false>;
+
 // Parses one request. Ambiguous framing is rejected to prevent request smuggling.
-class request_parser : public boost::beast::http::basic_parser<true> {
+class request_parser : public incremental_parser<true> {
 public:
     request_parser(std::size_t header_limit, std::size_t body_limit);
 
@@ -46,9 +79,6 @@
     request request_;
 
 private:
-    using string_view = boost::beast::string_view;
-    using error_code = boost::beast::error_code;
-
     void on_request_impl(boost::beast::http::verb, string_view method, string_view target, int version,
                          error_code& failed) override;
     void on_response_impl(int, string_view, int, error_code&) override {}
@@ -57,8 +87,6 @@
     void on_header_impl(error_code& failed) override;
     void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
     std::size_t on_body_impl(string_view body, error_code&) override;
-    void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
-    std::size_t on_chunk_body_impl(std::uint64_t, string_view body, error_code&) override;
     void on_finish_impl(error_code&) override {}
 
     parse_fault fault_ = parse_fault::none;
@@ -72,7 +100,7 @@
 inline constexpr int max_interim_responses = 3;
 
 // Parses one response. The body is appended to `body_`, from which the owner may remove data.
-class response_parser : public boost::beast::http::basic_parser<false> {
+class response_parser : public incremental_parser<false> {
 public:
     explicit response_parser(std::size_t body_limit);
 
@@ -89,17 +117,12 @@
     std::string body_;
 
 private:
-    using string_view = boost::beast::string_view;
-    using error_code = boost::beast::error_code;
-
     void on_request_impl(boost::beast::http::verb, string_view, string_view, int, error_code&) override {}
     void on_response_impl(int status, string_view, int, error_code&) override;
     void on_field_impl(boost::beast::http::field, string_view name, string_view value, error_code&) override;
     void on_header_impl(error_code&) override;
     void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
     std::size_t on_body_impl(string_view body, error_code&) override;
-    void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
-    std::size_t on_chunk_body_impl(std::uint64_t, string_view body, error_code&) override;
     void on_finish_impl(error_code&) override {}
 };
 
--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -276,6 +277,12 @@
         reply.text_.replace(id_at, 2, header_value(request, "Tamarackbeam-Request-Id"));
     }
     ::send(socket, reply.text_.data(), reply.text_.size(), MSG_NOSIGNAL);
+    const int enable = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
+    for (const std::string& part : reply.further_) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50)); // so that it is read apart
+        ::send(socket, part.data(), part.size(), MSG_NOSIGNAL);
+    }
     if (reply.reset_) {
         std::this_thread::sleep_for(std::chrono::milliseconds(50)); // so that the text is read before
         const linger at_once{1, 0};
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -118,6 +118,7 @@
     struct last_reply {
         std::string text_;   // the text ID in it becomes the request's id
         bool reset_ = false; // the connection is reset after it, instead of closed in order
+        std::vector<std::string> further_ = {}; // sent after the text, each with a pause before
     };
 
     // Answers the next request with it, instead of a behaviour.
