Read the programs' own interfaces with the same parsers as the direct path

Cause: the server of the own interfaces and the one-time client read with Beast's parsers, which assert on a last chunk in pieces as the direct path's did. The client also took an interim response (1xx) for the final one: a server that sent one and then stopped within the head of its response was reported as having answered, with an empty body.

Change: both read with request_parser and response_parser. The client skips interim responses, at most as many as the client with a kept connection does. As on the direct path, the server now requires one Host header and one unambiguous framing, and rejects other requests with 400.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,4 +1,4 @@
-#include "tamarack/http.hpp"
+#include "http/message_parser.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -6,8 +6,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <array>
-
 namespace tamarack::http {
 
 namespace asio = boost::asio;
@@ -19,8 +17,8 @@
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_buffer_bytes = 64 * 1024;
-constexpr std::size_t max_buffered_bytes = 2 * read_buffer_bytes; // also bounds heads and chunk headers
-constexpr std::size_t max_fetched_bytes = 16 * 1024 * 1024;       // of a body that is kept in memory
+constexpr int first_final_status = 200;
+constexpr std::size_t max_fetched_bytes = 16 * 1024 * 1024; // of a body that is kept in memory
 constexpr std::uint64_t max_response_bytes = 256ULL * 1024 * 1024;
 constexpr int http_1_1 = 11;
 
@@ -35,22 +33,60 @@
 }
 
 struct call {
-    explicit call(const asio::any_io_executor& executor) : stream_(executor) {
-        parser_.body_limit(max_response_bytes);
-    }
+    explicit call(const asio::any_io_executor& executor)
+        : stream_(executor), parser_(std::make_unique<response_parser>(max_response_bytes)) {}
 
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_{max_buffered_bytes};
-    bhttp::response_parser<bhttp::buffer_body> parser_;
+    beast::flat_buffer buffer_;
+    std::unique_ptr<response_parser> parser_;
     time_ms ends_at_ = 0;
 };
 
+// Reads and parses once. Fails if the response cannot become whole any more.
+awaitable<beast::error_code> read_some(call& current) {
+    auto [failed, count] =
+        co_await current.stream_.async_read_some(current.buffer_.prepare(read_buffer_bytes), no_throw);
+    current.buffer_.commit(count);
+    if (failed && failed != asio::error::eof) {
+        co_return failed;
+    }
+    const auto progress = failed ? current.parser_->take_end() : current.parser_->take(current.buffer_);
+    if (progress == response_parser::progress::broken) {
+        co_return failed ? beast::error_code(bhttp::error::partial_message)
+                         : beast::error_code(bhttp::error::bad_value);
+    }
+    co_return beast::error_code();
+}
+
+// Reads the head of the final response. Interim responses are skipped.
+awaitable<beast::error_code> read_head(call& current) {
+    int interim_responses = 0;
+    while (true) {
+        while (!current.parser_->head_done_) {
+            const beast::error_code failed = co_await read_some(current);
+            if (failed) {
+                co_return failed;
+            }
+        }
+        if (current.parser_->status_ >= first_final_status) {
+            co_return beast::error_code();
+        }
+        if (++interim_responses > max_interim_responses) {
+            co_return beast::error_code(bhttp::error::bad_status);
+        }
+        current.parser_ = std::make_unique<response_parser>(max_response_bytes);
+        if (current.parser_->take(current.buffer_) == response_parser::progress::broken) {
+            co_return beast::error_code(bhttp::error::bad_value);
+        }
+    }
+}
+
 class beast_response_stream : public response_stream {
 public:
     explicit beast_response_stream(std::shared_ptr<call> open_call) : call_(std::move(open_call)) {
-        const auto& message = call_->parser_.get();
-        status_ = int(message.result_int());
-        content_type_ = std::string(message[bhttp::field::content_type]);
+        const header* type = find_header(call_->parser_->headers_, "Content-Type");
+        status_ = call_->parser_->status_;
+        content_type_ = type == nullptr ? std::string() : type->value_;
     }
 
     ~beast_response_stream() override { cancel(); }
@@ -60,34 +96,24 @@
 
     awaitable<result<std::string>> read() override {
         const std::shared_ptr<call> current = call_;
-        while (!current->parser_.is_done()) {
+        while (current->parser_->body_.empty() && !current->parser_->is_done()) {
             // The stream's own time limit does not stop reads that find bytes without waiting.
             if (steady_now_ms() >= current->ends_at_) {
                 cancel();
                 co_return call_error(beast::error::timeout, "reading the answer");
             }
-            auto& body = current->parser_.get().body();
-            body.data = part_.data();
-            body.size = part_.size();
-            auto [read_error, read] = co_await bhttp::async_read_some(current->stream_, current->buffer_,
-                                                                      current->parser_, no_throw);
-            const bool part_full = read_error == bhttp::error::need_buffer;
-            if (read_error && !part_full) {
-                co_return call_error(read_error, "reading the answer");
-            }
-            const std::size_t filled = part_.size() - body.size;
-            if (filled > 0) {
-                co_return std::string(part_.data(), filled);
+            const beast::error_code failed = co_await read_some(*current);
+            if (failed) {
+                co_return call_error(failed, "reading the answer");
             }
         }
-        co_return std::string();
+        co_return std::exchange(current->parser_->body_, {});
     }
 
     void cancel() override { call_->stream_.close(); }
 
 private:
     std::shared_ptr<call> call_;
-    std::array<char, read_buffer_bytes> part_;
     int status_ = 0;
     std::string content_type_;
 };
@@ -135,8 +161,7 @@
     if (write_error) {
         co_return call_error(write_error, "sending the request");
     }
-    auto [read_error, read] =
-        co_await bhttp::async_read_header(current->stream_, current->buffer_, current->parser_, no_throw);
+    const beast::error_code read_error = co_await read_head(*current);
     if (read_error) {
         co_return call_error(read_error, "waiting for the answer");
     }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,4 +1,4 @@
-#include "tamarack/http.hpp"
+#include "http/message_parser.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -22,21 +22,11 @@
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr int http_1_1 = 11;
+constexpr std::size_t read_bytes = 16 * 1024;
 
 // Time until connections are accepted again after that failed.
 constexpr std::chrono::milliseconds accept_retry_delay{20};
 
-request convert(const bhttp::request<bhttp::string_body>& parsed) {
-    request converted;
-    converted.method_ = std::string(parsed.method_string());
-    converted.target_ = std::string(parsed.target());
-    for (const auto& field : parsed) {
-        converted.headers_.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
-    converted.body_ = parsed.body();
-    return converted;
-}
-
 // Watches the socket of an exchange for a disconnect of the client. Shared with the wait handler, which may
 // outlive the exchange.
 struct disconnect_watch {
@@ -156,24 +146,22 @@
     std::shared_ptr<disconnect_watch> watch_;
 };
 
-response error_response(const beast::error_code& failed) {
-    if (failed == bhttp::error::body_limit) {
+response fault_response(parse_fault fault) {
+    switch (fault) {
+    case parse_fault::body_too_large:
         return json_response(413, R"({"error":{"kind":"too_large","message":"the body is over the limit",)"
                                   R"("remedy":"send a smaller body"}})");
-    }
-    if (failed == bhttp::error::header_limit) {
+    case parse_fault::header_too_large:
         return json_response(431, R"({"error":{"kind":"too_large","message":"the header is over the limit",)"
                                   R"("remedy":"send fewer or shorter header fields"}})");
+    case parse_fault::none:
+    case parse_fault::malformed:
+        break;
     }
     return json_response(400, R"({"error":{"kind":"invalid","message":"the request is not valid HTTP/1.1",)"
                               R"("remedy":"correct the request"}})");
 }
 
-bool is_protocol_error(const beast::error_code& failed) {
-    return failed.category() == beast::http::make_error_code(bhttp::error::bad_target).category() &&
-           failed != bhttp::error::end_of_stream && failed != bhttp::error::partial_message;
-}
-
 } // namespace
 
 struct server::state : std::enable_shared_from_this<server::state> {
@@ -229,23 +217,27 @@
 
     // Returns whether the connection may carry another request.
     awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
-        bhttp::request_parser<bhttp::string_body> parser;
-        parser.header_limit(std::uint32_t(limits_.header_bytes_));
-        parser.body_limit(limits_.body_bytes_);
+        request_parser parser(limits_.header_bytes_, limits_.body_bytes_);
         stream.expires_after(limits_.idle_);
         const std::uint64_t place = next_place_++;
         waiting_[place] = &stream;
-        auto [read_error, read] = co_await bhttp::async_read(stream, buffer, parser, no_throw);
+        bool broken = false;
+        while (!parser.take(buffer) && parser.fault() == parse_fault::none && !broken) {
+            auto [read_error, count] = co_await stream.async_read_some(buffer.prepare(read_bytes), no_throw);
+            buffer.commit(count);
+            broken = bool(read_error);
+        }
         waiting_.erase(place);
-        if (read_error) {
-            if (is_protocol_error(read_error)) {
-                co_await refuse(stream, error_response(read_error));
-            }
+        if (parser.fault() != parse_fault::none) {
+            co_await refuse(stream, fault_response(parser.fault()));
+            co_return false;
+        }
+        if (broken) {
             co_return false;
         }
         stream.expires_never();
-        const bool keep_alive = parser.get().keep_alive() && acceptor_.is_open();
-        beast_exchange current(stream, convert(parser.get()), keep_alive, limits_.write_);
+        const bool keep_alive = parser.keep_alive() && acceptor_.is_open();
+        beast_exchange current(stream, std::move(parser.request_), keep_alive, limits_.write_);
         co_await handle_(current);
         if (!current.response_started()) {
             co_await current.reply(json_response(500,
--- a/tests/direct/message_parser_test.cpp
+++ b/tests/direct/message_parser_test.cpp
@@ -1,5 +1,6 @@
 // Parsers of requests and responses whose bytes arrive in pieces.
 #include "direct/gateway_process.hpp"
+#include "http/kept_client.hpp"
 #include "http/message_parser.hpp"
 
 #include <boost/asio/connect.hpp>
@@ -201,4 +202,55 @@
     CHECK(status(request("lookup", "r-3")) == 200);
 }
 
+// The server of the programs' own interfaces, among them the checks of the platform and the entry's clients.
+TEST_CASE_FIXTURE(gateway_process, "http_server_last_chunk_in_pieces_is_answered_and_process_runs_on") {
+    start_ready();
+    const std::string head = "GET /readyz HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    CHECK(send_in_pieces(admin_port_, {head, "0\r\n", "\r", "\n"}).starts_with("HTTP/1.1 200 "));
+    CHECK(send_in_pieces(admin_port_, {head, "0\r\nA", "\r\n\r", "\n"}).starts_with("HTTP/1.1 400 "));
+    CHECK(process_.running());
+    CHECK(ready());
+}
+
+// The clients of the store, of engines and of the product's own interface.
+TEST_CASE("http_clients_last_chunk_in_pieces_completes_the_response") {
+    constexpr std::chrono::milliseconds limit(4'000);
+    fake_endpoint server("server");
+    const fake_endpoint::last_reply reply{
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false, {"0\r\n", "\r", "\n"}};
+    server.set_last_reply(reply);
+    const auto fetched = gateway_process::call(server.address().port(), {"GET", "/x", {{"Host", "a"}}, ""});
+    REQUIRE(ok(fetched));
+    CHECK(value(fetched).status_ == 200);
+    server.set_last_reply(reply);
+    boost::asio::io_context context;
+    bool done = false;
+    const auto client = std::make_shared<http::kept_client>(context.get_executor(), server.address(), limit);
+    client->call({"GET", "/x", {}, ""}, limit, [&](result<http::response> outcome) {
+        CHECK(ok(outcome));
+        done = true;
+        client->close();
+    });
+    context.run();
+    CHECK(done);
+}
+
+// Heads of further information came to callers as the response itself, without a body.
+TEST_CASE("http_fetch_interim_responses_come_first_final_response_is_returned") {
+    fake_endpoint server("server");
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    const std::string last = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    const auto fetch = [&](const std::string& begin, std::vector<std::string> further) {
+        server.set_last_reply({begin, false, std::move(further)});
+        return gateway_process::call(server.address().port(), {"GET", "/x", {{"Host", "a"}}, ""});
+    };
+    for (const auto& fetched : {fetch(interim + last, {}), fetch(interim, {interim, last})}) {
+        REQUIRE(ok(fetched));
+        CHECK(value(fetched).status_ == 200);
+        CHECK(value(fetched).body_ == "done");
+    }
+    CHECK_FALSE(ok(fetch(interim + interim + interim + interim + last, {})));
+    CHECK_FALSE(ok(fetch(interim, {})));
+}
+
 } // namespace tamarack::direct
