Tell callers the outcome is unknown when the shutdown limit of an entry ends their requests

Cause: at the end of shutdown_ms an entry stopped its threads with requests still at agents, and their callers' connections closed without a response. Change: it closes its links to the agents first, which ends these requests with an unknown outcome, and stops once the responses are written, 150 ms later at most. An agent needs no change: it refuses new requests from its SIGTERM on, and the entry answers for what its end interrupts.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds platform_timeout{2'000};
 constexpr std::chrono::milliseconds drain_poll_interval{20};
 
+// Time for the last responses to be written.
+constexpr std::chrono::milliseconds last_response_time{150};
+
 // Hash of the id as a fraction of the hash space. Spreads the instances' snapshot writes over time.
 double hash_fraction(const std::string& id) {
     constexpr double hash_space = 18446744073709551616.0;
@@ -139,7 +142,16 @@
     co_await current.reply(std::move(response));
 }
 
+asio::awaitable<void> control_thread::wait_until_idle(std::chrono::steady_clock::time_point until) {
+    asio::steady_timer timer(context_);
+    while (requests_in_flight() > 0 && std::chrono::steady_clock::now() < until) {
+        timer.expires_after(drain_poll_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 // Lets the requests in flight finish and stops the process once none remains or `shutdown_ms_` has elapsed.
+// Callers whose requests are still at an endpoint then learn that the outcome is unknown.
 asio::awaitable<void> control_thread::shut_down() {
     shutting_down_ = true;
     log_info("entry", "Shutting down; " + std::to_string(requests_in_flight()) + " requests are in flight.");
@@ -147,14 +159,14 @@
         shard_ptr->drain();
     }
     const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(settings_.shutdown_ms_);
-    asio::steady_timer timer(context_);
-    while (requests_in_flight() > 0 && std::chrono::steady_clock::now() < until) {
-        timer.expires_after(drain_poll_interval);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
+    co_await wait_until_idle(until);
     if (requests_in_flight() > 0) {
         log_warning("entry",
-                    std::to_string(requests_in_flight()) + " requests were aborted at the shutdown timeout.");
+                    std::to_string(requests_in_flight()) + " requests were ended at the shutdown timeout.");
+        for (const auto& shard_ptr : shards_) {
+            shard_ptr->close_links();
+        }
+        co_await wait_until_idle(until + last_response_time);
     }
     for (const auto& shard_ptr : shards_) {
         shard_ptr->stop();
--- a/src/entry/control.hpp
+++ b/src/entry/control.hpp
@@ -22,6 +22,7 @@
 private:
     boost::asio::awaitable<void> poll_instance_list();
     boost::asio::awaitable<void> handle_admin(http::exchange& current);
+    boost::asio::awaitable<void> wait_until_idle(std::chrono::steady_clock::time_point until);
     boost::asio::awaitable<void> shut_down();
     void publish_view();
     std::int64_t connected_agents() const;
--- a/src/entry/shard.cpp
+++ b/src/entry/shard.cpp
@@ -61,11 +61,17 @@
     asio::post(context_, [this] { server_.stop_accepting(); });
 }
 
-void shard::stop() {
+void shard::close_links() {
     asio::post(context_, [this] {
         for (const auto& [id, link] : links_) {
             link->stop();
         }
+    });
+}
+
+void shard::stop() {
+    close_links();
+    asio::post(context_, [this] {
         work_.reset();
         context_.stop();
     });
--- a/src/entry/shard.hpp
+++ b/src/entry/shard.hpp
@@ -44,6 +44,9 @@
     // Stops accepting connections; requests in flight continue. Callable from any thread.
     void drain();
 
+    // Closes the links, which ends the requests in flight with an unknown outcome. Callable from any thread.
+    void close_links();
+
     // Closes the links and makes `run` return. Callable from any thread.
     void stop();
 
--- a/tests/process/leaving_test.cpp
+++ b/tests/process/leaving_test.cpp
@@ -129,4 +129,20 @@
     check_outcomes();
 }
 
+// Requests that were still in flight at the shutdown limit of their entry were cut off without a response.
+TEST_CASE_FIXTURE(desk_cluster, "entry_shutdown_limit_reached_with_a_booking_in_flight_answers_unknown") {
+    entry_node& ending = system_.add_entry("entry-3", {{"shutdown_ms", 600}});
+    REQUIRE(cluster::wait_for([this] { return connected("entry-3"); }));
+    set_service_faults({{"hold_before", 1}});
+    caller_answer answer;
+    std::thread caller([&] { answer = send("entry-3", "u-1"); });
+    CHECK(cluster::wait_for([this] { return calls_in_phase("before") == 1; }));
+    ending.entry_.signal(SIGTERM);
+    caller.join();
+    CHECK(answer.outcome() == "unknown");
+    CHECK(ending.entry_.wait() == 0);
+    set_service_faults({{"hold_before", 0}});
+    check_outcomes();
+}
+
 } // namespace tamarack::process_tests
