--- a/include/tamarack/quotas.hpp
+++ b/include/tamarack/quotas.hpp
@@ -2,7 +2,13 @@
 //
 // Each gateway estimates one common token bucket for each organisation. It is refilled at the organisation's
 // rate, and reduced by the gateway's own use and by what the other gateways announce. Between two
-// announcements of a gateway, its use is extrapolated at the rate that it announced. Nothing here does I/O or
+// announcements of a gateway, its use is extrapolated at the rate that it announced. The estimate may fall below
+// zero, and such a debt is repaid before anything more is taken.
+//
+// In any window of t seconds, use is to stay within rate * t + burst + tolerance. This is no strict bound: before
+// the others have heard of a jump in demand, each gateway may use a part of the level, or two requests, beyond
+// what they expect of it. With small quotas and many gateways, such requests of all gateways may exceed the
+// tolerance. Nothing here does I/O or
 // reads a clock: times are those of `boot_now_ms`, so that a process that stood still knows it.
 #pragma once
 
--- a/src/quotas/shared_quotas.cpp
+++ b/src/quotas/shared_quotas.cpp
@@ -14,8 +14,11 @@
 constexpr double wanted_half_life_ms = 1'500;
 constexpr double request_weight = 0.1; // of the newest request in the average
 
-// Part of the tolerance that is added to the burst. The rest is for use that is not known yet.
-constexpr double tolerance_in_bucket = 0.5;
+// Part of the tolerance that is added to the burst. The rest is for use that is not known yet. Small quotas,
+// which have room for few requests, get more.
+constexpr double tolerance_in_bucket = 0.3;
+constexpr double most_tolerance_in_bucket = 0.6;
+constexpr double requests_in_bucket = 10;
 
 // Below this part of the capacity, each gateway keeps to its part of the rate.
 constexpr double paced_below = 0.15;
@@ -23,13 +26,21 @@
 // The same while the organisation wants `overload_factor` times its rate or more.
 constexpr double paced_below_in_overload = 0.6;
 constexpr double overload_factor = 1.5;
+constexpr double overload_requests_per_s = 2; // beyond that, since single requests are no overload
 
 // Even part of the level that each gateway may use beyond what the others expect, as a multiple of its
 // fraction of the gateways.
 constexpr double even_level_part = 6;
+constexpr double most_even_part = 0.5; // of the level
+
+// Requests beyond what the others expect after which a gateway may still send one.
+constexpr double extra_requests = 1;
+
+// Growth of the demand of which the others should hear at once.
+constexpr double urgent_growth = 2;
 
 // Unexpected use of which the others should hear at once: a part of what may be used so, and some requests.
-constexpr double urgent_part = 0.4;
+constexpr double urgent_part = 0.25;
 constexpr double urgent_requests = 2;
 
 // Part of the rate that is divided evenly, for gateways whose demand is new.
@@ -46,6 +57,9 @@
 constexpr time_ms announcement_transit_ms = 100;
 constexpr time_ms max_late_ms = 2'000;
 
+// Time without announcements after which a gateway counts as silent. They are sent twice a second.
+constexpr time_ms silence_ms = 900;
+
 // A gateway that fell silent counts for this time, since it may run and merely not be heard.
 constexpr time_ms departed_hold_ms = 15'000;
 
@@ -65,8 +79,10 @@
     return double(std::max<time_ms>(0, to - from)) / ms_per_s;
 }
 
-double capacity(const quota& one) {
-    return one.burst_ + tolerance_in_bucket * one.tolerance_;
+double capacity(const quota& one, double request) {
+    const double room = requests_in_bucket * request;
+    return one.burst_ +
+           std::clamp(room, tolerance_in_bucket * one.tolerance_, most_tolerance_in_bucket * one.tolerance_);
 }
 
 bool sound(const announcement& one) {
@@ -122,7 +138,7 @@
             }
         }
         known.quota_ = one;
-        known.level_ = std::min(known.level_, capacity(one));
+        known.level_ = std::min(known.level_, capacity(one, known.request_));
     }
     recount(now);
 }
@@ -140,20 +156,21 @@
 }
 
 bool shared_quotas::overloaded(const state& one, time_ms now) const {
-    return wanted_per_s(one, now) + one.others_wanted_per_s_ > overload_factor * one.quota_.per_s_;
+    return wanted_per_s(one, now) + one.others_wanted_per_s_ >
+           overload_factor * one.quota_.per_s_ + overload_requests_per_s * one.request_;
 }
 
 double shared_quotas::pace_per_s(const state& one, time_ms now) const {
     if (listens(now)) {
         return one.quota_.per_s_ / std::max(assumed_gateways, 1 + one.others_);
     }
-    const double fill = std::clamp(one.level_ / std::max(1.0, capacity(one.quota_)), 0.0, 1.0);
+    const double fill = std::clamp(one.level_ / std::max(1.0, capacity(one.quota_, one.request_)), 0.0, 1.0);
     return one.quota_.per_s_ * share(one) * (1 + surplus_pace * fill);
 }
 
 void shared_quotas::settle(state& one, std::string_view organisation, time_ms now) const {
     const double passed_s = seconds(one.settled_at_, now);
-    const double full = capacity(one.quota_);
+    const double full = capacity(one.quota_, one.request_);
     one.level_ = std::min(full, one.level_ + (one.quota_.per_s_ - one.others_per_s_) * passed_s);
     one.settled_at_ = std::max(one.settled_at_, now);
     if (one.forgives_at_ && now >= *one.forgives_at_) {
@@ -194,17 +211,23 @@
     } else if (one.level_ > 0) {
         const told_use base = one.told_.empty() ? told_use{now, one.used_, 0, 0} : one.told_.front();
         const double unexpected = one.used_ - base.used_ - base.used_per_s_ * seconds(base.at_, now);
-        const double even = overloaded(one, now) ? 0 : std::min(1.0, even_level_part / (1 + one.others_));
+        const double even =
+            overloaded(one, now) ? 0 : std::min(most_even_part, even_level_part / (1 + one.others_));
         const double level_part = std::max(share(one), even);
-        taken = (one.paced_ && one.credit_ >= 0) ||
-                (!one.paced_ && unexpected + amount <= level_part * one.level_) ||
-                (!one.paced_ && unexpected <= 0);
+        const bool on_its_own = isolated_ || !takes_part_;
+        const double allowed = (one.paced_ ? share(one) : level_part) * one.level_;
+        taken = (one.paced_ && one.credit_ >= 0) || (!on_its_own && unexpected + amount <= allowed) ||
+                (!one.paced_ && unexpected <= extra_requests * one.request_);
         // The newest announcement counts here, which the others may not have heard yet.
         const told_use newest = one.told_.empty() ? base : one.told_.back();
         const double untold =
             one.used_ + amount - newest.used_ - newest.used_per_s_ * seconds(newest.at_, now);
-        if (!one.paced_ && !overloaded(one, now) &&
-            untold > std::max(urgent_part * level_part * one.level_, urgent_requests * one.request_)) {
+        const bool unexpected_use =
+            !one.paced_ && !overloaded(one, now) &&
+            untold > std::max(urgent_part * level_part * one.level_, urgent_requests * one.request_);
+        const bool unexpected_demand =
+            wanted_per_s(one, now) > urgent_growth * newest.wanted_per_s_ + urgent_requests * one.request_;
+        if (unexpected_use || unexpected_demand) {
             announcement_is_due_ = true;
         }
     }
@@ -230,7 +253,7 @@
     settle(one, found->first, now);
     const double returned = std::min(amount, one.used_);
     one.used_ -= returned;
-    one.level_ = std::min(capacity(one.quota_), one.level_ + returned);
+    one.level_ = std::min(capacity(one.quota_, one.request_), one.level_ + returned);
     one.credit_ = std::min(0.0, one.credit_ + returned);
 }
 
@@ -242,7 +265,7 @@
     const auto [found, added] = peers_.try_emplace(from);
     peer& other = found->second;
     const bool restarted = added || other.incarnation_ != incarnation;
-    const bool returned = restarted || now - other.heard_at_ > limits::announcement_timeout_ms;
+    const bool returned = restarted || now - other.heard_at_ > silence_ms;
     other.incarnation_ = incarnation;
     other.heard_at_ = now;
     const double age_s =
@@ -278,7 +301,7 @@
         if (before == other.uses_.end() && listens(now)) {
             more = 0; // the level is that of the others
         }
-        one.level_ = std::min(capacity(one.quota_), one.level_ - more);
+        one.level_ = std::min(capacity(one.quota_, one.request_), one.level_ - more);
         if (before != other.uses_.end()) {
             one.others_per_s_ -= before->second.counted_per_s_;
             one.others_wanted_per_s_ -= before->second.wanted_per_s_;
@@ -310,9 +333,7 @@
 
 // Adds up what the others use and want.
 void shared_quotas::recount(time_ms now) {
-    const auto silent = [&](const peer& other) {
-        return now - other.heard_at_ >= limits::announcement_timeout_ms;
-    };
+    const auto silent = [&](const peer& other) { return now - other.heard_at_ >= silence_ms; };
     int known_count = 0;
     int silent_count = 0;
     for (const auto& [id, other] : peers_) {
@@ -377,7 +398,7 @@
         }
         const auto middle = levels.begin() + std::ptrdiff_t(levels.size() / 2);
         std::nth_element(levels.begin(), middle, levels.end());
-        one.level_ = std::min(capacity(one.quota_), *middle);
+        one.level_ = std::min(capacity(one.quota_, one.request_), *middle);
     }
 }
 
