Bound what one request and one announcement do to a quota

Change: an amount that takes more than 8 s to repay is refused and does not count as demand; a quota has room for a request at least; what an announcement changes is bounded the same way, and a total that fell is one counted anew. The metric of used amounts no longer jumps when amounts are given back.

Tests: quota_amount_that_could_not_be_repaid_..., quota_rate_without_a_burst_..., quota_known_gateway_announces_... Found by reading; the tests were not run on the code before.

--- a/src/gateway/traffic_quotas.cpp
+++ b/src/gateway/traffic_quotas.cpp
@@ -14,9 +14,10 @@
 
 constexpr std::int64_t ticks_per_report = 4;
 
-// What was added since `before`. Totals begin anew when an organisation gets a limit again.
+// What was added since `before`. Totals fall when amounts are given back, and begin anew when an organisation
+// gets a limit again.
 double increase(double total, double before) {
-    return total >= before ? total - before : total;
+    return std::max(0.0, total - before);
 }
 
 } // namespace
--- a/src/quotas/shared_quotas.cpp
+++ b/src/quotas/shared_quotas.cpp
@@ -69,6 +69,9 @@
 // Gateways learn of a lower limit one after the other, and what the others used meanwhile is not owed.
 constexpr time_ms configuration_transit_ms = 3'000;
 
+// Longest time for which one request, or what another gateway announces, may close a quota.
+constexpr double longest_debt_s = 8;
+
 // A gateway that does not know the others yet assumes that there are so many.
 constexpr int assumed_gateways = 64;
 
@@ -79,10 +82,18 @@
     return double(std::max<time_ms>(0, to - from)) / ms_per_s;
 }
 
+// A quota without a burst still has room for a request.
 double capacity(const quota& one, double request) {
     const double room = requests_in_bucket * request;
-    return one.burst_ +
-           std::clamp(room, tolerance_in_bucket * one.tolerance_, most_tolerance_in_bucket * one.tolerance_);
+    const double tolerated =
+        std::clamp(room, tolerance_in_bucket * one.tolerance_, most_tolerance_in_bucket * one.tolerance_);
+    return std::max(request, one.burst_ + tolerated);
+}
+
+// Most that one request may take, and that one announcement may change the level by. A debt of that size is
+// repaid within `longest_debt_s`.
+double largest_amount(const quota& one) {
+    return one.burst_ + one.tolerance_ + longest_debt_s * one.per_s_;
 }
 
 bool sound(const announcement& one) {
@@ -200,6 +211,11 @@
         return std::nullopt;
     }
     state& one = found->second;
+    if (amount > largest_amount(one.quota_)) {
+        // Does not count as demand, which would keep others from their part.
+        one.refused_ += largest_amount(one.quota_);
+        return max_wait_ms;
+    }
     one.request_ = one.request_ <= 0 ? amount : one.request_ + request_weight * (amount - one.request_);
     one.wanted_ = one.wanted_ * decay(one.wanted_at_, now) + amount;
     one.wanted_at_ = std::max(one.wanted_at_, now);
@@ -280,8 +296,15 @@
         state& one = known->second;
         settle(one, known->first, now);
         const auto before = other.uses_.find(next.organisation_);
-        peer_use use{next.used_,       next.used_per_s_ * age_s, next.used_per_s_, now,
-                     next.used_per_s_, next.wanted_per_s_,       next.level_};
+        const double most = largest_amount(one.quota_);
+        const double used_per_s = std::min(next.used_per_s_, most);
+        peer_use use{next.used_,
+                     used_per_s * age_s,
+                     used_per_s,
+                     now,
+                     used_per_s,
+                     std::min(next.wanted_per_s_, most),
+                     std::clamp(next.level_, -most, most)};
         double counted = 0;
         if (before != other.uses_.end()) {
             const peer_use& last = before->second;
@@ -291,13 +314,18 @@
             }
         }
         double more = use.used_ + use.counted_ - counted;
-        if (restarted) {
+        // The sender counts anew if its configuration had no such quota in between.
+        const bool counted_anew =
+            before != other.uses_.end() && next.used_ + one.quota_.burst_ < before->second.used_;
+        if (restarted || counted_anew) {
             // What was extrapolated of the process before may have been used.
             more = use.used_ + use.counted_;
         }
-        if (returned) {
+        if (returned || counted_anew || before == other.uses_.end()) {
+            // It is not known when the total was used.
             more = std::min(more, one.quota_.burst_);
         }
+        more = std::clamp(more, -most, most);
         if (before == other.uses_.end() && listens(now)) {
             more = 0; // the level is that of the others
         }
--- a/tests/direct/quotas_test.cpp
+++ b/tests/direct/quotas_test.cpp
@@ -509,6 +509,48 @@
     CHECK(quotas_.report(now_).front().level_ >= -1'000);
 }
 
+// One request that said it had 2e9 tokens closed its organisation's quota at all gateways for days.
+TEST_CASE_FIXTURE(known_quota_fixture,
+                  "quota_amount_that_could_not_be_repaid_is_refused_and_changes_nothing") {
+    const auto wait = quotas_.take("org", 2e9, now_);
+    REQUIRE(wait);
+    CHECK(drain() >= 8);
+    CHECK(quotas_.announce(now_).front().wanted_per_s_ < 2'000);
+}
+
+// A rate without a burst refused every request.
+TEST_CASE_FIXTURE(known_quota_fixture, "quota_rate_without_a_burst_serves_requests_at_the_rate") {
+    quotas_.set_quotas({{"slow", {5, 0, 0}}}, now_);
+    int taken = 0;
+    for (int step = 0; step < 40; ++step) {
+        pass(250);
+        taken += quotas_.take("slow", 1, now_) ? 0 : 1;
+    }
+    CHECK(taken >= 30);
+    CHECK(taken <= 55);
+}
+
+// Guards against a quota that is closed for hours, or opened, by a known gateway's total that makes no sense
+// or is counted anew.
+TEST_CASE_FIXTURE(known_quota_fixture, "quota_known_gateway_announces_any_total_level_stays_bounded") {
+    constexpr double most = 1'000 + 8 * 1'000;
+    const auto announce = [&](double used, double per_s) {
+        const std::vector<announcement> announced = {{"org", used, per_s, per_s, 0}};
+        quotas_.apply("g1", 1, announced, 0, now_);
+    };
+    announce(100, 0);
+    pass(500);
+    for (const double number : {1e300, 1.7e308, 5e7}) {
+        const double before = quotas_.report(now_).front().level_;
+        announce(number, 0);
+        CHECK(quotas_.report(now_).front().level_ >= before - most);
+    }
+    announce(0, 1e300);
+    announce(0, 0);
+    CHECK(quotas_.report(now_).front().level_ >= -4 * most);
+    CHECK(quotas_.report(now_).front().level_ <= 1'000);
+}
+
 TEST_CASE_FIXTURE(known_quota_fixture, "quota_process_stood_still_uses_no_burst_until_it_has_listened") {
     now_ += 5'000;
     CHECK(drain() <= 1);
