--- a/src/dispatch/urgency.cpp
+++ b/src/dispatch/urgency.cpp
@@ -7,7 +7,7 @@
 int urgency(int rank, bool late) {
     constexpr int levels = 10;         // priorities that engines distinguish
     constexpr int levels_per_rank = 2; // in time and late
-    return std::clamp(levels_per_rank * rank, 0, levels - levels_per_rank) + (late ? 1 : 0);
+    return levels_per_rank * std::clamp(rank, 0, levels / levels_per_rank - 1) + (late ? 1 : 0);
 }
 
 double late_request_wait_ms(double wait_ms, double load) {
