End the process only after incomplete requests have been refused

The control thread took the refusal of requests that are not received whole for done once it was posted. With the traffic thread behind by 50 ms, a request that had arrived whole meanwhile was sent and then cut. The traffic thread now says when it has refused them. Found by reading; not reproduced.

--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -273,14 +273,15 @@
     if (now >= serving_ends_at_) {
         traffic_.end_before_exit();
     }
+    // Read first: what is refused counts as in service before this is set.
+    const bool incomplete_refused = traffic_.incomplete_refused();
     const bool all_ended = now >= close_idle_at_ && traffic_.in_service() == 0;
-    if (now >= exits_at_ || (all_ended && incomplete_refused_)) {
+    if (now >= exits_at_ || (all_ended && incomplete_refused)) {
         context_.stop();
         return;
     }
     if (all_ended) {
         traffic_.refuse_incomplete();
-        incomplete_refused_ = true;
     }
     shutdown_timer_.expires_after(shutdown_poll_interval);
     shutdown_timer_.async_wait([this](boost::system::error_code cancelled) {
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -59,7 +59,6 @@
     time_ms close_idle_at_ = 0;
     time_ms serving_ends_at_ = 0;
     time_ms exits_at_ = 0;
-    bool incomplete_refused_ = false;
 };
 
 } // namespace tamarack::gateway
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -424,7 +424,10 @@
 }
 
 void traffic::refuse_incomplete() {
-    asio::post(context_, [this] { listener_.refuse_incomplete(); });
+    asio::post(context_, [this] {
+        listener_.refuse_incomplete();
+        incomplete_refused_ = true;
+    });
 }
 
 void traffic::end_before_exit() {
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -81,6 +81,7 @@
 
     // Refuses the requests that have not been received whole.
     void refuse_incomplete();
+    bool incomplete_refused() const { return incomplete_refused_; }
 
     // Gives all requests their last response. To be called shortly before the process ends.
     void end_before_exit();
@@ -127,6 +128,7 @@
     time_ms started_at_;
     std::int64_t ticks_ = 0;
     std::atomic<bool> shutting_down_ = false;
+    std::atomic<bool> incomplete_refused_ = false;
     std::atomic<bool> store_reachable_ = false;
     bool planning_ = false;
     bool notices_changed_ = false; // the others have not been told
