Keep the limits of organisations, and refuse what an endpoint may read otherwise

What callers saw: nothing.

Cause: as for their keys, the gateway did not know that limits exist.

Change: a request takes its part of its organisation's quota when it is routed and gives it back if it has not run; what is beyond gets 429 with the time until there is room. The others are told at once of use that they do not expect. A request whose key changes hands while it waits counts for the new holder. Settings tell the tolerated window, share and slack. Where keys are asked for, a target with dot segments and a repeated header that the gateway decides by are a 400: an endpoint that reads them otherwise would run a request without a key, or a larger one than was counted.

--- a/include/tamarack/http.hpp
+++ b/include/tamarack/http.hpp
@@ -45,6 +45,10 @@
     std::optional<std::string_view> find(std::string_view name) const;
 };
 
+// Whether a path has a segment "." or "..", also if it is percent-encoded or has parameters. A receiver that
+// resolves such segments serves another path than one that does not.
+bool has_dot_segments(std::string_view path);
+
 // Builds a response with a JSON body.
 response json_response(int status, std::string body);
 
--- a/include/tamarack/settings.hpp
+++ b/include/tamarack/settings.hpp
@@ -68,6 +68,9 @@
     double retry_slack_ = 50;          // retries allowed beyond the ratio, summed over all gateways
     double retry_window_s_ = 10;       // sliding window over which requests and retries are counted
     double load_window_s_ = 5;         // time window for the load rate of the weight store
+    double quota_window_s_ = 8;        // sliding window over which the use of organisations is judged
+    double quota_over_ = 0;            // part by which that use may exceed the limit
+    double quota_slack_ = 0;           // tokens by which it may exceed that
 
     bool operator==(const gateway_settings&) const = default;
 };
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -34,10 +34,10 @@
 } // namespace
 
 fleet_state::fleet_state(std::string own_id, boost::asio::any_io_executor executor, header_names names,
-                         dispatch::retry_limits retries)
+                         dispatch::retry_limits retries, quota_tolerance tolerated)
     : executor_(std::move(executor)), names_(std::move(names)), notices_(own_id, boot_now_ms()),
-      quotas_(std::move(own_id), boot_now_ms()), retry_limits_(retries), started_at_(steady_now_ms()),
-      random_(new_incarnation()), gateway_count_(initial_gateway_count),
+      quotas_(std::move(own_id), boot_now_ms()), retry_limits_(retries), tolerated_(tolerated),
+      started_at_(steady_now_ms()), random_(new_incarnation()), gateway_count_(initial_gateway_count),
       budget_sharers_(initial_gateway_count, false) {}
 
 bool fleet_state::apply_configuration(std::shared_ptr<const indexed_configuration> configuration) {
@@ -45,9 +45,25 @@
         return false;
     }
     current_ = std::move(configuration);
+    set_quotas(*current_->configuration_);
     return true;
 }
 
+void fleet_state::set_quotas(const fleet::configuration& configuration) {
+    std::map<std::string, quotas::quota, std::less<>> quotas;
+    if (configuration.organisations_) {
+        for (const fleet::organisation& one : *configuration.organisations_) {
+            const fleet::usage_limit& limit = one.limit_;
+            if (limit.per_s_ > 0) {
+                const double allowed = limit.per_s_ * tolerated_.window_s_ + limit.burst_;
+                const double slack = limit.counts_tokens_ ? tolerated_.slack_ : 0;
+                quotas[one.name_] = {limit.per_s_, limit.burst_, tolerated_.over_ * allowed + slack};
+            }
+        }
+    }
+    quotas_.set_quotas(std::move(quotas), boot_now_ms());
+}
+
 void fleet_state::apply_endpoints(const std::map<std::string, fleet::endpoint_record, std::less<>>& records) {
     std::erase_if(endpoints_, [&](const auto& entry) {
         const bool removed = !records.contains(entry.first);
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -29,10 +29,17 @@
     return {at.record().id_, at.record().incarnation_};
 }
 
+// How far the use of an organisation may exceed its limit in a sliding window.
+struct quota_tolerance {
+    double window_s_ = 0;
+    double over_ = 0;  // as a part of what the limit allows in the window
+    double slack_ = 0; // tokens
+};
+
 class fleet_state {
 public:
     fleet_state(std::string own_id, boost::asio::any_io_executor executor, header_names names,
-                dispatch::retry_limits retries);
+                dispatch::retry_limits retries, quota_tolerance tolerated = {});
 
     // Replaces the current configuration if `configuration` is newer. Returns whether it was replaced.
     bool apply_configuration(std::shared_ptr<const indexed_configuration> configuration);
@@ -136,7 +143,10 @@
 private:
     const fleet::model_spec* find_model(std::string_view service, std::string_view model) const;
 
+    void set_quotas(const fleet::configuration& configuration);
+
     dispatch::retry_limits retry_limits_;
+    quota_tolerance tolerated_;
     time_ms started_at_;
     std::shared_ptr<const indexed_configuration> current_;
     std::map<std::string, std::shared_ptr<endpoint>, std::less<>> endpoints_;
--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -68,6 +68,14 @@
                        [&](const std::string& one) { return http::same_name(one, name); });
 }
 
+bool repeats_header(const std::vector<http::header>& headers, std::initializer_list<std::string_view> names) {
+    return std::any_of(names.begin(), names.end(), [&](std::string_view name) {
+        return std::count_if(headers.begin(), headers.end(), [&](const http::header& header) {
+                   return http::same_name(header.name_, name);
+               }) > 1;
+    });
+}
+
 // Whether the header describes the request itself and is forwarded even if the Connection header names it.
 bool is_always_forwarded(std::string_view name, const header_names& names) {
     return http::same_name(name, "Host") || http::same_name(name, names.request_id_) ||
@@ -109,6 +117,9 @@
     }
     metadata.last_event_id_ =
         parse_number<std::int64_t>(header_value(incoming.headers_, names.last_event_id_));
+    metadata.ambiguous_ =
+        repeats_header(incoming.headers_, {names.request_id_, names.deadline_, names.model_,
+                                           names.token_counts_, names.prompt_parts_, names.last_event_id_});
     for (const http::header& header : incoming.headers_) {
         if (!names.key_.empty() && http::same_name(header.name_, names.key_)) {
             metadata.keys_.push_back(header.value_);
--- a/src/gateway/head_rewrite.hpp
+++ b/src/gateway/head_rewrite.hpp
@@ -22,6 +22,7 @@
     std::optional<time_ms> deadline_ms_;                       // time left when the request arrived
     std::optional<std::int64_t> last_event_id_;
     std::vector<std::string> keys_; // values of all key headers; never to be logged
+    bool ambiguous_ = false;        // a header that the gateway decides by comes more than once
 
     // Most tokens that the request reads and generates together, if it says so.
     std::optional<double> tokens() const {
@@ -36,9 +37,9 @@
     time_ms left_ms_ = 0;
     std::string_view endpoint_;
     int urgency_ = -1;                          // negative for plain services, which get no such header
+    std::optional<std::int64_t> last_event_id_; // replacement of the client's, if set
     std::string_view organisation_;             // empty if the request belongs to none
     bool drops_keys_ = false;                   // whether the key header is the gateway's own concern
-    std::optional<std::int64_t> last_event_id_; // replacement of the client's, if set
 };
 
 // Returns the head of the request as sent to the endpoint: method and target unchanged, the length of the
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -60,13 +60,13 @@
 void request_flow::start() {
     arrived_at_ = steady_now_ms();
     metadata_ = parse_request_metadata(incoming_, context_.fleet_.names_);
-    if (!find_route() || !identify()) {
+    if (!find_route() || !identify_or_refuse()) {
         return;
     }
     suspects_ = name_suspects(incoming_, metadata_, caller_.organisation_);
     // All attempts send the same bytes; what a request holds is charged once.
     body_ = std::make_shared<const std::string>(std::move(incoming_.body_));
-    if (refuse_if_quarantined()) {
+    if (refuse_if_quarantined() || !take_quota()) {
         return;
     }
     const time_ms deadline = metadata_.deadline_ms_.value_or(default_timeout_ms);
@@ -104,6 +104,12 @@
         send_own_response(status_bad_request, "no_request_id");
         return false;
     }
+    // What the endpoint would make of these may differ from what the gateway decides by.
+    const bool ambiguous = metadata_.ambiguous_ || http::has_dot_segments(incoming_.path());
+    if (configured_->keys_.required() && ambiguous) {
+        send_own_response(status_bad_request, "ambiguous_request");
+        return false;
+    }
     route_ = configured_->index_.match(metadata_.host_, incoming_.path());
     if (route_ == nullptr) {
         send_own_response(status_not_found, "no_route");
@@ -216,7 +222,7 @@
 }
 
 void request_flow::try_next_endpoint() {
-    if (!is_still_identified() && !identify()) {
+    if (!is_still_identified() && !(identify_or_refuse() && take_quota())) {
         return;
     }
     if (!may_begin(steady_now_ms())) {
@@ -409,7 +415,7 @@
     forward.endpoint_ = target->record().id_;
     forward.urgency_ = service_->engine_ ? urgency(now) : -1;
     forward.organisation_ = caller_.organisation_;
-    forward.drops_keys_ = caller_.keyed_;
+    forward.drops_keys_ = caller_.keys_required_;
     if (stream_begun_) {
         forward.last_event_id_ = splitter_.last_id();
     }
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -82,7 +82,13 @@
     std::string organisation_; // empty if the request belongs to none
     std::optional<int> rank_;  // replaces the rank of the route
     fleet::usage_limit limit_;
-    bool keyed_ = false; // whether the configuration lists organisations
+    bool keys_required_ = false; // whether the configuration lists organisations
+};
+
+// What a request has taken of an organisation's quota.
+struct quota_lease {
+    std::string organisation_;
+    double amount_ = 0;
 };
 
 // What the last choice of an endpoint rested on.
@@ -111,8 +117,11 @@
 
 private:
     bool find_route();
-    bool identify();
+    bool identify_or_refuse();
+    void set_caller(const identity::identification& found, bool keys_required);
     bool is_still_identified() const;
+    bool take_quota();
+    void return_unused_quota();
     bool refuse_if_quarantined();
     bool is_quarantined() const;
     void end_trial();
@@ -206,6 +215,7 @@
     std::shared_ptr<const std::string> body_;
     request_metadata metadata_;
     caller caller_;
+    std::optional<quota_lease> quota_;
     std::vector<std::string> suspects_; // the request and the shared parts of its prompt
     std::shared_ptr<const indexed_configuration> configured_; // owner of `route_` and `service_`
     const fleet::route_rule* route_ = nullptr;
--- a/src/gateway/request_flow_caller.cpp
+++ b/src/gateway/request_flow_caller.cpp
@@ -1,4 +1,4 @@
-// request_flow: whose request it is.
+// request_flow: whose request it is, and what its organisation may use.
 #include "gateway/request_flow.hpp"
 
 namespace tamarack::gateway {
@@ -12,37 +12,40 @@
 
 } // namespace
 
+void request_flow::set_caller(const identity::identification& found, bool keys_required) {
+    caller_ = {};
+    caller_.keys_required_ = keys_required;
+    if (found.organisation_ != nullptr) {
+        caller_.organisation_ = found.organisation_->name_;
+        caller_.rank_ = found.organisation_->rank_;
+        caller_.limit_ = found.organisation_->limit_;
+    }
+}
+
 // Identifies the caller by the configuration in force. Returns false if that ended the request.
-bool request_flow::identify() {
+bool request_flow::identify_or_refuse() {
     const indexed_configuration& current = *context_.fleet_.current();
     const identity::identification found = identity::identify(current.keys_, *route_, metadata_.keys_);
     if (identity::is_accepted(found.outcome_)) {
-        caller_ = {};
-        caller_.keyed_ = current.keys_.required();
-        if (found.organisation_ != nullptr) {
-            caller_.organisation_ = found.organisation_->name_;
-            caller_.rank_ = found.organisation_->rank_;
-            caller_.limit_ = found.organisation_->limit_;
-        }
+        set_caller(found, current.keys_.required());
         return true;
     }
     const std::string_view outcome = identity::to_string(found.outcome_);
-    // A newer version of the configuration may hold the key, and clients do not retry after a 401.
-    const bool unconfirmed =
-        found.outcome_ == identity::outcome::unknown_key && context_.fleet_.is_view_old(boot_now_ms());
+    // A newer version of the configuration may accept the request, and clients do not retry after a 401.
+    const bool unconfirmed = context_.fleet_.is_view_old(boot_now_ms());
     context_.metrics_.count("tamarack_callers_refused_total",
                             "Requests refused since their caller was not identified, by reason",
-                            {{"reason", unconfirmed ? "unconfirmed_key" : std::string(outcome)}});
+                            {{"reason", unconfirmed ? "unconfirmed" : std::string(outcome)}});
     context_.events_.write({event_kind::admission,
                             "gateway",
-                            unconfirmed ? "key_unconfirmed" : "caller_not_identified",
+                            unconfirmed ? "caller_unconfirmed" : "caller_not_identified",
                             metadata_.id_,
                             {{"reason", outcome},
                              {"route", route_->name_},
                              {"configuration", current.configuration_->version_},
                              {"view_age_ms", context_.fleet_.view_age_ms(boot_now_ms())}}});
     if (unconfirmed) {
-        refuse("key_unconfirmed", unconfirmed_retry_after_ms);
+        refuse("caller_unconfirmed", unconfirmed_retry_after_ms);
     } else if (possible_runs_ > 0) {
         fail(outcome);
     } else {
@@ -62,7 +65,47 @@
     const std::string_view name =
         found.organisation_ == nullptr ? std::string_view() : found.organisation_->name_;
     return identity::is_accepted(found.outcome_) && name == caller_.organisation_ &&
-           current.keys_.required() == caller_.keyed_;
+           current.keys_.required() == caller_.keys_required_;
+}
+
+// Counts the request in its organisation's use. Returns false if there is no room for it, which ended the
+// request. One that may have run already counts where it was first sent.
+bool request_flow::take_quota() {
+    if (possible_runs_ > 0) {
+        return true;
+    }
+    return_unused_quota();
+    quotas::shared_quotas& quotas = context_.fleet_.quotas_;
+    if (caller_.organisation_.empty() || !quotas.limited(caller_.organisation_)) {
+        return true;
+    }
+    const double amount = identity::usage(caller_.limit_, metadata_.tokens());
+    const auto wait = quotas.take(caller_.organisation_, amount, boot_now_ms());
+    if (quotas.announcement_is_due()) {
+        context_.notice_changed_();
+    }
+    if (!wait) {
+        quota_ = quota_lease{caller_.organisation_, amount};
+        return true;
+    }
+    context_.events_.write({event_kind::admission,
+                            "gateway",
+                            "over_quota",
+                            metadata_.id_,
+                            {{"organisation", caller_.organisation_},
+                             {"amount", amount},
+                             {"per_s", caller_.limit_.per_s_},
+                             {"wait_ms", *wait}}});
+    refuse("over_quota", *wait, status_too_many_requests);
+    return false;
+}
+
+// What has not run does not count.
+void request_flow::return_unused_quota() {
+    const auto taken = std::exchange(quota_, std::nullopt);
+    if (taken && possible_runs_ == 0 && !stream_begun_) {
+        context_.fleet_.quotas_.give_back(taken->organisation_, taken->amount_, boot_now_ms());
+    }
 }
 
 } // namespace tamarack::gateway
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -476,6 +476,7 @@
     release_place();
     end_counted(false);
     end_trial();
+    return_unused_quota();
     deadline_timer_.cancel();
     wait_timer_.cancel();
     const time_ms now = steady_now_ms();
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -44,7 +44,8 @@
     : settings_(settings), incarnation_(new_incarnation()), measures_(measures), events_(events),
       handlers_(std::move(handlers)), context_(1), work_guard_(context_.get_executor()),
       tick_timer_(context_),
-      fleet_(settings.id_, context_.get_executor(), std::move(names), retry_limits(settings)),
+      fleet_(settings.id_, context_.get_executor(), std::move(names), retry_limits(settings),
+             {settings.quota_window_s_, settings.quota_over_, settings.quota_slack_}),
       peers_(settings.id_, steady_now_ms()),
       agents_(fleet_, settings.id_, incarnation_, std::uint16_t(settings.agent_port_), events,
               {[this](const links::gateway_digest& digest) {
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -55,6 +55,29 @@
     return std::nullopt;
 }
 
+bool has_dot_segments(std::string_view path) {
+    while (!path.empty()) {
+        const std::size_t end = std::min(path.find('/'), path.size());
+        std::string_view segment = path.substr(0, end);
+        segment = segment.substr(0, segment.find(';'));
+        path.remove_prefix(std::min(path.size(), end + 1));
+        int dots = 0;
+        while (!segment.empty()) {
+            constexpr std::string_view encoded_dot = "%2e";
+            const bool encoded = same_name(segment.substr(0, encoded_dot.size()), encoded_dot);
+            if (segment.front() != '.' && !encoded) {
+                break;
+            }
+            segment.remove_prefix(encoded ? encoded_dot.size() : 1);
+            ++dots;
+        }
+        if (segment.empty() && (dots == 1 || dots == 2)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 response json_response(int status, std::string body) {
     return {status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -22,6 +22,7 @@
 constexpr std::int64_t max_descriptors = 16LL * 1024 * 1024;
 constexpr double max_grace_s = 3'600;
 constexpr double max_ratio = 100;
+constexpr double max_quota_slack = 1e9; // tokens
 constexpr double max_slack = 1'000'000;
 constexpr double max_window_s = 3'600;
 
@@ -179,6 +180,9 @@
     settings.retry_slack_ = reader.real("retry_slack", 0, max_slack, settings.retry_slack_);
     settings.retry_window_s_ = reader.real("retry_window_s", 1, max_window_s, settings.retry_window_s_);
     settings.load_window_s_ = reader.real("load_window_s", 1, max_window_s, settings.load_window_s_);
+    settings.quota_window_s_ = reader.real("quota_window_s", 1, max_window_s, settings.quota_window_s_);
+    settings.quota_over_ = reader.real("quota_over", 0, max_ratio, settings.quota_over_);
+    settings.quota_slack_ = reader.real("quota_slack", 0, max_quota_slack, settings.quota_slack_);
     return settings;
 }
 
--- a/tests/direct/identity_test.cpp
+++ b/tests/direct/identity_test.cpp
@@ -94,6 +94,31 @@
     CHECK(received().empty());
 }
 
+// UNASKED: a request without a key could name a target beyond a public route, or other values than the
+// gateway decides by.
+TEST_CASE_FIXTURE(identity_fixture, "request_that_an_endpoint_may_read_otherwise_is_refused_and_not_sent") {
+    configure(3, *fleet_.current()->configuration_->organisations_, true);
+    for (const char* target :
+         {"/drafts/../x", "/drafts/%2e%2E/x", "/drafts/.;a/x", "/drafts/.", "/drafts/x/.."}) {
+        CAPTURE(target);
+        CHECK(http::has_dot_segments(target));
+        sink_ = std::make_shared<status_sink>();
+        const auto flow = std::make_shared<request_flow>(
+            flows_, sink_,
+            http::request{"GET", target, {{"Host", "shop.example"}, {"Tamarackbeam-Request-Id", "r-1"}}, ""});
+        flow->on_finished([] {});
+        flow->start();
+        CHECK(sink_->status_ == 400);
+    }
+    for (const char* target : {"/drafts/...", "/drafts/.x/y", "/drafts/x..", "/%2e%2e%2e/", "/", ""}) {
+        CHECK_FALSE(http::has_dot_segments(target));
+    }
+    sink_ = std::make_shared<status_sink>();
+    start_with({{"Tamarackbeam-Token-Usage", "1,1"}, {"tamarackbeam-token-usage", "800,400"}});
+    CHECK(sink_->status_ == 400);
+    CHECK(received().empty());
+}
+
 TEST_CASE_FIXTURE(identity_fixture, "request_on_a_public_route_is_sent_without_key_and_organisation") {
     configure(3, *fleet_.current()->configuration_->organisations_, true);
     start_with({{"X-Api-Key", "key-9"}, {"Tamarackbeam-Tenant", "o-1"}});
@@ -169,6 +194,63 @@
           std::string::npos);
 }
 
+// QUOTA: no limit of an organisation was kept.
+TEST_CASE_FIXTURE(identity_fixture, "request_beyond_the_quota_of_its_organisation_is_refused_and_not_sent") {
+    configure(3, {{"o-1", {"key-1"}, std::nullopt, {1, 1, false, 0}}, {"o-2", {"key-3"}, std::nullopt, {}}});
+    fleet_.quotas_.update(boot_now_ms(), true);
+    const std::vector<std::pair<const char*, int>> calls = {{"key-1", 200}, {"key-1", 429}, {"key-3", 200}};
+    for (const auto& [key, status] : calls) {
+        sink_ = std::make_shared<status_sink>();
+        start_with({{"X-Api-Key", key}});
+        run();
+        context_.restart();
+        CHECK(sink_->status_ == status);
+        CHECK(header("Retry-After").empty() == (status != 429));
+    }
+    CHECK(received_by("e-1") + received_by("e-2") == 2);
+}
+
+TEST_CASE_FIXTURE(identity_fixture, "request_that_endpoints_reject_does_not_count_in_the_quota") {
+    configure(3, {{"o-1", {"key-1"}, std::nullopt, {1, 1, false, 0}}});
+    fleet_.quotas_.update(boot_now_ms(), true);
+    for (const int status : {503, 200}) {
+        const auto behaviour =
+            status == 200 ? fake_endpoint::behaviour::complete : fake_endpoint::behaviour::not_run;
+        first_.set_behaviours({behaviour});
+        second_.set_behaviours({behaviour});
+        sink_ = std::make_shared<status_sink>();
+        start_with({{"X-Api-Key", "key-1"}});
+        run();
+        context_.restart();
+        CHECK(sink_->status_ == status);
+    }
+}
+
+// QUOTA: a request whose key changed hands while it waited counted for neither organisation.
+TEST_CASE_FIXTURE(identity_fixture, "request_key_changes_hands_while_it_waits_counts_for_its_holder") {
+    constexpr fleet::usage_limit limit{1, 1, false, 0};
+    configure(3, {{"o-1", {"key-1", "key-2"}, std::nullopt, limit}, {"o-2", {}, std::nullopt, limit}});
+    fleet_.quotas_.update(boot_now_ms(), true);
+    const auto flow = start_with({{"X-Api-Key", "key-1"}}, "m/a1");
+    REQUIRE(adapters_.size() == 1);
+    configure(4, {{"o-1", {"key-2"}, std::nullopt, limit}, {"o-2", {"key-1"}, std::nullopt, limit}});
+    adapters_.front().second(false);
+    REQUIRE(adapters_.size() == 2);
+    adapters_.back().second(true);
+    run();
+    CHECK(sink_->status_ == 200);
+    const auto used = [&](const std::string& organisation) {
+        for (const quotas::quota_state& one : fleet_.quotas_.report(boot_now_ms())) {
+            if (one.organisation_ == organisation) {
+                return one.used_;
+            }
+        }
+        return -1.0;
+    };
+    CHECK(used("o-1") == 0);
+    CHECK(used("o-2") == 1);
+}
+
 // Repeats of a request under two keys of one organisation are the same request, and no name of one is made
 // from its key.
 TEST_CASE("suspects_of_an_organisation_do_not_depend_on_its_keys") {
--- a/tests/direct/quarantine_request_test.cpp
+++ b/tests/direct/quarantine_request_test.cpp
@@ -58,7 +58,7 @@
 
 std::string name_of(const http::request& incoming) {
     const gateway::header_names& headers = *registry<gateway::header_names>::instance().find("log-store");
-    return gateway::name_suspects(incoming, gateway::parse_request_metadata(incoming, headers)).front();
+    return gateway::name_suspects(incoming, gateway::parse_request_metadata(incoming, headers), {}).front();
 }
 
 } // namespace
