--- a/include/tamarack/quotas.hpp
+++ b/include/tamarack/quotas.hpp
@@ -91,14 +91,13 @@
     std::vector<std::string> organisations() const;
 
     bool limited(std::string_view organisation) const;
-    std::size_t count() const;
 
     // States of all organisations that have a limit, those with most recent demand first.
     std::vector<quota_state> report(time_ms now);
 
 private:
     // What this gateway told the others at some time.
-    struct told_use {
+    struct announced_use {
         time_ms at_ = 0;
         double used_ = 0;
         double used_per_s_ = 0;
@@ -131,14 +130,14 @@
         double others_per_s_ = 0; // use of the others, as extrapolated
         double others_wanted_per_s_ = 0;
         int others_ = 0; // gateways that hold a part
-        std::optional<time_ms> forgives_at_;
+        std::optional<time_ms> debt_reset_at_;
 
         double used_ = 0;
         double refused_ = 0;
         double wanted_ = 0; // decaying sum of the amounts asked for
         time_ms wanted_at_ = 0;
         double request_ = 0; // decaying average of the amounts
-        std::deque<told_use> told_;
+        std::deque<announced_use> announced_;
 
         bool paced_ = false;
         double credit_ = 0; // of the pace; negative while a request is owed
--- a/src/quotas/shared_quotas.cpp
+++ b/src/quotas/shared_quotas.cpp
@@ -124,10 +124,6 @@
     return names;
 }
 
-std::size_t shared_quotas::count() const {
-    return states_.size();
-}
-
 bool shared_quotas::listens(time_ms now) const {
     return now < listens_until_ || now - updated_at_ > limits::max_update_gap_ms || adopts_levels_;
 }
@@ -145,7 +141,7 @@
         } else {
             settle(known, organisation, now);
             if (one.per_s_ < known.quota_.per_s_) {
-                known.forgives_at_ = now + configuration_transit_ms;
+                known.debt_reset_at_ = now + configuration_transit_ms;
             }
         }
         known.quota_ = one;
@@ -160,7 +156,7 @@
 
 // The part of this gateway, by the demand that the others know of.
 double shared_quotas::share(const state& one) const {
-    const double own = one.told_.empty() ? 0 : one.told_.front().wanted_per_s_;
+    const double own = one.announced_.empty() ? 0 : one.announced_.front().wanted_per_s_;
     const double all = own + one.others_wanted_per_s_;
     const double even = even_part * std::max(all, one.quota_.per_s_);
     return (own + even / (1 + one.others_)) / (all + even);
@@ -184,12 +180,12 @@
     const double full = capacity(one.quota_, one.request_);
     one.level_ = std::min(full, one.level_ + (one.quota_.per_s_ - one.others_per_s_) * passed_s);
     one.settled_at_ = std::max(one.settled_at_, now);
-    if (one.forgives_at_ && now >= *one.forgives_at_) {
-        one.forgives_at_.reset();
+    if (one.debt_reset_at_ && now >= *one.debt_reset_at_) {
+        one.debt_reset_at_.reset();
         one.level_ = std::max(one.level_, 0.0);
     }
-    while (one.told_.size() > 1 && one.told_[1].at_ <= now - heard_delay_ms) {
-        one.told_.pop_front();
+    while (one.announced_.size() > 1 && one.announced_[1].at_ <= now - heard_delay_ms) {
+        one.announced_.pop_front();
     }
     const double threshold = overloaded(one, now) ? paced_below_in_overload : paced_below;
     const bool paced = listens(now) || isolated_ || !takes_part_ || one.level_ < threshold * full;
@@ -225,22 +221,25 @@
     if (listening) {
         taken = one.credit_ >= 0;
     } else if (one.level_ > 0) {
-        const told_use base = one.told_.empty() ? told_use{now, one.used_, 0, 0} : one.told_.front();
+        const announced_use base =
+            one.announced_.empty() ? announced_use{now, one.used_, 0, 0} : one.announced_.front();
         const double unexpected = one.used_ - base.used_ - base.used_per_s_ * seconds(base.at_, now);
         const double even =
             overloaded(one, now) ? 0 : std::min(most_even_part, even_level_part / (1 + one.others_));
         const double level_part = std::max(share(one), even);
         const bool on_its_own = isolated_ || !takes_part_;
         const double allowed = (one.paced_ ? share(one) : level_part) * one.level_;
-        taken = (one.paced_ && one.credit_ >= 0) || (!on_its_own && unexpected + amount <= allowed) ||
-                (!one.paced_ && unexpected <= extra_requests * one.request_);
+        const bool within_pace = one.paced_ && one.credit_ >= 0;
+        const bool within_level = !on_its_own && unexpected + amount <= allowed;
+        const bool is_extra_request = !one.paced_ && unexpected <= extra_requests * one.request_;
+        taken = within_pace || within_level || is_extra_request;
         // The newest announcement counts here, which the others may not have heard yet.
-        const told_use newest = one.told_.empty() ? base : one.told_.back();
-        const double untold =
+        const announced_use newest = one.announced_.empty() ? base : one.announced_.back();
+        const double unannounced =
             one.used_ + amount - newest.used_ - newest.used_per_s_ * seconds(newest.at_, now);
         const bool unexpected_use =
             !one.paced_ && !overloaded(one, now) &&
-            untold > std::max(urgent_part * level_part * one.level_, urgent_requests * one.request_);
+            unannounced > std::max(urgent_part * level_part * one.level_, urgent_requests * one.request_);
         const bool unexpected_demand =
             wanted_per_s(one, now) > urgent_growth * newest.wanted_per_s_ + urgent_requests * one.request_;
         if (unexpected_use || unexpected_demand) {
@@ -388,7 +387,7 @@
             }
         }
         const double all =
-            one.others_wanted_per_s_ + (one.told_.empty() ? 0 : one.told_.front().wanted_per_s_);
+            one.others_wanted_per_s_ + (one.announced_.empty() ? 0 : one.announced_.front().wanted_per_s_);
         const double even = even_part * std::max(all, one.quota_.per_s_);
         for (auto& [id, other] : peers_) {
             const auto found = other.uses_.find(organisation);
@@ -461,7 +460,7 @@
     all.resize(std::min(all.size(), max_announcements));
     for (const announcement& one : all) {
         states_.find(one.organisation_)
-            ->second.told_.push_back({now, one.used_, one.used_per_s_, one.wanted_per_s_});
+            ->second.announced_.push_back({now, one.used_, one.used_per_s_, one.wanted_per_s_});
     }
     return all;
 }
