--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -116,6 +116,7 @@
     settings_.back_offs_ = 0;
     const soak_outcome outcome = check(1);
     CHECK(outcome.served_ == outcome.requests_);
+    CHECK(outcome.unserved_ == std::vector<std::string>());
 }
 
 } // namespace tamarack::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -21,6 +21,7 @@
 DEFINE_int32(plain_endpoints, 2, "endpoints of the plain service");
 DEFINE_bool(drills, true, "whether the store returns from a copy now and then");
 DEFINE_bool(faults, true, "whether there are faults beside the limits and drills");
+DEFINE_bool(all_served, false, "whether a request that is not served counts as a broken promise");
 DEFINE_string(folder, "", "where the logs of failed soaks stay; a temporary folder if empty");
 
 int main(int argc, char** argv) {
@@ -51,7 +52,8 @@
         settings.folder_ = (base / ("seed-" + std::to_string(settings.seed_))).string();
         std::filesystem::remove_all(settings.folder_);
         const soak_outcome outcome = run_soak(settings);
-        const bool whole = outcome.broken_promises_.empty() && outcome.recovered_after_ms_ >= 0;
+        const bool all_served = !FLAGS_all_served || outcome.unserved_.empty();
+        const bool whole = outcome.broken_promises_.empty() && outcome.recovered_after_ms_ >= 0 && all_served;
         failed += whole ? 0 : 1;
         std::cout << "seed " << settings.seed_ << (whole ? " kept" : " BROKEN") << ", " << outcome.requests_
                   << " requests, " << outcome.served_ << " served, " << outcome.faults_.size()
@@ -66,6 +68,11 @@
         for (const std::string& promise : outcome.broken_promises_) {
             std::cout << "  broken: " << promise << '\n';
         }
+        if (!all_served) {
+            for (const std::string& request : outcome.unserved_) {
+                std::cout << "  not served: " << request << '\n';
+            }
+        }
         std::cout << "  logs: " << settings.folder_ << std::endl;
     }
     return failed == 0 ? 0 : 1;
--- a/tests/soak/referee.cpp
+++ b/tests/soak/referee.cpp
@@ -60,6 +60,8 @@
     constexpr int success = 200;
     request& one = requests_[id];
     one.final_ = true;
+    one.status_ = answer.status_;
+    one.answered_at_ = now;
     const auto said = said_leaving_.find(id);
     if (said != said_leaving_.end() && answer.status_ > 0) {
         told_leaving_.try_emplace({one.sent_.gateway_, said->second.first, said->second.second}, now);
@@ -334,6 +336,25 @@
     }
 }
 
+std::vector<std::string> referee::unserved(time_ms started_at) const {
+    std::vector<std::string> lines;
+    for (const auto& [id, one] : requests_) {
+        if (one.served_) {
+            continue;
+        }
+        std::string line = id + " sent to " + one.sent_.gateway_ + " at " +
+                           std::to_string(one.sent_.sent_at_ - started_at) + " ms: ";
+        line += one.answered_at_ == 0 ? "no answer"
+                                      : "status " + std::to_string(one.status_) + " after " +
+                                            std::to_string(one.answered_at_ - one.sent_.sent_at_) + " ms";
+        for (const std::string& engine : one.runs_) {
+            line += ", ran at " + engine;
+        }
+        lines.push_back(std::move(line));
+    }
+    return lines;
+}
+
 double referee::served_share(time_ms from, time_ms until) const {
     int sent = 0;
     int served = 0;
--- a/tests/soak/referee.hpp
+++ b/tests/soak/referee.hpp
@@ -159,6 +159,10 @@
     int requests() const { return int(requests_.size()); }
     int served() const { return served_; }
 
+    // One line for each request that was not served: where and when it was sent, its status, and its runs.
+    // Times are relative to `started_at`.
+    std::vector<std::string> unserved(time_ms started_at) const;
+
     // Share of the owed requests sent in a span that were served; 1 if there were none.
     double served_share(time_ms from, time_ms until) const;
 
@@ -169,6 +173,8 @@
         bool refused_ = false;
         bool served_ = false;
         bool final_ = false;
+        int status_ = 0;
+        time_ms answered_at_ = 0; // 0 while there is no final answer
     };
     struct span {
         std::string part_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -45,6 +45,7 @@
         outcome_.broken_promises_ = judge_.broken_promises();
         outcome_.requests_ = judge_.requests();
         outcome_.served_ = judge_.served();
+        outcome_.unserved_ = judge_.unserved(started_at_);
         return outcome_;
     }
 
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -29,6 +29,7 @@
     std::vector<std::string> faults_; // with their times, in order
     int requests_ = 0;
     int served_ = 0;
+    std::vector<std::string> unserved_; // a line for each request that was not served
     time_ms recovered_after_ms_ =
         -1; // from the last fault until requests are served again; negative if never
 };
