Let a request wait for its adapter while its engine has free slots

Callers got 503 at once for a request with an adapter at an engine with no or one request in its batch.

Cause: the store's return has no part in it. The only engine that held the request's model was loading another model and takes no order for an adapter until then. A refusal leaves slots to requests that can be in time; here no slot was scarce.

Change: the wait is what is left of the load that the engine's agent reports. A request that waits for nothing but its adapter, at an engine with half of its slots free, is admitted if its client still waits and if the agent does not answer before (links::adapter_timeout_ms).

On the code before, request_needs_an_adapter_while_an_idle_engine_loads_a_model_waits_for_it fails (503, no adapter requested); the test of should_admit needs the new fields.

--- a/include/tamarack/dispatch.hpp
+++ b/include/tamarack/dispatch.hpp
@@ -147,11 +147,17 @@
     time_ms patience_ms_ = 0;  // longest wait for the first event before the client gives up; 0 if unknown
     time_ms left_ms_ = 0;      // time until the deadline
     bool returned_ = false;    // the client was refused before and is retrying
+
+    // Part of the wait in which the endpoint makes the request's adapter resident.
+    time_ms adapter_wait_ms_ = 0;
+
+    // Whether at least half of the endpoint's slots are free and no request waits for one.
+    bool slots_are_free_ = false;
 };
 
 // Whether to admit the request. A request that would miss its objective takes a slot from one that could meet
 // it, so its client is told to retry later. A client that retries is admitted if it is likely to be served
-// before it gives up.
+// before it gives up, and so is any client that waits for nothing but its adapter.
 bool should_admit(const admission_facts& facts);
 
 // Time before a client leaves in which it is told that its stream has failed. It covers an interval between
--- a/include/tamarack/links.hpp
+++ b/include/tamarack/links.hpp
@@ -35,6 +35,9 @@
 using echo = fbs::EchoT;
 using frame = fbs::FrameT;
 
+// Time after which an agent answers that a wanted adapter did not become resident.
+inline constexpr time_ms adapter_timeout_ms = 1'200;
+
 // Protocol version sent in `hello`. An agent closes the link of a gateway that has another version.
 inline constexpr std::uint32_t protocol_version = 1;
 
--- a/src/dispatch/choose.cpp
+++ b/src/dispatch/choose.cpp
@@ -84,7 +84,9 @@
     if (facts.wait_ms_ <= facts.objective_ms_) {
         return true;
     }
-    if (!facts.returned_) {
+    const bool waits_for_adapter_only =
+        facts.slots_are_free_ && facts.wait_ms_ - facts.adapter_wait_ms_ <= facts.objective_ms_;
+    if (!facts.returned_ && !waits_for_adapter_only) {
         return false;
     }
     const double longest =
--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -1,12 +1,13 @@
 #include "engine_agent/order_book.hpp"
 
+#include "tamarack/links.hpp"
+
 #include <algorithm>
 
 namespace tamarack::engine_agent {
 
 namespace {
 
-constexpr time_ms adapter_timeout_ms = 1'200;    // time limit for a requested adapter to become resident
 constexpr time_ms placement_timeout_ms = 8'000;  // time after which an unfinished placement is cancelled
 constexpr time_ms loading_timeout_ms = 1'000;    // time limit for a loaded adapter to appear in the reports
 constexpr time_ms unloading_timeout_ms = 10'000; // time limit for requests that use an unloaded adapter
@@ -175,7 +176,7 @@
                                       std::string_view adapter, time_ms now) {
     last_requested_[adapter_key(model, adapter)] = now;
     adapter_requests_.push_back(
-        {request_id, std::string(model), std::string(adapter), now + adapter_timeout_ms});
+        {request_id, std::string(model), std::string(adapter), now + links::adapter_timeout_ms});
 }
 
 void order_scheduler::release_adapter(std::uint64_t request_id) {
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -217,21 +217,30 @@
 
 std::optional<time_ms> fleet_state::next_copy_wait_ms(std::string_view service, std::string_view model,
                                                       time_ms now) const {
-    const fleet::model_spec* known = find_model(service, model);
     std::optional<time_ms> soonest;
     for (const auto& one : endpoints_of(service)) {
         const engine_view& engine = one->engine_;
-        if (known == nullptr || !engine.known_ || !engine.reachable_ || engine.loading_ != model) {
+        if (!engine.known_ || !engine.reachable_ || engine.loading_ != model) {
             continue;
         }
-        const time_ms takes =
-            engine.cached_models_.contains(model) ? known->disk_load_ms_ : known->store_load_ms_;
-        const time_ms left = std::max(min_remaining_load_ms, takes - (now - engine.loading_since_));
-        soonest = std::min(soonest.value_or(left), left);
+        if (const auto left = load_left_ms(service, engine, now)) {
+            soonest = std::min(soonest.value_or(*left), *left);
+        }
     }
     return soonest;
 }
 
+std::optional<time_ms> fleet_state::load_left_ms(std::string_view service, const engine_view& engine,
+                                                 time_ms now) const {
+    const fleet::model_spec* known = find_model(service, engine.loading_);
+    if (known == nullptr) {
+        return std::nullopt;
+    }
+    const time_ms takes =
+        engine.cached_models_.contains(engine.loading_) ? known->disk_load_ms_ : known->store_load_ms_;
+    return std::max(min_remaining_load_ms, takes - (now - engine.loading_since_));
+}
+
 time_ms fleet_state::model_wait_ms(std::string_view service, std::string_view model, time_ms now) const {
     const fleet::model_spec* known = find_model(service, model);
     if (known == nullptr) {
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -124,6 +124,10 @@
     std::optional<time_ms> next_copy_wait_ms(std::string_view service, std::string_view model,
                                              time_ms now) const;
 
+    // Expected time until the engine's current load of a model ends, in ms; none if it loads none.
+    std::optional<time_ms> load_left_ms(std::string_view service, const engine_view& engine,
+                                        time_ms now) const;
+
     int gateway_count() const { return gateway_count_; }
     void set_gateway_count(int count) { gateway_count_ = count; }
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -4,6 +4,7 @@
 #include "gateway/request_flow.hpp"
 
 #include "gateway/suspects.hpp"
+#include "tamarack/links.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -20,7 +21,7 @@
 constexpr time_ms safe_idle_ms = 400;            // idle time after which endpoints may close a connection
 constexpr double free_slot_adapter_ms = 40;      // time for an order to the agent and the load of one adapter
 constexpr double evicting_adapter_ms = 90;       // the same, including the eviction of another adapter
-constexpr double busy_engine_adapter_ms = 1'500; // the same, after another order in progress
+constexpr double busy_engine_adapter_ms = 1'500; // the same, after an order in progress of unknown length
 constexpr int status_not_found = 404;
 constexpr int status_bad_request = 400;
 
@@ -212,7 +213,9 @@
 // Expected time, in ms, for an engine to load an adapter that it does not hold.
 double request_flow::adapter_wait_ms(const endpoint& target) const {
     if (target.engine_.busy_) {
-        return busy_engine_adapter_ms;
+        // The engine takes the order for the adapter once its load of a model has ended.
+        const auto left = context_.fleet_.load_left_ms(service_->name_, target.engine_, steady_now_ms());
+        return left ? double(*left) + evicting_adapter_ms : busy_engine_adapter_ms;
     }
     std::size_t resident = 0;
     for (const fleet::held_model& model : target.models()) {
@@ -287,7 +290,7 @@
     }
     const auto expected = time_ms(wait);
     const bool admitted_before = possible_runs_ > 0;
-    if (!admitted_before && !dispatch::should_admit(admission_facts(expected, now))) {
+    if (!admitted_before && !dispatch::should_admit(admission_facts(candidates[*chosen], expected, now))) {
         log_refusal(*responsive[*chosen], candidates[*chosen], expected, now);
         // Copies of the model that are being loaded add capacity once they are ready.
         const auto next_copy = context_.fleet_.next_copy_wait_ms(service_->name_, metadata_.model_, now);
@@ -339,6 +342,16 @@
     return facts;
 }
 
+dispatch::admission_facts request_flow::admission_facts(const dispatch::endpoint_candidate& candidate,
+                                                        time_ms wait_ms, time_ms now) const {
+    constexpr double free_share = 0.5; // of the slots, so that one is free when the adapter is resident
+    dispatch::admission_facts facts = admission_facts(wait_ms, now);
+    facts.adapter_wait_ms_ = std::min(wait_ms, time_ms(candidate.adapter_wait_ms_));
+    facts.slots_are_free_ = candidate.queued_ < 1 && candidate.running_ <= free_share * candidate.slots_ &&
+                            facts.adapter_wait_ms_ < links::adapter_timeout_ms;
+    return facts;
+}
+
 // Sends the request once its adapter, if it names one, is resident; the adapter stays so until it is
 // released.
 void request_flow::acquire_adapter_and_send(std::shared_ptr<endpoint> target) {
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -141,6 +141,8 @@
     void note_wants(const std::vector<std::shared_ptr<endpoint>>& usable);
     dispatch::endpoint_candidate make_candidate(const endpoint& target, time_ms now) const;
     dispatch::admission_facts admission_facts(time_ms wait_ms, time_ms now) const;
+    dispatch::admission_facts admission_facts(const dispatch::endpoint_candidate& candidate, time_ms wait_ms,
+                                              time_ms now) const;
     double adapter_wait_ms(const endpoint& target) const;
     void log_refusal(const endpoint& best, const dispatch::endpoint_candidate& candidate, time_ms expected,
                      time_ms now);
--- a/tests/direct/dispatch_test.cpp
+++ b/tests/direct/dispatch_test.cpp
@@ -190,6 +190,20 @@
     CHECK(should_admit(facts));
 }
 
+// A request was refused at an engine with free slots, since its adapter could be loaded only after another
+// load.
+TEST_CASE("should_admit_first_attempt_that_waits_for_its_adapter_only_is_admitted") {
+    admission_facts facts{700, 300, 2'400, 12'000, false};
+    facts.adapter_wait_ms_ = 600;
+    CHECK_FALSE(should_admit(facts));
+    facts.slots_are_free_ = true;
+    CHECK(should_admit(facts));
+    facts.adapter_wait_ms_ = 300;
+    CHECK_FALSE(should_admit(facts));
+    facts.adapter_wait_ms_ = facts.wait_ms_ = 2'300; // the client would give up
+    CHECK_FALSE(should_admit(facts));
+}
+
 // A client that leaves a stream at a suspended instance cannot be told of its end, and nobody can cancel
 // there.
 TEST_CASE("client_of_a_silent_stream_is_about_to_leave_shortly_before_its_patience_or_time_ends") {
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -92,6 +92,65 @@
     CHECK(received_by("e-1") + received_by("e-2") == 0);
 }
 
+namespace {
+
+// The engines carry out an order for a model, and take no other one until it has ended.
+struct busy_engines_fixture : flow_fixture {
+    busy_engines_fixture() {
+        auto configuration = std::make_shared<fleet::configuration>(*fleet_.current()->configuration_);
+        configuration->version_ = 2;
+        configuration->routes_.front().objective_ms_ = 300;
+        configuration->routes_.front().patience_ms_ = 2'000;
+        fleet::model_spec model;
+        model.name_ = "other";
+        model.store_load_ms_ = 600;
+        configuration->services_.front().engine_->slots_ = 16;
+        configuration->services_.front().engine_->models_ = {model};
+        fleet_.apply_configuration(std::make_shared<const indexed_configuration>(configuration));
+    }
+
+    void report_load(const std::string& model, time_ms since_ms) {
+        for (const auto& [id, one] : fleet_.endpoints()) {
+            one->engine_.known_ = one->engine_.reachable_ = one->engine_.busy_ = true;
+            one->engine_.loading_ = model;
+            one->engine_.loading_since_ = steady_now_ms() - since_ms;
+            one->engine_.models_ = {{"m", {}}};
+            one->engine_.reported_at_ = steady_now_ms();
+        }
+    }
+};
+
+} // namespace
+
+// A request was refused at an idle engine since the load of another model counted as 1.5 s, however long it
+// had been under way.
+TEST_CASE_FIXTURE(busy_engines_fixture,
+                  "request_needs_an_adapter_while_an_idle_engine_loads_a_model_waits_for_it") {
+    report_load("other", 100);
+    const auto flow = start("m/a");
+    CHECK(adapters_.size() == 1);
+    CHECK(sink_->status_ == 0);
+}
+
+TEST_CASE_FIXTURE(busy_engines_fixture,
+                  "request_needs_an_adapter_while_a_busy_engine_loads_a_model_is_refused") {
+    report_load("other", 100);
+    for (const auto& [id, one] : fleet_.endpoints()) {
+        one->engine_.running_ = 12;
+    }
+    const auto flow = start("m/a");
+    CHECK(adapters_.empty());
+    CHECK(sink_->status_ == 503);
+}
+
+// The agent gives up an adapter before such a load has ended.
+TEST_CASE_FIXTURE(busy_engines_fixture, "request_needs_an_adapter_after_a_longer_load_is_refused_at_once") {
+    report_load("", 0);
+    const auto flow = start("m/a");
+    CHECK(adapters_.empty());
+    CHECK(sink_->status_ == 503);
+}
+
 // GONE: requests were sent to the only engine of their model while its machine stood still, and went on there
 // after their clients had left.
 TEST_CASE_FIXTURE(flow_fixture, "request_all_engines_are_unresponsive_is_refused_and_not_sent") {
