Names the terms of the contract that a process does not keep

The settings of each process had named the parts of the contract that require one, and nothing compared them with what the program does.

At its start, and on a gateway's SIGHUP, a process compares them with those that the platform's plug-in lists, and tells in one line (contract_terms_ignored) and one metric (tamarack_contract_terms_ignored) which are unknown, or have a value that is not kept.

--- a/include/tamarack/settings.hpp
+++ b/include/tamarack/settings.hpp
@@ -1,6 +1,7 @@
 // Settings: the validated JSON files that hold the addresses, data centre and limits of each program.
 #pragma once
 
+#include "tamarack/contract.hpp"
 #include "tamarack/kernel.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -71,6 +72,7 @@
     double quota_window_s_ = 8;        // sliding window over which the use of organisations is judged
     double quota_over_ = 0;            // part by which that use may exceed the limit
     double quota_slack_ = 0;           // tokens by which it may exceed that
+    contract::terms contract_;         // terms of the deployment's contract, by the platform's names
 
     bool operator==(const gateway_settings&) const = default;
 };
@@ -82,6 +84,7 @@
     boost::asio::ip::tcp::endpoint metrics_; // address for /metrics
     boost::asio::ip::tcp::endpoint engine_;
     std::string platform_ = "log-store"; // name of the platform plug-in
+    contract::terms contract_;           // terms of the deployment's contract, by the platform's names
 
     bool operator==(const engine_agent_settings&) const = default;
 };
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -1,6 +1,7 @@
 #include "engine_agent/agent.hpp"
 
 #include "net/socket_options.hpp"
+#include "observe/contract_report.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -60,6 +61,7 @@
                        {{"error", to_string(failure(metrics_listening))}}});
     }
     events_.write({event_kind::process, "agent", "started", {}, {{"port", int(settings_.listen_.port())}}});
+    report_contract(settings_.contract_, settings_.platform_, "agent", events_, measures_);
     watch_signals();
     read_report();
     context_.run();
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -1,5 +1,7 @@
 #include "gateway/control.hpp"
 
+#include "observe/contract_report.hpp"
+
 #include <boost/asio/post.hpp>
 
 #include <thread>
@@ -114,6 +116,7 @@
                        {{"error", to_string(failure(metrics_listening))}}});
     }
     events_.write({event_kind::process, "gateway", "started", {}, {{"port", int(settings_.listen_.port())}}});
+    report_contract(settings_.contract_, settings_.platform_, "gateway", events_, measures_);
     std::thread traffic_thread([this] { traffic_.run(); });
     source_->start();
     seed_exchange_->start([this] { return configuration_version_ >= 0 && endpoints_known_; });
@@ -142,15 +145,11 @@
         return;
     }
     ignored_terms_ = configuration.ignored_terms_;
-    std::string terms;
-    for (const std::string& one : ignored_terms_) {
-        terms += (terms.empty() ? "" : ",") + one;
-    }
     events_.write({event_kind::fleet_view,
                    "gateway",
                    "configuration_terms_ignored",
                    {},
-                   {{"version", configuration.version_}, {"terms", terms}}});
+                   {{"version", configuration.version_}, {"terms", contract::joined(ignored_terms_)}}});
     measures_.set("tamarack_configuration_terms_ignored",
                   "Terms of the configuration that this program does not follow", {},
                   double(ignored_terms_.size()));
@@ -247,6 +246,7 @@
                                                                : "in force at the next start";
     events_.write({event_kind::process, "gateway", "settings_read", {}, {{"outcome", outcome}}});
     if (ok(settings)) {
+        report_contract(value(settings).contract_, settings_.platform_, "gateway", events_, measures_);
         traffic_.release_suspects(value(settings).released_suspects_);
     }
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -73,6 +73,28 @@
     return all;
 }
 
+// The terms of the contract. What they may be is not checked here, since a term that this program does not
+// know must not keep it from starting.
+contract::terms read_contract(row_reader& reader) {
+    contract::terms told;
+    if (const nlohmann::json* parts = reader.list("contract_parts")) {
+        for (const nlohmann::json& part : *parts) {
+            told.parts_.push_back(part.is_string() ? part.get<std::string>() : part.dump());
+        }
+    }
+    if (const nlohmann::json* bounds = reader.object("contract_bounds")) {
+        for (const auto& [name, bound] : bounds->items()) {
+            std::optional<double>& read = told.bounds_[name];
+            if (bound.is_number()) {
+                read = bound.get<double>();
+            } else if (bound.is_boolean()) {
+                read = bound.get<bool>() ? 1 : 0;
+            }
+        }
+    }
+    return told;
+}
+
 void read_duration(row_reader& reader, const std::string& field, std::int64_t& duration_ms) {
     duration_ms = reader.number(field, 1, max_duration_ms, duration_ms);
 }
@@ -183,6 +205,7 @@
     settings.quota_window_s_ = reader.real("quota_window_s", 1, max_window_s, settings.quota_window_s_);
     settings.quota_over_ = reader.real("quota_over", 0, max_ratio, settings.quota_over_);
     settings.quota_slack_ = reader.real("quota_slack", 0, max_quota_slack, settings.quota_slack_);
+    settings.contract_ = read_contract(reader);
     return settings;
 }
 
@@ -193,6 +216,7 @@
     settings.metrics_ = read_endpoint(reader, "metrics");
     settings.engine_ = read_endpoint(reader, "engine");
     settings.platform_ = reader.text("platform", settings.platform_);
+    settings.contract_ = read_contract(reader);
     return settings;
 }
 
--- a/src/tables/row_reader.cpp
+++ b/src/tables/row_reader.cpp
@@ -100,6 +100,18 @@
     return given;
 }
 
+const nlohmann::json* row_reader::object(const std::string& field) {
+    const nlohmann::json* given = read_field(field);
+    if (given == nullptr) {
+        return nullptr;
+    }
+    if (!given->is_object()) {
+        fault(field, "is not an object", "write an object with named fields");
+        return nullptr;
+    }
+    return given;
+}
+
 void row_reader::fault(const std::string& field, std::string what, std::string remedy) {
     faults_.push_back({table_, row_name_, prefix_ + field, std::move(what), std::move(remedy)});
 }
--- a/src/tables/row_reader.hpp
+++ b/src/tables/row_reader.hpp
@@ -11,7 +11,7 @@
 namespace tamarack {
 
 // Each accessor returns the value of a field or, if the field is absent, the fallback. An invalid field, or
-// an absent one without a fallback, appends a fault; `list` then returns null.
+// an absent one without a fallback, appends a fault; `list` and `object` then return null.
 class row_reader {
 public:
     // `prefix` is prepended to field names in faults, for rows within other rows.
@@ -26,6 +26,7 @@
     double fraction(const std::string& field, double fallback);
     bool flag(const std::string& field, bool fallback);
     const nlohmann::json* list(const std::string& field);
+    const nlohmann::json* object(const std::string& field);
 
     void fault(const std::string& field, std::string what, std::string remedy);
 
--- a/tests/direct/engine_agent_test.cpp
+++ b/tests/direct/engine_agent_test.cpp
@@ -16,13 +16,16 @@
     harness::process agent_;
     boost::asio::io_context context_;
 
-    engine_agent_process() {
+    engine_agent_process() : engine_agent_process(nlohmann::json::object()) {}
+
+    explicit engine_agent_process(const nlohmann::json& further_settings) {
         std::filesystem::create_directories(folder_);
         const std::string local = "127.0.0.1:";
-        const nlohmann::json settings = {{"id", "agent-1"},
-                                         {"listen", local + std::to_string(port_)},
-                                         {"metrics", local + std::to_string(free_port())},
-                                         {"engine", local + std::to_string(free_port())}};
+        nlohmann::json settings = {{"id", "agent-1"},
+                                   {"listen", local + std::to_string(port_)},
+                                   {"metrics", local + std::to_string(free_port())},
+                                   {"engine", local + std::to_string(free_port())}};
+        settings.update(further_settings);
         const std::string path = folder_ + "/settings.json";
         std::ofstream(path) << settings.dump();
         agent_ =
@@ -44,6 +47,12 @@
     }
 };
 
+// An agent that is told of a part of the contract that it does not know.
+struct engine_agent_told_of_parts : engine_agent_process {
+    engine_agent_told_of_parts()
+        : engine_agent_process(nlohmann::json{{"contract_parts", {"base", "sessions"}}}) {}
+};
+
 links::gateway_digest make_digest(int models) {
     links::gateway_digest digest;
     digest.from = "a";
@@ -58,6 +67,14 @@
 
 } // namespace
 
+// UNASKED, ROUTE, CONFIG, QUOTA: the settings named parts of the contract that nothing kept, and no line said
+// so.
+TEST_CASE_FIXTURE(engine_agent_told_of_parts,
+                  "agent_process_terms_of_the_contract_that_it_does_not_keep_are_named") {
+    agent_.signal(SIGHUP); // so that there is a line in any case
+    CHECK(agent_.read_line().find(R"("contract_terms_ignored","terms":"sessions")") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(engine_agent_process, "agent_process_settings_reloaded_twice_still_stops_on_sigterm") {
     agent_.signal(SIGHUP);
     REQUIRE(agent_.read_line().find("settings_kept") != std::string::npos);
