Refuse targets that an endpoint may decode to another route

What callers saw: nothing so far. With organisations, a request without a key whose target was "/open/..%2fx", "/open/..\x" or, beside a public route "/", "/%64rafts/x" or "//drafts/x" was sent, and an endpoint that decodes it first would have served a path that is not public. A target with dot segments was also sent if its request waited while keys were first asked for.

Cause: dot segments were looked for in the path as it was written, and only when the request arrived.

Change: they are looked for in the decoded path, and where keys are asked for, a path that belongs to another route when it is decoded is a 400 too. Both are asked whenever the caller is identified.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -104,12 +104,6 @@
         send_own_response(status_bad_request, "no_request_id");
         return false;
     }
-    // What the endpoint would make of these may differ from what the gateway decides by.
-    const bool ambiguous = metadata_.ambiguous_ || http::has_dot_segments(incoming_.path());
-    if (configured_->keys_.required() && ambiguous) {
-        send_own_response(status_bad_request, "ambiguous_request");
-        return false;
-    }
     route_ = configured_->index_.match(metadata_.host_, incoming_.path());
     if (route_ == nullptr) {
         send_own_response(status_not_found, "no_route");
--- a/src/gateway/request_flow_caller.cpp
+++ b/src/gateway/request_flow_caller.cpp
@@ -1,15 +1,24 @@
 // request_flow: whose request it is, and what its organisation may use.
 #include "gateway/request_flow.hpp"
 
+#include "http/path.hpp"
+
 namespace tamarack::gateway {
 
 namespace {
 
+constexpr int status_bad_request = 400;
 constexpr int status_unauthorized = 401;
 
 // Expected time until a gateway that lost the platform's store reads it again, or hears from one that does.
 constexpr time_ms unconfirmed_retry_after_ms = 1'000;
 
+// Whether what the endpoint makes of the request may differ from what the gateway decides by.
+bool is_ambiguous(const request_metadata& metadata, std::string_view path, const fleet::route_index& routes) {
+    return metadata.ambiguous_ || http::has_dot_segments(path) ||
+           routes.match(metadata.host_, http::decoded_path(path)) != routes.match(metadata.host_, path);
+}
+
 } // namespace
 
 void request_flow::set_caller(const identity::identification& found, bool keys_required) {
@@ -25,6 +34,14 @@
 // Identifies the caller by the configuration in force. Returns false if that ended the request.
 bool request_flow::identify_or_refuse() {
     const indexed_configuration& current = *context_.fleet_.current();
+    if (current.keys_.required() && is_ambiguous(metadata_, incoming_.path(), current.index_)) {
+        if (possible_runs_ > 0) {
+            fail("ambiguous_request");
+        } else {
+            send_own_response(status_bad_request, "ambiguous_request");
+        }
+        return false;
+    }
     const identity::identification found = identity::identify(current.keys_, *route_, metadata_.keys_);
     if (identity::is_accepted(found.outcome_)) {
         set_caller(found, current.keys_.required());
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -1,3 +1,4 @@
+#include "http/path.hpp"
 #include "tamarack/http.hpp"
 
 #include <boost/asio/ip/address.hpp>
@@ -55,7 +56,35 @@
     return std::nullopt;
 }
 
+std::string decoded_path(std::string_view path) {
+    constexpr std::size_t digits = 2;
+    constexpr int base = 16;
+    std::string decoded;
+    decoded.reserve(path.size());
+    while (!path.empty()) {
+        char letter = path.front();
+        std::size_t length = 1;
+        if (letter == '%' && path.size() > digits) {
+            unsigned char code = 0;
+            const char* end = path.data() + 1 + digits;
+            const auto [last, failed] = std::from_chars(path.data() + 1, end, code, base);
+            if (failed == std::errc() && last == end) {
+                letter = char(code);
+                length = 1 + digits;
+            }
+        }
+        path.remove_prefix(length);
+        letter = letter == '\\' ? '/' : letter;
+        if (letter != '/' || decoded.empty() || decoded.back() != '/') {
+            decoded += letter;
+        }
+    }
+    return decoded;
+}
+
 bool has_dot_segments(std::string_view path) {
+    const std::string decoded = decoded_path(path);
+    path = decoded;
     while (!path.empty()) {
         const std::size_t end = std::min(path.find('/'), path.size());
         std::string_view segment = path.substr(0, end);
--- /dev/null
+++ b/tests/direct/identity_paths_test.cpp
@@ -0,0 +1,73 @@
+// Requests whose identity depends on how an endpoint reads them, or on a configuration that comes while they
+// wait.
+#include "direct/identity_fixture.hpp"
+
+namespace tamarack::gateway {
+
+// UNASKED: a request without a key could name a target beyond a public route by encoded separators.
+TEST_CASE_FIXTURE(identity_fixture,
+                  "request_target_with_encoded_separators_and_dots_is_refused_and_not_sent") {
+    configure(3, *fleet_.current()->configuration_->organisations_, true);
+    for (const char* target : {"/drafts/..%2fx", "/drafts/..%2Fx", "/drafts/..%5cx", "/drafts/..\\x",
+                               "/drafts/%252e%252e/x", "/drafts/a%2f..%2f..%2fx", "/drafts/..%3ba/x"}) {
+        CAPTURE(target);
+        sink_ = std::make_shared<status_sink>();
+        start_with({}, "m", target);
+        run();
+        context_.restart();
+        CHECK(sink_->status_ == 400);
+    }
+    CHECK(received().empty());
+    sink_ = std::make_shared<status_sink>();
+    start_with({}, "m", "/drafts/a%2fb%20c//d");
+    run();
+    CHECK(sink_->status_ == 200);
+}
+
+// UNASKED: a request without a key could name a route that is not public in a way that only the endpoint
+// reads.
+TEST_CASE_FIXTURE(identity_fixture, "request_target_that_reads_as_another_route_is_refused_and_not_sent") {
+    auto configuration = std::make_shared<fleet::configuration>(*fleet_.current()->configuration_);
+    configuration->version_ = 3;
+    fleet::route_rule open = configuration->routes_.front();
+    open.name_ = "open";
+    open.prefix_ = "/";
+    open.public_ = true;
+    configuration->routes_.push_back(open);
+    fleet_.apply_configuration(std::make_shared<const indexed_configuration>(configuration));
+    for (const char* target : {"/%64rafts/x", "//drafts/x", "/drafts%2fx", "\\drafts/x", "/%5cdrafts/x"}) {
+        CAPTURE(target);
+        sink_ = std::make_shared<status_sink>();
+        start_with({}, "m", target);
+        run();
+        context_.restart();
+        CHECK((sink_->status_ == 400 || sink_->status_ == 404));
+    }
+    CHECK(received().empty());
+}
+
+// UNASKED: a target with dot segments was sent on if keys were first asked for while its request waited.
+TEST_CASE_FIXTURE(flow_fixture,
+                  "request_that_an_endpoint_may_read_otherwise_waits_while_keys_come_is_refused") {
+    auto configuration = std::make_shared<fleet::configuration>(*fleet_.current()->configuration_);
+    const auto flow = std::make_shared<request_flow>(
+        flows_, sink_,
+        http::request{
+            "POST",
+            "/drafts/../x/y",
+            {{"Host", "shop.example"}, {"Tamarackbeam-Request-Id", "r-1"}, {"Tamarackbeam-Model", "m/a1"}},
+            "body"});
+    flow->on_finished([] {});
+    flow->start();
+    REQUIRE(adapters_.size() == 1);
+    configuration->version_ = 2;
+    configuration->organisations_.emplace();
+    configuration->routes_.front().public_ = true;
+    fleet_.apply_configuration(std::make_shared<const indexed_configuration>(configuration));
+    adapters_.front().second(true);
+    run();
+    CHECK(sink_->status_ == 400);
+    CHECK(received_by("e-1") + received_by("e-2") == 0);
+}
+
+} // namespace tamarack::gateway
--- a/tests/direct/identity_test.cpp
+++ b/tests/direct/identity_test.cpp
@@ -1,5 +1,5 @@
 // Whose request it is, by the key that it presents.
-#include "direct/request_flow_fixture.hpp"
+#include "direct/identity_fixture.hpp"
 #include "gateway/suspects.hpp"
 #include "tamarack/identity.hpp"
 
@@ -9,56 +9,6 @@
 
 using identity::outcome;
 
-namespace {
-
-// Two engines that hold a model, and two organisations of which one has two keys.
-struct identity_fixture : flow_fixture {
-    identity_fixture() {
-        configure(2, {{"o-1", {"key-1", "key-2"}, std::nullopt, {}}, {"o-2", {"key-3"}, std::nullopt, {}}});
-        fleet_.set_registry_freshness({boot_now_ms(), boot_now_ms(), false});
-    }
-
-    void configure(std::int64_t version, std::vector<fleet::organisation> organisations,
-                   bool public_route = false) {
-        auto configuration = std::make_shared<fleet::configuration>(*fleet_.current()->configuration_);
-        configuration->version_ = version;
-        configuration->organisations_ = std::move(organisations);
-        configuration->routes_.front().public_ = public_route;
-        fleet_.apply_configuration(std::make_shared<const indexed_configuration>(configuration));
-    }
-
-    std::shared_ptr<request_flow> start_with(std::vector<http::header> further,
-                                             const std::string& model = "m") {
-        std::vector<http::header> headers = {{"Host", "shop.example"},
-                                             {"Tamarackbeam-Request-Id", "r-1"},
-                                             {"Tamarackbeam-Deadline-Ms", "2000"},
-                                             {"Tamarackbeam-Model", model}};
-        headers.insert(headers.end(), further.begin(), further.end());
-        auto flow = std::make_shared<request_flow>(
-            flows_, sink_, http::request{"POST", "/drafts/x", std::move(headers), "body"});
-        flow->on_finished([] {});
-        flow->start();
-        return flow;
-    }
-
-    std::string received() const {
-        std::string all;
-        for (const fake_endpoint* one : {&first_, &second_}) {
-            for (const std::string& request : one->received_requests()) {
-                all += request;
-            }
-        }
-        return all;
-    }
-
-    std::string header(const std::string& name) const {
-        const http::header* found = http::find_header(sink_->headers_, name);
-        return found == nullptr ? std::string() : found->value_;
-    }
-};
-
-} // namespace
-
 // UNASKED: an endpoint got the key of a client, and not the name of its organisation.
 TEST_CASE_FIXTURE(identity_fixture, "request_with_a_key_is_sent_with_its_organisation_and_without_the_key") {
     start_with({{"x-aPI-kEY", "key-2"}, {"tamarackbeam-tenant", "o-2"}});
