Ask for a key if a route ceases to be public while its request waits

What callers saw: nothing so far. A request on a public route that waited for its adapter was run without a key after a version had taken the route from the public ones, even if it carried a key, and then without the organisation's name.

Cause: when the caller was identified again by the configuration in force, the route was still that of the configuration by which the request arrived.

Change: a route that was public counts as such only as long as it is.

Measured: request_route_ceases_to_be_public_while_it_waits_needs_a_key failed before and passes.

--- a/src/gateway/request_flow_caller.cpp
+++ b/src/gateway/request_flow_caller.cpp
@@ -19,6 +19,13 @@
            routes.match(metadata.host_, http::decoded_path(path)) != routes.match(metadata.host_, path);
 }
 
+// The route that decides whether a key is needed: one that was public counts only as long as it is.
+const fleet::route_rule& deciding_route(const fleet::route_rule& routed, const indexed_configuration& current,
+                                        std::string_view host, std::string_view path) {
+    const fleet::route_rule* in_force = routed.public_ ? current.index_.match(host, path) : nullptr;
+    return in_force == nullptr ? routed : *in_force;
+}
+
 } // namespace
 
 void request_flow::set_caller(const identity::identification& found, bool keys_required) {
@@ -42,7 +49,8 @@
         }
         return false;
     }
-    const identity::identification found = identity::identify(current.keys_, *route_, metadata_.keys_);
+    const fleet::route_rule& route = deciding_route(*route_, current, metadata_.host_, incoming_.path());
+    const identity::identification found = identity::identify(current.keys_, route, metadata_.keys_);
     if (identity::is_accepted(found.outcome_)) {
         set_caller(found, current.keys_.required());
         return true;
@@ -78,7 +86,8 @@
     if (configured_.get() == &current) {
         return true;
     }
-    const identity::identification found = identity::identify(current.keys_, *route_, metadata_.keys_);
+    const fleet::route_rule& route = deciding_route(*route_, current, metadata_.host_, incoming_.path());
+    const identity::identification found = identity::identify(current.keys_, route, metadata_.keys_);
     const std::string_view name =
         found.organisation_ == nullptr ? std::string_view() : found.organisation_->name_;
     return identity::is_accepted(found.outcome_) && name == caller_.organisation_ &&
--- a/tests/direct/identity_paths_test.cpp
+++ b/tests/direct/identity_paths_test.cpp
@@ -46,6 +46,29 @@
     CHECK(received().empty());
 }
 
+// ROUTE: a request that waited was run without a key after its route had ceased to be public.
+TEST_CASE_FIXTURE(identity_fixture, "request_route_ceases_to_be_public_while_it_waits_needs_a_key") {
+    const auto organisations = *fleet_.current()->configuration_->organisations_;
+    const std::pair<std::vector<http::header>, int> cases[] = {{{}, 401}, {{{"X-Api-Key", "key-1"}}, 200}};
+    std::int64_t version = 3;
+    for (const auto& [headers, status] : cases) {
+        CAPTURE(status);
+        configure(version++, organisations, true);
+        sink_ = std::make_shared<status_sink>();
+        adapters_.clear();
+        fleet_.set_registry_freshness({boot_now_ms(), boot_now_ms(), false});
+        const auto flow = start_with(headers, "m/a1");
+        REQUIRE(adapters_.size() == 1);
+        configure(version++, organisations, false);
+        load_adapters();
+        run();
+        context_.restart();
+        CHECK(sink_->status_ == status);
+    }
+    CHECK(received_by("e-1") + received_by("e-2") == 1);
+    CHECK(received().find("Tamarackbeam-Tenant: o-1\r\n") != std::string::npos);
+}
+
 // UNASKED: a target with dot segments was sent on if keys were first asked for while its request waited.
 TEST_CASE_FIXTURE(flow_fixture,
                   "request_that_an_endpoint_may_read_otherwise_waits_while_keys_come_is_refused") {
