Read underscores in header names as an endpoint may

What callers saw: nothing so far. A client's Tamarackbeam_Tenant, X_API_KEY and kv_from reached the endpoints, and a Tamarackbeam_Token_Usage beside the counted one as well. Endpoints that hand headers on as environment variables take these for the headers that only a gateway may set, or that it decides by.

Cause: names were compared letter by letter.

Change: a header that reads like the key, like one that only a gateway sets or like the deadline is dropped. Where keys are asked for, one that reads like a header that the gateway decides by and is spelled otherwise is a 400, as a repeated one.

--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 
@@ -68,14 +69,34 @@
                        [&](const std::string& one) { return http::same_name(one, name); });
 }
 
-bool repeats_header(const std::vector<http::header>& headers, std::initializer_list<std::string_view> names) {
+// Whether an endpoint may take one name for the other. Some read underscores as hyphens.
+bool reads_alike(std::string_view left, std::string_view right) {
+    const auto letter_of = [](char letter) {
+        return letter == '_' ? int('-') : std::tolower(static_cast<unsigned char>(letter));
+    };
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [&](char one, char other) { return letter_of(one) == letter_of(other); });
+}
+
+// Whether an endpoint may read another value of one of these headers than the gateway does.
+bool is_ambiguous(const std::vector<http::header>& headers, std::initializer_list<std::string_view> names) {
     return std::any_of(names.begin(), names.end(), [&](std::string_view name) {
-        return std::count_if(headers.begin(), headers.end(), [&](const http::header& header) {
-                   return http::same_name(header.name_, name);
-               }) > 1;
+        int readings = 0;
+        for (const http::header& header : headers) {
+            if (reads_alike(header.name_, name)) {
+                readings += http::same_name(header.name_, name) ? 1 : 2;
+            }
+        }
+        return readings > 1;
     });
 }
 
+// Whether only the gateway may set the header, or an endpoint may take it for such a one.
+bool is_reserved(std::string_view name, const header_names& names) {
+    return std::any_of(names.reserved_.begin(), names.reserved_.end(),
+                       [&](const std::string& one) { return reads_alike(one, name); });
+}
+
 // Whether the header describes the request itself and is forwarded even if the Connection header names it.
 bool is_always_forwarded(std::string_view name, const header_names& names) {
     return http::same_name(name, "Host") || http::same_name(name, names.request_id_) ||
@@ -118,8 +139,8 @@
     metadata.last_event_id_ =
         parse_number<std::int64_t>(header_value(incoming.headers_, names.last_event_id_));
     metadata.ambiguous_ =
-        repeats_header(incoming.headers_, {names.request_id_, names.deadline_, names.model_,
-                                           names.token_counts_, names.prompt_parts_, names.last_event_id_});
+        is_ambiguous(incoming.headers_, {names.request_id_, names.deadline_, names.model_,
+                                         names.token_counts_, names.prompt_parts_, names.last_event_id_});
     for (const http::header& header : incoming.headers_) {
         if (!names.key_.empty() && http::same_name(header.name_, names.key_)) {
             metadata.keys_.push_back(header.value_);
@@ -137,10 +158,10 @@
     for (const http::header& header : incoming.headers_) {
         const bool dropped =
             is_hop_by_hop_header(header.name_) || http::same_name(header.name_, "Expect") ||
-            http::same_name(header.name_, names.deadline_) ||
+            reads_alike(header.name_, names.deadline_) ||
             (parameters.last_event_id_ && http::same_name(header.name_, names.last_event_id_)) ||
-            contains(names.reserved_, header.name_) ||
-            (parameters.drops_keys_ && http::same_name(header.name_, names.key_)) ||
+            is_reserved(header.name_, names) ||
+            (parameters.drops_keys_ && reads_alike(header.name_, names.key_)) ||
             (contains(listed_names, header.name_) && !is_always_forwarded(header.name_, names));
         if (!dropped) {
             bytes += header.name_ + ": " + header.value_ + "\r\n";
--- a/tests/direct/identity_paths_test.cpp
+++ b/tests/direct/identity_paths_test.cpp
@@ -46,6 +46,37 @@
     CHECK(received().empty());
 }
 
+// UNASKED: an endpoint that reads underscores in names as hyphens got an organisation and a key of a client.
+TEST_CASE_FIXTURE(identity_fixture, "request_headers_with_underscores_for_hyphens_do_not_reach_endpoints") {
+    start_with({{"X-Api-Key", "key-1"},
+                {"Tamarackbeam_Tenant", "o-2"},
+                {"X_API_KEY", "key-3"},
+                {"kv_from", "127.0.0.1:1/h"},
+                {"X_Other", "kept"}});
+    run();
+    CHECK(sink_->status_ == 200);
+    CHECK(received().find("Tamarackbeam-Tenant: o-1\r\n") != std::string::npos);
+    CHECK(received().find("X_Other: kept\r\n") != std::string::npos);
+    for (const char* secret : {"o-2", "key-3", "127.0.0.1:1/h"}) {
+        CAPTURE(secret);
+        CHECK(received().find(secret) == std::string::npos);
+    }
+}
+
+// QUOTA: an endpoint could read another number of tokens than the gateway counts.
+TEST_CASE_FIXTURE(identity_fixture, "request_with_an_underscore_in_a_header_that_decides_is_refused") {
+    for (const char* name : {"Tamarackbeam_Token_Usage", "tamarackbeam-token_usage"}) {
+        CAPTURE(name);
+        sink_ = std::make_shared<status_sink>();
+        start_with({{"X-Api-Key", "key-1"}, {"Tamarackbeam-Token-Usage", "1,1"}, {name, "800,400"}});
+        CHECK(sink_->status_ == 400);
+        sink_ = std::make_shared<status_sink>();
+        start_with({{"X-Api-Key", "key-1"}, {name, "800,400"}});
+        CHECK(sink_->status_ == 400);
+    }
+    CHECK(received().empty());
+}
+
 // ROUTE: a request that waited was run without a key after its route had ceased to be public.
 TEST_CASE_FIXTURE(identity_fixture, "request_route_ceases_to_be_public_while_it_waits_needs_a_key") {
     const auto organisations = *fleet_.current()->configuration_->organisations_;
