Do not take the public one of two routes with one prefix

What callers saw: nothing so far; the platform's store takes only valid versions. Of two routes with the same host and prefix, the first counted, also if it was public and the other was not.

Cause: a doubled entry was skipped without a look at what it asks for.

Change: the first that is not public counts.

Measured: route_index_of_two_routes_with_one_prefix_... failed before and passes.

--- a/src/fleet/routes.cpp
+++ b/src/fleet/routes.cpp
@@ -34,7 +34,11 @@
 
 route_index::route_index(const configuration& configuration) {
     for (const route_rule& route : configuration.routes_) {
-        routes_.emplace(lower_host(route.host_) + "\n" + route.prefix_, &route);
+        const auto [known, added] = routes_.emplace(lower_host(route.host_) + "\n" + route.prefix_, &route);
+        // Of several routes with one prefix, the first that is not public counts.
+        if (!added && known->second->public_ && !route.public_) {
+            known->second = &route;
+        }
     }
 }
 
--- a/tests/direct/configuration_terms_test.cpp
+++ b/tests/direct/configuration_terms_test.cpp
@@ -70,6 +70,20 @@
           std::vector<std::string>{"routes.unknown_field"});
 }
 
+// UNASKED: of two routes with one prefix, the public one let requests without a key pass.
+TEST_CASE("route_index_of_two_routes_with_one_prefix_the_public_one_does_not_count") {
+    for (const bool public_first : {true, false}) {
+        CAPTURE(public_first);
+        json body = json::parse(configuration_text(7));
+        body["routes"].push_back(body["routes"][0]);
+        body["routes"][public_first ? 0 : 4]["public"] = true;
+        const auto configuration = decoded(body);
+        const fleet::route_index index(*configuration);
+        REQUIRE(index.match("shop.example", "/lookup/x") != nullptr);
+        CHECK_FALSE(index.match("shop.example", "/lookup/x")->public_);
+    }
+}
+
 // QUOTA: of two organisations with one name, the last one's limit held for both.
 TEST_CASE("platform_organisations_with_one_name_the_first_counts") {
     json second = sound_organisation();
