Count requests that waited when their organisation got a limit

What callers saw: nothing so far. Three requests that waited for an adapter when a version gave their organisation a limit of one were all run, and counted nowhere (QUOTA if more wait than the window allows).

Cause: a request was counted when it was routed, by the limits of that moment, and again only if its organisation changed.

Change: before each attempt, a request that is in no quota although its organisation has one is identified and counted again; without room it is a 429.

Measured: request_organisation_gets_a_limit_while_it_waits_counts_in_it failed before (three of three run) and passes (one run, two 429).

--- a/src/gateway/request_flow_caller.cpp
+++ b/src/gateway/request_flow_caller.cpp
@@ -80,8 +80,11 @@
 }
 
 // Whether the configuration in force gives the request to the same organisation as the one that it was
-// identified with.
+// identified with, and the request counts in that organisation's quota, which may be newer than the request.
 bool request_flow::is_still_identified() const {
+    if (!quota_ && possible_runs_ == 0 && context_.fleet_.quotas_.limited(caller_.organisation_)) {
+        return false;
+    }
     const indexed_configuration& current = *context_.fleet_.current();
     if (configured_.get() == &current) {
         return true;
--- a/tests/direct/identity_paths_test.cpp
+++ b/tests/direct/identity_paths_test.cpp
@@ -124,4 +124,28 @@
     CHECK(received_by("e-1") + received_by("e-2") == 0);
 }
 
+// QUOTA: requests that waited when their organisation got a limit were not counted in it.
+TEST_CASE_FIXTURE(identity_fixture, "request_organisation_gets_a_limit_while_it_waits_counts_in_it") {
+    std::vector<std::shared_ptr<status_sink>> sinks;
+    for (int count = 0; count < 3; ++count) {
+        sink_ = std::make_shared<status_sink>();
+        sinks.push_back(sink_);
+        start_with({{"X-Api-Key", "key-1"}}, "m/a1");
+    }
+    REQUIRE(adapters_.size() == 3);
+    configure(3, {{{"o-1", {"key-1"}, std::nullopt, {0.01, 1, false, 0}}}});
+    fleet_.quotas_.update(boot_now_ms(), true);
+    load_adapters();
+    run();
+    int served = 0;
+    int refused = 0;
+    for (const auto& sink : sinks) {
+        served += sink->status_ == 200 ? 1 : 0;
+        refused += sink->status_ == 429 ? 1 : 0;
+    }
+    CHECK(served == 1);
+    CHECK(refused == 2);
+    CHECK(received_by("e-1") + received_by("e-2") == 1);
+}
+
 } // namespace tamarack::gateway
