Take a token count that cannot be read whole for none

What callers saw: nothing so far. A request that named its tokens as "0x400,0", "1 000,8" or "-900,8" counted as 0, 9 and 8 tokens of its organisation's limit.

Cause: a number was read as far as it goes, and one below 0 as 0.

Change: a request whose two numbers are not written whole counts as one without them, by the organisation's default.

Measured: request_metadata_unreadable_token_counts_count_as_none failed before and passes.

--- a/src/gateway/head_rewrite.cpp
+++ b/src/gateway/head_rewrite.cpp
@@ -45,6 +45,14 @@
     return parsed && std::isfinite(*parsed) ? std::optional(std::clamp(*parsed, 0.0, largest)) : std::nullopt;
 }
 
+// Whether the text is a number of 0 or more and nothing else.
+bool is_amount(std::string_view text) {
+    text = trim(text);
+    double number = 0;
+    const auto [rest, failed] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return failed == std::errc() && rest == text.data() + text.size() && std::isfinite(number) && number >= 0;
+}
+
 std::string header_value(const std::vector<http::header>& headers, std::string_view name) {
     const http::header* found = http::find_header(headers, name);
     return found == nullptr ? std::string() : found->value_;
@@ -123,7 +131,7 @@
     if (tokens.size() == 2) {
         metadata.prompt_tokens_ = parse_amount(tokens[0]).value_or(0);
         metadata.output_tokens_ = parse_amount(tokens[1]).value_or(0);
-        metadata.counts_tokens_ = parse_amount(tokens[0]) && parse_amount(tokens[1]);
+        metadata.counts_tokens_ = is_amount(tokens[0]) && is_amount(tokens[1]);
     }
     for (const std::string& part : split_list(header_value(incoming.headers_, names.prompt_parts_))) {
         const std::size_t colon = part.find(':');
--- a/tests/direct/identity_paths_test.cpp
+++ b/tests/direct/identity_paths_test.cpp
@@ -77,6 +77,20 @@
     CHECK(received().empty());
 }
 
+// QUOTA: a number of tokens that could not be read whole counted for what its first letters say.
+TEST_CASE("request_metadata_unreadable_token_counts_count_as_none") {
+    const header_names& names = *registry<header_names>::instance().find("log-store");
+    const auto tokens = [&](const std::string& text) {
+        return parse_request_metadata({"GET", "/x", {{names.token_counts_, text}}, ""}, names).tokens();
+    };
+    for (const char* text : {"0x400,0", "1 000,8", "-900,8", "800;400", "1.2.3,8", "8,", "nan,8", "8,8,8"}) {
+        CAPTURE(text);
+        CHECK_FALSE(tokens(text));
+    }
+    CHECK(tokens("800,400") == 1'200);
+    CHECK(tokens(" 800 ,\t400 ") == 1'200);
+}
+
 // ROUTE: a request that waited was run without a key after its route had ceased to be public.
 TEST_CASE_FIXTURE(identity_fixture, "request_route_ceases_to_be_public_while_it_waits_needs_a_key") {
     const auto organisations = *fleet_.current()->configuration_->organisations_;
