--- a/tests/direct/configuration_terms_test.cpp
+++ b/tests/direct/configuration_terms_test.cpp
@@ -70,6 +70,80 @@
           std::vector<std::string>{"routes.unknown_field"});
 }
 
+// A rank that could not be read counted as the most urgent one.
+TEST_CASE("platform_unreadable_rank_is_not_the_most_urgent") {
+    json organisation = sound_organisation();
+    organisation["priority"] = "low";
+    const auto configuration = with_organisations(json::array({organisation}));
+    REQUIRE(configuration->organisations_->size() == 1);
+    CHECK_FALSE(configuration->organisations_->front().rank_);
+    CHECK(names_term(*configuration, "tenants.priority"));
+    json body = json::parse(configuration_text(7));
+    body["routes"][0]["priority"] = "low";
+    const auto of_route = decoded(body);
+    CHECK(of_route->routes_[0].rank_ > of_route->routes_[1].rank_);
+    CHECK(names_term(*of_route, "routes.priority"));
+}
+
+// A limit below 0 was converted to a size without a check.
+TEST_CASE("platform_unreadable_limits_of_clients_are_the_usual_ones") {
+    const fleet::client_limits usual;
+    for (const json& content : {json(-1), json(-1e9), json("4096"), json(nullptr), json(true)}) {
+        CAPTURE(content.dump());
+        json body = json::parse(configuration_text(7));
+        for (const char* field :
+             {"max_header_bytes", "max_body_bytes", "header_timeout_ms", "idle_timeout_ms"}) {
+            body["limits"][field] = content;
+        }
+        const fleet::client_limits limits = decoded(body)->limits_;
+        CHECK(limits.header_bytes_ == usual.header_bytes_);
+        CHECK(limits.body_bytes_ == usual.body_bytes_);
+        CHECK(limits.header_ms_ == usual.header_ms_);
+        CHECK(limits.idle_ms_ == usual.idle_ms_);
+    }
+}
+
+// A list of routes that could not be read took all routes away.
+TEST_CASE("platform_configuration_with_unreadable_lists_is_rejected") {
+    for (const char* field : {"routes", "services", "tenants"}) {
+        for (const json& content : {json("odd"), json::object(), json(nullptr), json(1)}) {
+            CAPTURE(field);
+            CAPTURE(content.dump());
+            json body = json::parse(configuration_text(7));
+            body[field] = content;
+            CHECK_FALSE(ok(platform::decode_configuration(body.dump())));
+        }
+    }
+}
+
+// A split that could not be read sent all requests to one service.
+TEST_CASE("platform_route_with_an_unreadable_split_has_no_target") {
+    json body = json::parse(configuration_text(7));
+    body["routes"][0]["traffic_split"] = {{"svc", 1}};
+    const auto configuration = decoded(body);
+    CHECK(fleet::choose_target(configuration->routes_[0], 0.5) == nullptr);
+    CHECK(names_term(*configuration, "routes.traffic_split"));
+    CHECK(fleet::choose_target(configuration->routes_[1], 0.5) != nullptr);
+}
+
+// LIMIT: a model whose size could not be read counted as one that needs no memory.
+TEST_CASE("platform_model_with_an_unreadable_size_is_not_placed") {
+    for (const json& content : {json("70000"), json(-1), json(0), json(nullptr)}) {
+        CAPTURE(content.dump());
+        json body = json::parse(configuration_text(7));
+        body["services"][0]["engine"] = {
+            {"slots", 8},
+            {"weights_mb", 220'000},
+            {"models",
+             {{{"name", "m-1"}, {"weights_mb", content}}, {{"name", "m-2"}, {"weights_mb", 70'000}}}}};
+        const auto configuration = decoded(body);
+        REQUIRE(configuration->services_.front().engine_);
+        CHECK(configuration->services_.front().engine_->find_model("m-1") == nullptr);
+        CHECK(configuration->services_.front().engine_->find_model("m-2") != nullptr);
+        CHECK(names_term(*configuration, "models.weights_mb"));
+    }
+}
+
 // UNASKED: of two routes with one prefix, the public one let requests without a key pass.
 TEST_CASE("route_index_of_two_routes_with_one_prefix_the_public_one_does_not_count") {
     for (const bool public_first : {true, false}) {
