Send nothing to services whose protocol is not spoken

What callers saw: nothing so far; no deployment asks for it. Requests for a service with "tls" or another protocol than "h1" were sent in clear in HTTP/1.1, with the credentials of clients in their heads. The ignored terms named it, unless the value had another type.

Cause: a term that is not followed was named and its service used all the same.

--- a/tests/direct/configuration_terms_test.cpp
+++ b/tests/direct/configuration_terms_test.cpp
@@ -103,6 +103,25 @@
     }
 }
 
+// Requests were sent in clear to services that speak TLS, or in HTTP/1.1 to services that do not speak it.
+TEST_CASE("platform_service_with_a_protocol_that_is_not_spoken_is_not_served") {
+    const std::pair<const char*, json> terms[] = {
+        {"tls", true}, {"tls", "yes"}, {"tls", 1}, {"protocol", "h2"}, {"protocol", 2}};
+    for (const auto& [field, content] : terms) {
+        CAPTURE(field);
+        CAPTURE(content.dump());
+        json body = json::parse(configuration_text(7));
+        body["services"][0][field] = content;
+        const auto configuration = decoded(body);
+        CHECK(configuration->find_service("svc") == nullptr);
+        CHECK(configuration->ignored_terms_.size() == 2); // and an unknown field of the routes
+    }
+    json body = json::parse(configuration_text(7));
+    body["services"][0]["tls"] = false;
+    body["services"][0]["protocol"] = "h1";
+    CHECK(decoded(body)->find_service("svc") != nullptr);
+}
+
 // A list of routes that could not be read took all routes away.
 TEST_CASE("platform_configuration_with_unreadable_lists_is_rejected") {
     for (const char* field : {"routes", "services", "tenants"}) {
