--- a/src/gateway/request_flow_caller.cpp
+++ b/src/gateway/request_flow_caller.cpp
@@ -1,15 +1,31 @@
 // request_flow: whose request it is, and what its organisation may use.
 #include "gateway/request_flow.hpp"
 
+#include "http/path.hpp"
+
 namespace tamarack::gateway {
 
 namespace {
 
+constexpr int status_bad_request = 400;
 constexpr int status_unauthorized = 401;
 
 // Expected time until a gateway that lost the platform's store reads it again, or hears from one that does.
 constexpr time_ms unconfirmed_retry_after_ms = 1'000;
 
+// Whether what the endpoint makes of the request may differ from what the gateway decides by.
+bool is_ambiguous(const request_metadata& metadata, std::string_view path, const fleet::route_index& routes) {
+    return metadata.ambiguous_ || http::has_dot_segments(path) ||
+           routes.match(metadata.host_, http::decoded_path(path)) != routes.match(metadata.host_, path);
+}
+
+// The route that decides whether a key is needed: one that was public counts only as long as it is.
+const fleet::route_rule& deciding_route(const fleet::route_rule& routed, const indexed_configuration& current,
+                                        std::string_view host, std::string_view path) {
+    const fleet::route_rule* in_force = routed.public_ ? current.index_.match(host, path) : nullptr;
+    return in_force == nullptr ? routed : *in_force;
+}
+
 } // namespace
 
 void request_flow::set_caller(const identity::identification& found, bool keys_required) {
@@ -25,7 +41,16 @@
 // Identifies the caller by the configuration in force. Returns false if that ended the request.
 bool request_flow::identify_or_refuse() {
     const indexed_configuration& current = *context_.fleet_.current();
-    const identity::identification found = identity::identify(current.keys_, *route_, metadata_.keys_);
+    if (current.keys_.required() && is_ambiguous(metadata_, incoming_.path(), current.index_)) {
+        if (possible_runs_ > 0) {
+            fail("ambiguous_request");
+        } else {
+            send_own_response(status_bad_request, "ambiguous_request");
+        }
+        return false;
+    }
+    const fleet::route_rule& route = deciding_route(*route_, current, metadata_.host_, incoming_.path());
+    const identity::identification found = identity::identify(current.keys_, route, metadata_.keys_);
     if (identity::is_accepted(found.outcome_)) {
         set_caller(found, current.keys_.required());
         return true;
@@ -55,13 +80,17 @@
 }
 
 // Whether the configuration in force gives the request to the same organisation as the one that it was
-// identified with.
+// identified with, and the request counts in that organisation's quota, which may be newer than the request.
 bool request_flow::is_still_identified() const {
+    if (!quota_ && possible_runs_ == 0 && context_.fleet_.quotas_.limited(caller_.organisation_)) {
+        return false;
+    }
     const indexed_configuration& current = *context_.fleet_.current();
     if (configured_.get() == &current) {
         return true;
     }
-    const identity::identification found = identity::identify(current.keys_, *route_, metadata_.keys_);
+    const fleet::route_rule& route = deciding_route(*route_, current, metadata_.host_, incoming_.path());
+    const identity::identification found = identity::identify(current.keys_, route, metadata_.keys_);
     const std::string_view name =
         found.organisation_ == nullptr ? std::string_view() : found.organisation_->name_;
     return identity::is_accepted(found.outcome_) && name == caller_.organisation_ &&
