--- a/include/tamarack/quotas.hpp
+++ b/include/tamarack/quotas.hpp
@@ -6,10 +6,12 @@
 // below zero, and such a debt is repaid before anything more is taken.
 //
 // In any window of t seconds, use is to stay within rate * t + burst + tolerance. This is no strict bound:
-// before the others have heard of a jump in demand, each gateway may use a part of the level, or two
-// requests, beyond what they expect of it. With small quotas and many gateways, such requests of all gateways
-// may exceed the tolerance. Nothing here does I/O or reads a clock: times are those of `boot_now_ms`, so that
-// a process that stood still knows it.
+// before a jump in demand has been announced, each gateway may use a part of the level, or two requests,
+// beyond what the others expect of it. With small quotas and many gateways, such requests of all gateways may
+// exceed the tolerance.
+//
+// Nothing here does I/O or reads a clock: times are those of `boot_now_ms`, which go on while a process is
+// suspended. Amounts are tokens or requests.
 #pragma once
 
 #include "tamarack/kernel.hpp"
@@ -20,28 +22,40 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace tamarack::quotas {
 
-// What an organisation may use. Amounts are tokens or requests.
 struct quota {
-    double per_s_ = 0; // 0: no limit
+    // Amount per second. An organisation with 0 has no limit.
+    double per_s_ = 0;
+
+    // Amount that may be used at once, beyond the rate.
     double burst_ = 0;
-    // Amount by which the use in a window may exceed rate * window + burst. Gateways learn of each other's
-    // use only after a moment, so with little tolerance and many gateways a quota may be exceeded by the
-    // requests that several gateways send in this moment, and some requests are refused below it.
+
+    // Amount by which the use in a window may exceed rate * window + burst. Announcements take some time, so
+    // with little tolerance and many gateways more requests are refused below the quota.
     double tolerance_ = 0;
+
     bool operator==(const quota&) const = default;
 };
 
-// What one gateway tells the others about one organisation.
+// What one gateway announces to the others about one organisation.
 struct announcement {
     std::string organisation_;
-    double used_ = 0;         // total since the sender's start
-    double used_per_s_ = 0;   // that it expects to use next
-    double wanted_per_s_ = 0; // that its clients ask for
-    double level_ = 0;        // of the common bucket, as the sender estimates it
+
+    // Amount that the sender has used since it started.
+    double used_ = 0;
+
+    // Amount per second that the sender expects to use until its next announcement.
+    double expected_use_per_s_ = 0;
+
+    // Amount per second that the sender's clients ask for, including what is refused.
+    double demand_per_s_ = 0;
+
+    // Sender's estimate of the level of the common bucket. Negative for a debt.
+    double level_ = 0;
 };
 
 // Most announcements in one message.
@@ -51,10 +65,16 @@
 struct quota_state {
     std::string organisation_;
     quota quota_;
+
+    // Estimated level of the common bucket. Negative for a debt.
     double level_ = 0;
-    double used_ = 0;    // by this gateway, since its start
-    double refused_ = 0; // by this gateway, since its start
-    int sharers_ = 0;    // gateways that use the quota, with this one
+
+    // Amounts that this gateway has used and refused since it started.
+    double used_ = 0;
+    double refused_ = 0;
+
+    // Number of gateways with demand of the organisation, including this one.
+    int sharers_ = 0;
 };
 
 // The quotas that one gateway knows, and its estimate of what is left of each.
@@ -72,95 +92,131 @@
     // Returns an amount that was taken and not used.
     void give_back(std::string_view organisation, double amount, time_ms now);
 
-    // Another gateway announced this. `late_ms` is how much longer than usual the message was on its way.
-    // Announcements come from other processes: numbers that are not finite or negative are ignored.
+    // Applies what another gateway announced. `late_ms` is how much longer than usual the message was on its
+    // way. Announcements come from other processes: numbers that are not finite or negative are ignored.
     void apply(const std::string& from, std::uint64_t incarnation, std::span<const announcement> announced,
                time_ms late_ms, time_ms now);
 
-    // What this gateway tells the others, at most `max_announcements`, those with most recent demand first.
-    // Remembers it as told at `now`, so it is to be called only for a message that is sent.
+    // Returns what this gateway announces: at most `max_announcements`, those with most recent demand first,
+    // and none for organisations that have been idle here for a while. Remembers it as announced at `now`, so
+    // it is to be called only for a message that is sent.
     std::vector<announcement> announce(time_ms now);
 
-    // Whether the others should be told at once, since this gateway uses much more than they expect.
+    // Whether an announcement should be sent at once, since this gateway uses much more than it announced.
     bool announcement_is_due() const { return announcement_is_due_; }
 
     // To be called a few times a second. A gateway that is shutting down passes false.
     void update(time_ms now, bool takes_part);
 
-    // Names of the organisations that have a limit.
-    std::vector<std::string> organisations() const;
+    // Returns the organisation with a limit whose name has this hash (`hash64`), or null.
+    const std::string* find_organisation(std::uint64_t name_hash) const;
 
     bool limited(std::string_view organisation) const;
 
-    // States of all organisations that have a limit, those with most recent demand first.
+    // Returns the states of all organisations that have a limit, those with most recent demand first.
     std::vector<quota_state> report(time_ms now);
 
 private:
-    // What this gateway told the others at some time.
+    // One announcement of this gateway.
     struct announced_use {
         time_ms at_ = 0;
         double used_ = 0;
-        double used_per_s_ = 0;
-        double wanted_per_s_ = 0;
+        double expected_use_per_s_ = 0;
+        double demand_per_s_ = 0;
     };
 
-    // What another gateway uses of one quota.
+    // Use of one quota by another gateway.
     struct peer_use {
-        double used_ = 0;    // as announced
-        double counted_ = 0; // beyond that, extrapolated
-        double counted_per_s_ = 0;
-        time_ms counted_at_ = 0;
-        double used_per_s_ = 0; // as announced
-        double wanted_per_s_ = 0;
+        // Values of its last announcement.
+        double used_ = 0;
+        double expected_use_per_s_ = 0;
+        double demand_per_s_ = 0;
         double level_ = 0;
+
+        // Amount that has been taken from the level beyond the announced one, and the rate at which it grows.
+        double extrapolated_ = 0;
+        double extrapolated_per_s_ = 0;
+        time_ms extrapolated_at_ = 0;
     };
 
     struct peer {
         std::uint64_t incarnation_ = 0;
         time_ms heard_at_ = 0;
+
+        // Whether a part of each quota is left to it.
         bool holds_part_ = true;
-        std::map<std::string, peer_use, std::less<>> uses_; // by organisation
+        std::map<std::string, peer_use, std::less<>> use_by_organisation_;
+    };
+
+    // How a message relates to the last one of its sender.
+    struct peer_message {
+        bool restarted_ = false; // first message of an incarnation
+        bool resumed_ = false;   // first message after a restart or a gap
+        double age_s_ = 0;       // time since it was sent
     };
 
     // What this gateway knows of one organisation's quota.
     struct state {
         quota quota_;
+
+        // Estimated level of the common bucket at `refilled_at_`.
         double level_ = 0;
-        time_ms settled_at_ = 0;
-        double others_per_s_ = 0; // use of the others, as extrapolated
-        double others_wanted_per_s_ = 0;
-        int others_ = 0; // gateways that hold a part
+        time_ms refilled_at_ = 0;
+
+        // Sums over all other gateways that hold a part, and their number.
+        double peer_use_per_s_ = 0;
+        double peer_demand_per_s_ = 0;
+        int peer_count_ = 0;
+
+        // When debts of a quota that was lowered are cancelled.
         std::optional<time_ms> debt_reset_at_;
 
+        // Amounts that this gateway has used and refused since it started.
         double used_ = 0;
         double refused_ = 0;
-        double wanted_ = 0; // decaying sum of the amounts asked for
-        time_ms wanted_at_ = 0;
-        double request_ = 0; // decaying average of the amounts
+
+        // Exponentially decaying sum of the amounts that clients asked for, as of `demand_at_`.
+        double recent_demand_ = 0;
+        time_ms demand_at_ = 0;
+
+        // Exponentially weighted mean of the amounts.
+        double mean_request_ = 0;
+
+        // Announcements since the last one that all gateways have received, and that one.
         std::deque<announced_use> announced_;
 
+        // Amount that pacing allows at once, while it is on. Negative until a request has been paid off.
+        double pace_credit_ = 0;
         bool paced_ = false;
-        double credit_ = 0; // of the pace; negative while a request is owed
-        std::uint64_t paced_count_ = 0;
+        std::uint64_t pace_changes_ = 0;
     };
 
-    bool listens(time_ms now) const;
-    void settle(state& one, std::string_view organisation, time_ms now) const;
-    double wanted_per_s(const state& one, time_ms now) const;
-    double share(const state& one) const;
+    bool is_learning(time_ms now) const;
+    bool is_overloaded(const state& one, time_ms now) const;
+    void advance(state& one, std::string_view organisation, time_ms now) const;
+    void advance_pace(state& one, std::string_view organisation, double passed_s, time_ms now) const;
+    double demand_per_s(const state& one, time_ms now) const;
+    double demand_share(const state& one) const;
+    double level_share(const state& one, time_ms now) const;
     double pace_per_s(const state& one, time_ms now) const;
-    bool overloaded(const state& one, time_ms now) const;
-    void recount(time_ms now);
-    void adopt_levels(time_ms now);
+    bool may_take(const state& one, double amount, time_ms now) const;
+    bool exceeds_announcement(const state& one, double amount, time_ms now) const;
+    time_ms wait_ms(const state& one, time_ms now) const;
+    void apply_use(peer& other, const announcement& announced, const peer_message& message, time_ms now);
+    void stop_extrapolating(peer_use& use, std::string_view organisation, time_ms now);
+    void update_peer_totals(time_ms now);
+    void extrapolate_peers(std::string_view organisation, state& one, time_ms now);
+    void adopt_peer_levels(time_ms now);
 
     std::string own_id_;
-    time_ms listens_until_;
+    time_ms learns_until_;
     time_ms updated_at_;
-    bool adopts_levels_ = true; // once it has listened
+    bool level_unknown_ = true; // until the peers' levels have been adopted
     bool takes_part_ = true;
-    bool isolated_ = false; // most others fell silent
+    bool isolated_ = false; // most peers are unresponsive
     bool announcement_is_due_ = false;
     std::map<std::string, state, std::less<>> states_;
+    std::unordered_map<std::uint64_t, std::string> names_by_hash_;
     std::map<std::string, peer, std::less<>> peers_;
 };
 
--- a/src/gateway/traffic_quotas.cpp
+++ b/src/gateway/traffic_quotas.cpp
@@ -25,8 +25,8 @@
 // Adds what this gateway uses of the quotas.
 void traffic::add_quotas(links::gateway_digest& digest) {
     for (const quotas::announcement& one : fleet_.quotas_.announce(boot_now_ms())) {
-        digest.quotas.emplace_back(hash64(one.organisation_), one.used_, float(one.used_per_s_),
-                                   float(one.wanted_per_s_), float(one.level_));
+        digest.quotas.emplace_back(hash64(one.organisation_), one.used_, float(one.expected_use_per_s_),
+                                   float(one.demand_per_s_), float(one.level_));
     }
 }
 
@@ -45,7 +45,7 @@
         const auto name = names.find(one.organisation());
         if (name != names.end()) {
             announced.push_back(
-                {name->second, one.used(), one.used_per_s(), one.wanted_per_s(), one.level()});
+                {name->second, one.used(), one.expected_per_s(), one.demand_per_s(), one.level()});
         }
     }
     fleet_.quotas_.apply(digest.from, digest.incarnation, announced, late_ms, boot_now_ms());
--- a/src/links/link_generated.h
+++ b/src/links/link_generated.h
@@ -351,8 +351,8 @@
  private:
   uint64_t organisation_;
   double used_;
-  float used_per_s_;
-  float wanted_per_s_;
+  float expected_per_s_;
+  float demand_per_s_;
   float level_;
   int32_t padding0__;
 
@@ -360,17 +360,17 @@
   QuotaUse()
       : organisation_(0),
         used_(0),
-        used_per_s_(0),
-        wanted_per_s_(0),
+        expected_per_s_(0),
+        demand_per_s_(0),
         level_(0),
         padding0__(0) {
     (void)padding0__;
   }
-  QuotaUse(uint64_t _organisation, double _used, float _used_per_s, float _wanted_per_s, float _level)
+  QuotaUse(uint64_t _organisation, double _used, float _expected_per_s, float _demand_per_s, float _level)
       : organisation_(flatbuffers::EndianScalar(_organisation)),
         used_(flatbuffers::EndianScalar(_used)),
-        used_per_s_(flatbuffers::EndianScalar(_used_per_s)),
-        wanted_per_s_(flatbuffers::EndianScalar(_wanted_per_s)),
+        expected_per_s_(flatbuffers::EndianScalar(_expected_per_s)),
+        demand_per_s_(flatbuffers::EndianScalar(_demand_per_s)),
         level_(flatbuffers::EndianScalar(_level)),
         padding0__(0) {
     (void)padding0__;
@@ -381,11 +381,11 @@
   double used() const {
     return flatbuffers::EndianScalar(used_);
   }
-  float used_per_s() const {
-    return flatbuffers::EndianScalar(used_per_s_);
+  float expected_per_s() const {
+    return flatbuffers::EndianScalar(expected_per_s_);
   }
-  float wanted_per_s() const {
-    return flatbuffers::EndianScalar(wanted_per_s_);
+  float demand_per_s() const {
+    return flatbuffers::EndianScalar(demand_per_s_);
   }
   float level() const {
     return flatbuffers::EndianScalar(level_);
--- a/tests/direct/quotas_test.cpp
+++ b/tests/direct/quotas_test.cpp
@@ -515,7 +515,7 @@
     const auto wait = quotas_.take("org", 2e9, now_);
     REQUIRE(wait);
     CHECK(drain() >= 8);
-    CHECK(quotas_.announce(now_).front().wanted_per_s_ < 2'000);
+    CHECK(quotas_.announce(now_).front().demand_per_s_ < 2'000);
 }
 
 // A rate without a burst refused every request.
