Look organisations of a digest up by the hash of their name

Cause: the quotas no longer list the names of their organisations, and the gateway still asked for the list, so the program did not compile. The gateway hashed all names again for each digest of each other gateway.

Change: the gateway asks the quotas for the organisation with a hash.

Measured: the project builds again.

--- a/src/gateway/traffic_quotas.cpp
+++ b/src/gateway/traffic_quotas.cpp
@@ -2,7 +2,6 @@
 #include "gateway/traffic.hpp"
 
 #include <algorithm>
-#include <unordered_map>
 
 namespace tamarack::gateway {
 
@@ -33,19 +32,14 @@
 // Takes what another gateway uses of the quotas. Frames from a peer may be damaged, so no more than a sound
 // one has are taken.
 void traffic::apply_quotas(const links::gateway_digest& digest, time_ms late_ms) {
-    std::unordered_map<std::uint64_t, std::string> names;
-    for (std::string& name : fleet_.quotas_.organisations()) {
-        const std::uint64_t hash = hash64(name);
-        names.emplace(hash, std::move(name));
-    }
     std::vector<quotas::announcement> announced;
     const std::size_t count = std::min(digest.quotas.size(), quotas::max_announcements);
     for (std::size_t index = 0; index < count; ++index) {
         const links::quota_use& one = digest.quotas[index];
-        const auto name = names.find(one.organisation());
-        if (name != names.end()) {
+        const std::string* organisation = fleet_.quotas_.find_organisation(one.organisation());
+        if (organisation) {
             announced.push_back(
-                {name->second, one.used(), one.expected_per_s(), one.demand_per_s(), one.level()});
+                {*organisation, one.used(), one.expected_per_s(), one.demand_per_s(), one.level()});
         }
     }
     fleet_.quotas_.apply(digest.from, digest.incarnation, announced, late_ms, boot_now_ms());
