Announce the levels of idle organisations to gateways that start

Cause: organisations that are idle at a gateway are no longer announced. A gateway that started heard no level of an organisation that was idle everywhere, began at zero and refused its first requests below the limit. A gateway that resumed took over levels that peers had announced before the organisation became idle there.

Change: for the listening time after a peer has started or resumed, idle organisations are announced as well. A level that its peer no longer announces is not taken over.

--- a/include/tamarack/quotas.hpp
+++ b/include/tamarack/quotas.hpp
@@ -97,9 +97,9 @@
     void apply(const std::string& from, std::uint64_t incarnation, std::span<const announcement> announced,
                time_ms late_ms, time_ms now);
 
-    // Returns what this gateway announces: at most `max_announcements`, those with most recent demand first,
-    // and none for organisations that have been idle here for a while. Remembers it as announced at `now`, so
-    // it is to be called only for a message that is sent.
+    // Returns what this gateway announces: at most `max_announcements`, those with most recent demand first.
+    // Organisations that have been idle here for a while are announced only while a peer learns their levels.
+    // Remembers it as announced at `now`, so it is to be called only for a message that is sent.
     std::vector<announcement> announce(time_ms now);
 
     // Whether an announcement should be sent at once, since this gateway uses much more than it announced.
@@ -131,7 +131,9 @@
         double used_ = 0;
         double expected_use_per_s_ = 0;
         double demand_per_s_ = 0;
-        double level_ = 0;
+
+        // Nothing once the peer has stopped to announce the quota, since the level has changed since then.
+        std::optional<double> level_;
 
         // Amount that has been taken from the level beyond the announced one, and the rate at which it grows.
         double extrapolated_ = 0;
@@ -215,6 +217,7 @@
     bool takes_part_ = true;
     bool isolated_ = false; // most peers are unresponsive
     bool announcement_is_due_ = false;
+    time_ms announces_idle_until_ = 0; // since a peer has started or resumed
     std::map<std::string, state, std::less<>> states_;
     std::unordered_map<std::uint64_t, std::string> names_by_hash_;
     std::map<std::string, peer, std::less<>> peers_;
--- a/src/quotas/shared_quotas.cpp
+++ b/src/quotas/shared_quotas.cpp
@@ -116,8 +116,7 @@
 } // namespace
 
 shared_quotas::shared_quotas(std::string own_id, time_ms started_at)
-    : own_id_(std::move(own_id)), learns_until_(started_at + limits::listening_ms), updated_at_(started_at) {
-}
+    : own_id_(std::move(own_id)), learns_until_(started_at + limits::listening_ms), updated_at_(started_at) {}
 
 bool shared_quotas::limited(std::string_view organisation) const {
     return states_.find(organisation) != states_.end();
@@ -217,8 +216,8 @@
         const std::uint64_t hash = hash64(own_id_, hash64(organisation) + one.pace_changes_++);
         one.pace_credit_ = -one.mean_request_ * double(hash % steps) / double(steps);
     } else if (paced && (one.level_ > 0 || is_learning(now))) {
-        one.pace_credit_ = std::min(std::max(one.pace_credit_, pace_credit_s * pace),
-                                    one.pace_credit_ + pace * passed_s);
+        one.pace_credit_ =
+            std::min(std::max(one.pace_credit_, pace_credit_s * pace), one.pace_credit_ + pace * passed_s);
     }
     one.paced_ = paced;
 }
@@ -335,6 +334,7 @@
     }
     std::erase_if(other.use_by_organisation_, [&](const auto& entry) { return !limited(entry.first); });
     if (message.resumed_) {
+        announces_idle_until_ = now + limits::listening_ms;
         update_peer_totals(now);
     }
 }
@@ -360,8 +360,8 @@
     const bool begins_anew = message.restarted_ || announced.used_ + one.quota_.burst_ < last.used_;
     double unexpected = next.used_ + next.extrapolated_;
     if (!begins_anew) {
-        unexpected -= last.used_ + last.extrapolated_ +
-                      last.extrapolated_per_s_ * seconds(last.extrapolated_at_, now);
+        unexpected -=
+            last.used_ + last.extrapolated_ + last.extrapolated_per_s_ * seconds(last.extrapolated_at_, now);
     }
     if (message.resumed_ || begins_anew || is_new) {
         // It is not known when the amount was used.
@@ -390,6 +390,7 @@
     use.extrapolated_ += use.extrapolated_per_s_ * seconds(use.extrapolated_at_, now);
     use.extrapolated_at_ = now;
     use.extrapolated_per_s_ = use.expected_use_per_s_ = use.demand_per_s_ = 0;
+    use.level_.reset();
 }
 
 // Updates which peers hold a part, and the sums of their use and demand.
@@ -452,9 +453,9 @@
         std::vector<double> levels;
         for (const auto& [id, other] : peers_) {
             const auto use = other.use_by_organisation_.find(organisation);
-            if (use != other.use_by_organisation_.end() &&
+            if (use != other.use_by_organisation_.end() && use->second.level_ &&
                 now - other.heard_at_ < limits::announcement_timeout_ms) {
-                levels.push_back(use->second.level_);
+                levels.push_back(*use->second.level_);
             }
         }
         advance(one, organisation, now);
@@ -490,7 +491,7 @@
     for (auto& [organisation, one] : states_) {
         advance(one, organisation, now);
         const bool unchanged = !one.announced_.empty() && one.announced_.back().used_ == one.used_;
-        if (now - one.demand_at_ > idle_ms && (unchanged || one.used_ == 0)) {
+        if (now >= announces_idle_until_ && now - one.demand_at_ > idle_ms && (unchanged || one.used_ == 0)) {
             one.announced_.push_back({now, one.used_, 0, 0});
             continue;
         }
--- a/tests/direct/quotas_test.cpp
+++ b/tests/direct/quotas_test.cpp
@@ -451,9 +451,64 @@
     CHECK_FALSE(quotas_.limited("another"));
     CHECK(quotas_.take("another", 1e12, now_) == std::nullopt);
     quotas_.give_back("another", 1e12, now_);
+    CHECK(take(100));
+    const std::vector<announcement> announced = quotas_.announce(now_);
+    REQUIRE(announced.size() == 1);
+    CHECK(announced.front().organisation_ == "org");
+}
+
+// Guards against digests that grow with organisations which use nothing, and against a last use that is not
+// announced.
+TEST_CASE_FIXTURE(known_quota_fixture, "quota_idle_organisation_is_announced_until_its_use_is_known") {
+    REQUIRE(take(100));
+    pass(6'000);
+    const std::vector<announcement> announced = quotas_.announce(now_);
+    REQUIRE(announced.size() == 1);
+    CHECK(announced.front().used_ == 100);
+    pass(500);
+    CHECK(quotas_.announce(now_).empty());
+    REQUIRE(take(100));
     CHECK(quotas_.announce(now_).size() == 1);
 }
 
+// A gateway that started heard nothing of idle organisations, and refused their first requests.
+TEST_CASE_FIXTURE(known_quota_fixture, "quota_gateway_starts_level_of_idle_organisation_is_adopted") {
+    shared_quotas started("g1", now_);
+    started.set_quotas({{"org", {1'000, 100'000, 0}}}, now_);
+    quotas_.set_quotas({{"org", {1'000, 100'000, 0}}}, now_);
+    pass(120'000); // fills the bucket
+    started = shared_quotas("g1", now_);
+    started.set_quotas({{"org", {1'000, 100'000, 0}}}, now_);
+    for (const time_ms until = now_ + limits::listening_ms + digest_ms; now_ < until;) {
+        quotas_.apply("g1", 1, started.announce(now_), 0, now_);
+        started.apply("g0", 1, quotas_.announce(now_), 0, now_);
+        pass(update_ms);
+        started.update(now_, true);
+    }
+    CHECK(started.report(now_).front().level_ >= 90'000);
+}
+
+// A gateway that resumed took over the level that most peers had announced before the organisation became
+// idle there, although another peer had used the quota up since.
+TEST_CASE_FIXTURE(known_quota_fixture, "quota_level_of_peers_that_no_longer_announce_it_is_not_adopted") {
+    const std::vector<announcement> full = {{"org", 100, 0, 0, 1'000}};
+    for (const char* peer : {"g1", "g2", "g3"}) {
+        quotas_.apply(peer, 1, full, 0, now_);
+        quotas_.apply(peer, 1, {}, 0, now_);
+    }
+    now_ += 5'000; // the process is suspended
+    quotas_.update(now_, true);
+    const std::vector<announcement> used_up = {{"org", 100, 0, 0, -500}};
+    for (int digest = 0; digest < 5; ++digest) {
+        pass(500);
+        for (const char* peer : {"g1", "g2", "g3"}) {
+            quotas_.apply(peer, 1, {}, 0, now_);
+        }
+        quotas_.apply("g4", 1, used_up, 0, now_);
+    }
+    CHECK(quotas_.report(now_).front().level_ <= 500);
+}
+
 // Guards against requests that could never be served.
 TEST_CASE_FIXTURE(known_quota_fixture,
                   "quota_amount_larger_than_the_burst_is_served_when_the_bucket_is_full") {
