Pace the use of a quota only under overload

Cause: at a low level each gateway was paced at its part of the rate, by demand that it had announced before. With small quotas a part is less than a request in a second, and a gateway to which requests move has hardly any. Callers got 429 below their limit.

Change: without overload a gateway may use its part of the level and of the tolerance that is neither in the bucket nor reserved for five times the rate in the delivery time. At a low level each use is announced at once. Large quotas have no such tolerance left.

--- a/src/quotas/shared_quotas.cpp
+++ b/src/quotas/shared_quotas.cpp
@@ -37,14 +37,17 @@
 constexpr double even_level_factor = 6;
 constexpr double max_even_level_part = 0.5;
 
-// Mean requests beyond the announcement after which a gateway that is not paced may still send one.
+// Mean requests beyond the announcement after which a gateway may still send one, without overload.
 constexpr double extra_requests = 1;
 
+// Use in the delivery time, as a multiple of the rate, for which a part of the tolerance is reserved. Covers
+// jumps in demand that no gateway has announced yet.
+constexpr double reserved_use_factor = 5;
+
 // An announcement is due at once if the demand has grown by this factor,
 constexpr double urgent_growth = 2;
 
-// or if this part of what may be used beyond the last one has been used; for small amounts, if it is more
-// than some requests.
+// in addition to some requests, or if this part of what may be used beyond the last one has been used.
 constexpr double urgent_part = 0.25;
 constexpr double urgent_requests = 2;
 
@@ -98,6 +101,13 @@
     return std::max(request, one.burst_ + tolerated);
 }
 
+// Part of the tolerance that is neither in the bucket nor reserved. Large quotas have none.
+double spare_tolerance(const quota& one, double request) {
+    const double outside_bucket = one.burst_ + one.tolerance_ - capacity(one, request);
+    const double reserved = reserved_use_factor * one.per_s_ * double(delivery_ms) / ms_per_s;
+    return std::max(0.0, outside_bucket - reserved);
+}
+
 // Most that one request may take, and by which one announcement may change the level.
 double largest_amount(const quota& one) {
     return one.burst_ + one.tolerance_ + longest_debt_s * one.per_s_;
@@ -233,11 +243,20 @@
     const announced_use base =
         one.announced_.empty() ? announced_use{now, one.used_, 0, 0} : one.announced_.front();
     const double unexpected = one.used_ - base.used_ - base.expected_use_per_s_ * seconds(base.at_, now);
-    const double allowed = (one.paced_ ? demand_share(one) : level_share(one, now)) * one.level_;
     const bool is_alone = isolated_ || !takes_part_;
-    const bool within_level = !is_alone && unexpected + amount <= allowed;
-    const bool is_extra_request = !one.paced_ && unexpected <= extra_requests * one.mean_request_;
-    return within_pace || within_level || is_extra_request;
+    if (is_alone) {
+        return within_pace;
+    }
+    if (is_overloaded(one, now)) {
+        const double share = one.paced_ ? demand_share(one) : level_share(one, now);
+        return within_pace || unexpected + amount <= share * one.level_ ||
+               (!one.paced_ && unexpected <= extra_requests * one.mean_request_);
+    }
+    // A low level is no reason to pace without overload: each use is announced at once then, so that the
+    // others know of it after the delivery time.
+    const double allowed =
+        level_share(one, now) * (one.level_ + spare_tolerance(one.quota_, one.mean_request_));
+    return within_pace || unexpected + amount <= allowed || unexpected <= extra_requests * one.mean_request_;
 }
 
 // Whether the others should learn of this request's use or demand before the next announcement. Counts from
@@ -248,8 +267,8 @@
     const double few = urgent_requests * one.mean_request_;
     const double unannounced =
         one.used_ + amount - newest.used_ - newest.expected_use_per_s_ * seconds(newest.at_, now);
-    const bool unexpected_use = !one.paced_ && !is_overloaded(one, now) &&
-                                unannounced > std::max(urgent_part * level_share(one, now) * one.level_, few);
+    const bool unexpected_use =
+        !is_overloaded(one, now) && unannounced > urgent_part * level_share(one, now) * one.level_;
     return unexpected_use || demand_per_s(one, now) > urgent_growth * newest.demand_per_s_ + few;
 }
 
