--- a/src/gateway/traffic_quotas.cpp
+++ b/src/gateway/traffic_quotas.cpp
@@ -2,7 +2,6 @@
 #include "gateway/traffic.hpp"
 
 #include <algorithm>
-#include <unordered_map>
 
 namespace tamarack::gateway {
 
@@ -25,27 +24,22 @@
 // Adds what this gateway uses of the quotas.
 void traffic::add_quotas(links::gateway_digest& digest) {
     for (const quotas::announcement& one : fleet_.quotas_.announce(boot_now_ms())) {
-        digest.quotas.emplace_back(hash64(one.organisation_), one.used_, float(one.used_per_s_),
-                                   float(one.wanted_per_s_), float(one.level_));
+        digest.quotas.emplace_back(hash64(one.organisation_), one.used_, float(one.expected_use_per_s_),
+                                   float(one.demand_per_s_), float(one.level_));
     }
 }
 
 // Takes what another gateway uses of the quotas. Frames from a peer may be damaged, so no more than a sound
 // one has are taken.
 void traffic::apply_quotas(const links::gateway_digest& digest, time_ms late_ms) {
-    std::unordered_map<std::uint64_t, std::string> names;
-    for (std::string& name : fleet_.quotas_.organisations()) {
-        const std::uint64_t hash = hash64(name);
-        names.emplace(hash, std::move(name));
-    }
     std::vector<quotas::announcement> announced;
     const std::size_t count = std::min(digest.quotas.size(), quotas::max_announcements);
     for (std::size_t index = 0; index < count; ++index) {
         const links::quota_use& one = digest.quotas[index];
-        const auto name = names.find(one.organisation());
-        if (name != names.end()) {
+        const std::string* organisation = fleet_.quotas_.find_organisation(one.organisation());
+        if (organisation) {
             announced.push_back(
-                {name->second, one.used(), one.used_per_s(), one.wanted_per_s(), one.level()});
+                {*organisation, one.used(), one.expected_per_s(), one.demand_per_s(), one.level()});
         }
     }
     fleet_.quotas_.apply(digest.from, digest.incarnation, announced, late_ms, boot_now_ms());
