--- a/tests/direct/configuration_terms_test.cpp
+++ b/tests/direct/configuration_terms_test.cpp
@@ -50,7 +50,9 @@
         {"plain_tokens", -1},
         {"rate_per_s", true},
     };
-    for (const auto& [field, content] : unreadable) {
+    for (const auto& one : unreadable) {
+        const char* field = one.first;
+        const json& content = one.second;
         CAPTURE(field);
         CAPTURE(content.dump());
         json organisation = sound_organisation();
@@ -107,7 +109,9 @@
 TEST_CASE("platform_service_with_a_protocol_that_is_not_spoken_is_not_served") {
     const std::pair<const char*, json> terms[] = {
         {"tls", true}, {"tls", "yes"}, {"tls", 1}, {"protocol", "h2"}, {"protocol", 2}};
-    for (const auto& [field, content] : terms) {
+    for (const auto& one : terms) {
+        const char* field = one.first;
+        const json& content = one.second;
         CAPTURE(field);
         CAPTURE(content.dump());
         json body = json::parse(configuration_text(7));
--- a/tests/direct/identity_paths_test.cpp
+++ b/tests/direct/identity_paths_test.cpp
@@ -96,13 +96,14 @@
     const auto organisations = *fleet_.current()->configuration_->organisations_;
     const std::pair<std::vector<http::header>, int> cases[] = {{{}, 401}, {{{"X-Api-Key", "key-1"}}, 200}};
     std::int64_t version = 3;
-    for (const auto& [headers, status] : cases) {
+    for (const auto& one : cases) {
+        const int status = one.second;
         CAPTURE(status);
         configure(version++, organisations, true);
         sink_ = std::make_shared<status_sink>();
         adapters_.clear();
         fleet_.set_registry_freshness({boot_now_ms(), boot_now_ms(), false});
-        const auto flow = start_with(headers, "m/a1");
+        const auto flow = start_with(one.first, "m/a1");
         REQUIRE(adapters_.size() == 1);
         configure(version++, organisations, false);
         load_adapters();
