End streams that suspended engines still hold before their clients leave

A stream at an engine that has fallen silent moves to another one. From then on only the new engine's reports counted, so the stream stayed there without an event until its client left, while the first engine, which stands still, held the request until it resumed. Streams were also moved in the last 0.3 s before their clients left, waited for an adapter or a place unwatched, and were looked at only every 0.2 s.

The request keeps the endpoints that it left silent. As long as one of them has not reported since, its stream ends 0.3 s before its client leaves, at whatever engine it is and also while it waits for one, and does not move in that time. The checks come when the client is about to leave. What deals with silence has its own file.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1,6 +1,6 @@
 // request_flow: choice of an endpoint and sending. The waits before that are in request_flow_waits.cpp, the
-// handling of responses in request_flow_response.cpp, what they say of endpoints in request_flow_notices.cpp,
-// quarantined prompts in request_flow_quarantine.cpp.
+// handling of responses in request_flow_response.cpp, of their absence in request_flow_silence.cpp, what
+// responses say of endpoints in request_flow_notices.cpp, quarantined prompts in request_flow_quarantine.cpp.
 #include "gateway/request_flow.hpp"
 
 #include "gateway/suspects.hpp"
@@ -55,7 +55,8 @@
 
 request_flow::request_flow(flow_context& context, std::shared_ptr<response_sink> sink, http::request incoming)
     : context_(context), sink_(std::move(sink)), incoming_(std::move(incoming)),
-      deadline_timer_(context.fleet_.executor_), wait_timer_(context.fleet_.executor_) {}
+      deadline_timer_(context.fleet_.executor_), wait_timer_(context.fleet_.executor_),
+      silence_timer_(context.fleet_.executor_) {}
 
 void request_flow::start() {
     arrived_at_ = steady_now_ms();
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -42,6 +42,8 @@
 inline constexpr time_ms not_ready_retry_after_ms =
     400; // expected time until a gateway has learned the fleet's state
 
+inline constexpr time_ms min_retry_time_ms = 30; // least time left for another attempt
+
 inline constexpr int status_unavailable = 503;
 inline constexpr int status_too_many_requests = 429;
 
@@ -91,6 +93,13 @@
     double amount_ = 0;
 };
 
+// An attempt that was given up because its endpoint was silent. It cannot be cancelled there while the
+// endpoint's instance is suspended.
+struct silent_attempt {
+    std::shared_ptr<endpoint> target_;
+    time_ms ended_at_ = 0;
+};
+
 // What the last choice of an endpoint rested on.
 struct endpoint_choice {
     int candidates_ = 0;
@@ -193,6 +202,10 @@
     void start_silence_watch();
     void check_silence_after(time_ms delay);
     bool can_fail_over() const;
+    void check_silence();
+    bool may_be_held() const;
+    bool is_client_about_to_leave(time_ms now) const;
+    bool must_end_before_client(time_ms now) const;
     bool should_end_silent_stream() const;
 
     // Whether the first event can no longer meet the route's objective. A request that returned after a
@@ -224,9 +237,11 @@
     time_ms deadline_at_ = 0;
     boost::asio::steady_timer deadline_timer_;
     boost::asio::steady_timer wait_timer_;
+    boost::asio::steady_timer silence_timer_;
     std::set<std::string, std::less<>> tried_endpoints_;
     std::shared_ptr<exchange> exchange_;
     std::unique_ptr<scoped_attempt> attempt_;
+    std::vector<silent_attempt> silent_attempts_;
     event_splitter splitter_;
     std::string adapter_endpoint_; // endpoint that holds the adapter for `adapter_lease_`
     std::uint64_t adapter_lease_ = 0;
--- a/src/gateway/request_flow_response.cpp
+++ b/src/gateway/request_flow_response.cpp
@@ -10,15 +10,9 @@
 
 constexpr std::size_t max_unsent_bytes = 256 * 1024; // limit above which reading from the endpoint pauses
 constexpr std::size_t max_unsent_bytes_if_scarce = 16 * 1024; // the same while memory is scarce
-constexpr time_ms min_retry_time_ms = 30;                     // least time left for another attempt
 
-// Time without events after which a request may be moved to another endpoint: about a third of the shortest
-// pause after which clients leave a stream, so that the move comes before they leave.
-constexpr time_ms silence_limit_ms = 700;
-
-constexpr time_ms silence_check_interval_ms = 200; // interval between further checks
-constexpr time_ms busy_retry_after_ms = 300;       // expected time until a full endpoint has room
-constexpr int max_misdirected = 3; // rejections after which the view, not an endpoint, is wrong
+constexpr time_ms busy_retry_after_ms = 300; // expected time until a full endpoint has room
+constexpr int max_misdirected = 3;           // rejections after which the view, not an endpoint, is wrong
 constexpr int status_ok = 200;
 constexpr int first_unsuccessful_status = 300;
 constexpr int first_server_error_status = 500;
@@ -39,15 +33,6 @@
     return is_stream_route() && response.status_ == status_ok && stamped && (typed || !stream_begun_);
 }
 
-namespace {
-
-// Whether there is no recent report of a reachable engine at the endpoint.
-bool is_endpoint_lost(const endpoint& target, time_ms now, int gateways) {
-    return !target.engine_.known_ || !target.engine_.reachable_ || target.report_overdue(now, gateways);
-}
-
-} // namespace
-
 void request_flow::on_response_progress(http::response_parser& response) {
     if (!finished_) {
         note_response_head(response);
@@ -108,52 +93,6 @@
     start_silence_watch();
 }
 
-// If the engine sends nothing and its agent has stopped reporting as well or cannot reach it, moves the
-// request to another endpoint before the client leaves. Once the client has left, the gateway cannot cancel
-// the request at a hung instance. If the request cannot be moved, the attempt continues until the client is
-// about to leave, and is then ended with an unknown outcome, so that the client can go on elsewhere. An
-// engine that is only slow keeps its request.
-void request_flow::start_silence_watch() {
-    check_silence_after(silence_limit_ms);
-}
-
-void request_flow::check_silence_after(time_ms delay) {
-    wait_timer_.expires_after(std::chrono::milliseconds(delay));
-    wait_timer_.async_wait([self = shared_from_this()](boost::system::error_code cancelled) {
-        if (cancelled || self->finished_ || !self->exchange_) {
-            return;
-        }
-        const bool ends = self->can_fail_over() || self->should_end_silent_stream();
-        if (self->sink_->unsent_bytes() > 0 || !ends) {
-            self->check_silence_after(silence_check_interval_ms);
-            return;
-        }
-        const auto silent = std::exchange(self->exchange_, nullptr);
-        self->on_attempt_ended(dispatch::send_end::broken, silent->response());
-        silent->abandon();
-    });
-}
-
-bool request_flow::should_end_silent_stream() const {
-    const time_ms now = steady_now_ms();
-    const endpoint& target = attempt_->target();
-    const int gateways = context_.fleet_.gateway_count();
-    // One missing report is enough here: the client would leave the stream now in any case.
-    const bool doubted = is_endpoint_lost(target, now, gateways) || target.report_missed(now, gateways);
-    return is_stream_route() && service_->engine_ && doubted &&
-           dispatch::is_client_about_to_leave(now - std::max(arrived_at_, last_event_at_),
-                                              route_->patience_ms_, left_ms(now));
-}
-
-bool request_flow::can_fail_over() const {
-    const time_ms now = steady_now_ms();
-    return route_->repeatable() &&
-           is_endpoint_lost(attempt_->target(), now, context_.fleet_.gateway_count()) &&
-           possible_runs_ + 1 < max_attempts() && left_ms(now) > min_retry_time_ms && may_begin(now) &&
-           context_.fleet_.retries(service_->name_).available(now, context_.fleet_.budget_sharers()) &&
-           has_other_endpoint();
-}
-
 void request_flow::on_write_completed() {
     if (exchange_) {
         exchange_->resume();
@@ -247,6 +186,9 @@
     const time_ms now = steady_now_ms();
     end_counted(false);
     wait_timer_.cancel();
+    if (!may_be_held()) {
+        silence_timer_.cancel();
+    }
     update_health(end, response.status_);
     const bool arrived = end != dispatch::send_end::not_connected && end != dispatch::send_end::withheld;
     if (end == dispatch::send_end::withheld) {
@@ -271,7 +213,7 @@
     facts.sends_that_may_have_run_ = possible_runs_;
     facts.max_attempts_ = max_attempts();
     facts.budget_left_ = arrived_attempts_ == 0 || retries.available(now, context_.fleet_.budget_sharers());
-    facts.time_left_ = left_ms(now) > min_retry_time_ms && may_begin(now);
+    facts.time_left_ = left_ms(now) > min_retry_time_ms && may_begin(now) && !must_end_before_client(now);
     facts.other_endpoint_ =
         (has_other_endpoint() || end == dispatch::send_end::withheld) && misdirected_ < max_misdirected;
     const dispatch::next_step step = dispatch::after_send(facts);
@@ -479,6 +421,7 @@
     return_unused_quota();
     deadline_timer_.cancel();
     wait_timer_.cancel();
+    silence_timer_.cancel();
     const time_ms now = steady_now_ms();
     const std::int64_t version = configured_ ? configured_->configuration_->version_ : -1;
     context_.events_.write({event_kind::ending,
