Refuses keys that are not confirmed in time where settings ask for it

A gateway out of touch with the store served the keys that it knew for good, also where the deployment's contract wants revoked keys refused within a limit. The setting for that was not read.

With strict_revocation, a key counts only while the configuration was known to be the operator's newest at most revocation_limit_ms ago, by a read or by a peer's relay with its time. After that, requests that need a key get 503 with Retry-After, known key or not. The rule is in identity, and is asked when a request is routed, when an endpoint is chosen and before the first byte of each attempt. What is at an endpoint goes on. Without the setting, keys are served as before.

--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -269,6 +269,9 @@
 struct fleet_events {
     std::function<void(std::shared_ptr<const configuration>, const std::string& encoded)> configuration_;
 
+    // Called after `configuration_` whenever the configuration is known to be the operator's newest.
+    std::function<void(const freshness&)> configuration_current_ = [](const freshness&) {};
+
     // Changes in the registry. Also called without changes, when the data is known to be current.
     std::function<void(std::vector<endpoint_change>, const freshness&)> endpoints_;
 
--- a/include/tamarack/identity.hpp
+++ b/include/tamarack/identity.hpp
@@ -38,13 +38,24 @@
     std::unordered_map<digest, const fleet::organisation*, digest_hash> holders_;
 };
 
+// What becomes of keys while this process cannot learn whether the operator has taken them away.
+struct revocation_rule {
+    bool strict_ = false; // whether keys are refused if they have not been confirmed within the limit
+    time_ms limit_ms_ = 5'000;
+};
+
+// Whether the keys of the configuration in force count. It was the operator's newest one `age_ms` ago, or
+// that is not known if negative.
+bool are_keys_confirmed(const revocation_rule& rule, time_ms age_ms);
+
 // What is known of a request's caller.
 enum class outcome {
-    anonymous,    // the request needs no key
-    identified,   // it carries a key of an organisation
-    no_key,       // it needs a key and carries none
-    several_keys, // it carries more than one, so that it is not clear whose it is
-    unknown_key,  // no organisation holds its key
+    anonymous,       // the request needs no key
+    identified,      // it carries a key of an organisation
+    no_key,          // it needs a key and carries none
+    several_keys,    // it carries more than one, so that it is not clear whose it is
+    unknown_key,     // no organisation holds its key
+    unconfirmed_key, // it carries one key, and keys are not confirmed
 };
 
 std::string_view to_string(outcome of);
@@ -59,7 +70,7 @@
 
 // Identifies the caller of a request on a route by the values of its key headers.
 identification identify(const key_index& index, const fleet::route_rule& route,
-                        std::span<const std::string> keys);
+                        std::span<const std::string> keys, bool keys_confirmed);
 
 // What the request counts as in the organisation's use. `tokens` is what the request says that it has at
 // most, if it says so.
--- a/include/tamarack/settings.hpp
+++ b/include/tamarack/settings.hpp
@@ -63,16 +63,18 @@
     std::string ready_path_ = "/readyz";
     std::int64_t agent_port_ = 0; // listening port of every engine agent
     std::int64_t memory_mb_ = 0;  // memory that the process may use, in MB of 2^20 bytes; 0 for the machine's
-    std::int64_t max_descriptors_ = 0; // descriptors that the process may open; 0 for its resource limit
-    double shutdown_grace_s_ = 8;      // time from SIGTERM until the platform kills the process
-    double retry_ratio_ = 0.2;         // retries per request, summed over all gateways
-    double retry_slack_ = 50;          // retries allowed beyond the ratio, summed over all gateways
-    double retry_window_s_ = 10;       // sliding window over which requests and retries are counted
-    double load_window_s_ = 5;         // time window for the load rate of the weight store
-    double quota_window_s_ = 8;        // sliding window over which the use of organisations is judged
-    double quota_over_ = 0;            // part by which that use may exceed the limit
-    double quota_slack_ = 0;           // tokens by which it may exceed that
-    contract::terms contract_;         // terms of the deployment's contract, by the platform's names
+    std::int64_t max_descriptors_ = 0;   // descriptors that the process may open; 0 for its resource limit
+    double shutdown_grace_s_ = 8;        // time from SIGTERM until the platform kills the process
+    double retry_ratio_ = 0.2;           // retries per request, summed over all gateways
+    double retry_slack_ = 50;            // retries allowed beyond the ratio, summed over all gateways
+    double retry_window_s_ = 10;         // sliding window over which requests and retries are counted
+    double load_window_s_ = 5;           // time window for the load rate of the weight store
+    double quota_window_s_ = 8;          // sliding window over which the use of organisations is judged
+    double quota_over_ = 0;              // part by which that use may exceed the limit
+    double quota_slack_ = 0;             // tokens by which it may exceed that
+    bool strict_revocation_ = false;     // whether keys that are not confirmed in time are refused
+    double revocation_limit_ms_ = 5'000; // that time, since the configuration was known to be the newest
+    contract::terms contract_;           // terms of the deployment's contract, by the platform's names
 
     bool operator==(const gateway_settings&) const = default;
 };
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -72,6 +72,9 @@
                                      const std::string& encoded) {
         apply_configuration(std::move(configuration), encoded);
     };
+    handlers.configuration_current_ = [this](const fleet::freshness& current) {
+        traffic_.set_configuration_freshness(current);
+    };
     handlers.endpoints_ = [this](const std::vector<fleet::endpoint_change>& changes,
                                  const fleet::freshness& current) { apply_endpoints(changes, current); };
     handlers.store_reached_ = [this](bool reachable) { set_store_reachable(reachable); };
--- a/src/gateway/fleet_state.cpp
+++ b/src/gateway/fleet_state.cpp
@@ -34,11 +34,12 @@
 } // namespace
 
 fleet_state::fleet_state(std::string own_id, boost::asio::any_io_executor executor, header_names names,
-                         dispatch::retry_limits retries, quota_tolerance tolerated)
+                         dispatch::retry_limits retries, quota_tolerance tolerated,
+                         identity::revocation_rule revocation)
     : executor_(std::move(executor)), names_(std::move(names)), notices_(own_id, boot_now_ms()),
       quotas_(std::move(own_id), boot_now_ms()), retry_limits_(retries), tolerated_(tolerated),
-      started_at_(steady_now_ms()), random_(new_incarnation()), gateway_count_(initial_gateway_count),
-      budget_sharers_(initial_gateway_count, false) {}
+      revocation_(revocation), started_at_(steady_now_ms()), random_(new_incarnation()),
+      gateway_count_(initial_gateway_count), budget_sharers_(initial_gateway_count, false) {}
 
 bool fleet_state::apply_configuration(std::shared_ptr<const indexed_configuration> configuration) {
     if (current_ && configuration->configuration_->version_ <= current_->configuration_->version_) {
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -39,7 +39,8 @@
 class fleet_state {
 public:
     fleet_state(std::string own_id, boost::asio::any_io_executor executor, header_names names,
-                dispatch::retry_limits retries, quota_tolerance tolerated = {});
+                dispatch::retry_limits retries, quota_tolerance tolerated = {},
+                identity::revocation_rule revocation = {});
 
     // Replaces the current configuration if `configuration` is newer. Returns whether it was replaced.
     bool apply_configuration(std::shared_ptr<const indexed_configuration> configuration);
@@ -60,6 +61,16 @@
     // Age of the data that a choice of an endpoint rests on; -1 if there has been none.
     time_ms view_age_ms(time_ms now) const { return fleet::age_ms(registry_freshness_, now); }
 
+    void set_configuration_freshness(const fleet::freshness& current) { configuration_freshness_ = current; }
+
+    // Time since the configuration in force was known to be the operator's newest; -1 if it never was.
+    time_ms configuration_age_ms(time_ms now) const { return fleet::age_ms(configuration_freshness_, now); }
+
+    // Whether the keys of the configuration in force count.
+    bool are_keys_confirmed(time_ms now) const {
+        return identity::are_keys_confirmed(revocation_, configuration_age_ms(now));
+    }
+
     // Whether the platform's store has not been read for longer than a process in touch with it lets pass.
     bool is_view_old(time_ms now) const;
 
@@ -147,11 +158,13 @@
 
     dispatch::retry_limits retry_limits_;
     quota_tolerance tolerated_;
+    identity::revocation_rule revocation_;
     time_ms started_at_;
     std::shared_ptr<const indexed_configuration> current_;
     std::map<std::string, std::shared_ptr<endpoint>, std::less<>> endpoints_;
     std::map<std::string, std::vector<std::shared_ptr<endpoint>>, std::less<>> endpoints_by_service_;
     fleet::freshness registry_freshness_;
+    fleet::freshness configuration_freshness_;
     std::optional<time_ms> found_old_at_; // when a request first found the view too old
     std::map<std::string, dispatch::retry_window> retries_;
     std::map<std::string, dispatch::engine_timing> timings_;
--- a/src/gateway/request_flow_caller.cpp
+++ b/src/gateway/request_flow_caller.cpp
@@ -25,14 +25,16 @@
 // Identifies the caller by the configuration in force. Returns false if that ended the request.
 bool request_flow::identify_or_refuse() {
     const indexed_configuration& current = *context_.fleet_.current();
-    const identity::identification found = identity::identify(current.keys_, *route_, metadata_.keys_);
+    const bool keys_confirmed = context_.fleet_.are_keys_confirmed(boot_now_ms());
+    const identity::identification found =
+        identity::identify(current.keys_, *route_, metadata_.keys_, keys_confirmed);
     if (identity::is_accepted(found.outcome_)) {
         set_caller(found, current.keys_.required());
         return true;
     }
     const std::string_view outcome = identity::to_string(found.outcome_);
     // A newer version of the configuration may accept the request, and clients do not retry after a 401.
-    const bool unconfirmed = context_.fleet_.is_view_old(boot_now_ms());
+    const bool unconfirmed = !keys_confirmed || context_.fleet_.is_view_old(boot_now_ms());
     context_.metrics_.count("tamarack_callers_refused_total",
                             "Requests refused since their caller was not identified, by reason",
                             {{"reason", unconfirmed ? "unconfirmed" : std::string(outcome)}});
@@ -43,6 +45,7 @@
                             {{"reason", outcome},
                              {"route", route_->name_},
                              {"configuration", current.configuration_->version_},
+                             {"configuration_age_ms", context_.fleet_.configuration_age_ms(boot_now_ms())},
                              {"view_age_ms", context_.fleet_.view_age_ms(boot_now_ms())}}});
     if (unconfirmed) {
         refuse("caller_unconfirmed", unconfirmed_retry_after_ms);
@@ -55,13 +58,15 @@
 }
 
 // Whether the configuration in force gives the request to the same organisation as the one that it was
-// identified with.
+// identified with, and its key still counts.
 bool request_flow::is_still_identified() const {
     const indexed_configuration& current = *context_.fleet_.current();
-    if (configured_.get() == &current) {
+    const bool keys_confirmed = context_.fleet_.are_keys_confirmed(boot_now_ms());
+    if (configured_.get() == &current && (keys_confirmed || caller_.organisation_.empty())) {
         return true;
     }
-    const identity::identification found = identity::identify(current.keys_, *route_, metadata_.keys_);
+    const identity::identification found =
+        identity::identify(current.keys_, *route_, metadata_.keys_, keys_confirmed);
     const std::string_view name =
         found.organisation_ == nullptr ? std::string_view() : found.organisation_->name_;
     return identity::is_accepted(found.outcome_) && name == caller_.organisation_ &&
--- a/src/gateway/traffic.cpp
+++ b/src/gateway/traffic.cpp
@@ -45,7 +45,8 @@
       handlers_(std::move(handlers)), context_(1), work_guard_(context_.get_executor()),
       tick_timer_(context_),
       fleet_(settings.id_, context_.get_executor(), std::move(names), retry_limits(settings),
-             {settings.quota_window_s_, settings.quota_over_, settings.quota_slack_}),
+             {settings.quota_window_s_, settings.quota_over_, settings.quota_slack_},
+             {settings.strict_revocation_, time_ms(settings.revocation_limit_ms_)}),
       peers_(settings.id_, steady_now_ms()),
       agents_(fleet_, settings.id_, incarnation_, std::uint16_t(settings.agent_port_), events,
               {[this](const links::gateway_digest& digest) {
@@ -137,6 +138,10 @@
     asio::post(context_, [this, current] { fleet_.set_registry_freshness(current); });
 }
 
+void traffic::set_configuration_freshness(const fleet::freshness& current) {
+    asio::post(context_, [this, current] { fleet_.set_configuration_freshness(current); });
+}
+
 void traffic::relay_store_reading(fleet::relayed_data data) {
     asio::post(context_, [this, data = std::move(data)] { agents_.relay_store_reading(data); });
 }
@@ -182,6 +187,9 @@
     relay_configuration(now);
     measures_.set("tamarack_registry_view_age_ms", "Age of the view of the endpoints", {},
                   double(fleet_.view_age_ms(boot_now_ms())));
+    measures_.set("tamarack_configuration_age_ms",
+                  "Time since the configuration was known to be the operator's newest", {},
+                  double(fleet_.configuration_age_ms(boot_now_ms())));
     fleet_.set_needs(peers_.total_needs(fleet_.demand_.levels(now), now));
     const int rank = std::min(peers_.reader_rank(store_reachable_, now), store_reader_count);
     if (rank != reader_rank_) {
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -61,6 +61,9 @@
     // To be called after `set_endpoints`, so that the endpoints are at least as current.
     void set_registry_freshness(const fleet::freshness& current);
 
+    // To be called after `set_configuration`, so that the configuration is at least as current.
+    void set_configuration_freshness(const fleet::freshness& current);
+
     void relay_store_reading(fleet::relayed_data data);
 
     // What the store kept of the quarantine, and the suspects that an operator released.
--- a/src/identity/identity.cpp
+++ b/src/identity/identity.cpp
@@ -41,6 +41,10 @@
     return found == holders_.end() ? nullptr : found->second;
 }
 
+bool are_keys_confirmed(const revocation_rule& rule, time_ms age_ms) {
+    return !rule.strict_ || (age_ms >= 0 && age_ms <= rule.limit_ms_);
+}
+
 std::string_view to_string(outcome of) {
     switch (of) {
     case outcome::anonymous:
@@ -53,6 +57,8 @@
         return "several_keys";
     case outcome::unknown_key:
         return "unknown_key";
+    case outcome::unconfirmed_key:
+        return "unconfirmed_key";
     }
     return "unknown";
 }
@@ -62,13 +68,16 @@
 }
 
 identification identify(const key_index& index, const fleet::route_rule& route,
-                        std::span<const std::string> keys) {
+                        std::span<const std::string> keys, bool keys_confirmed) {
     if (!index.required() || route.public_) {
         return {};
     }
     if (keys.size() != 1) {
         return {keys.empty() ? outcome::no_key : outcome::several_keys, nullptr};
     }
+    if (!keys_confirmed) {
+        return {outcome::unconfirmed_key, nullptr}; // also if unknown: a newer configuration may hold it
+    }
     const fleet::organisation* holder = index.find(keys.front());
     return holder == nullptr ? identification{outcome::unknown_key, nullptr}
                              : identification{outcome::identified, holder};
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -205,6 +205,9 @@
     settings.quota_window_s_ = reader.real("quota_window_s", 1, max_window_s, settings.quota_window_s_);
     settings.quota_over_ = reader.real("quota_over", 0, max_ratio, settings.quota_over_);
     settings.quota_slack_ = reader.real("quota_slack", 0, max_quota_slack, settings.quota_slack_);
+    settings.strict_revocation_ = reader.flag("strict_revocation", settings.strict_revocation_);
+    settings.revocation_limit_ms_ =
+        reader.real("revocation_limit_ms", 0, double(max_duration_ms), settings.revocation_limit_ms_);
     settings.contract_ = read_contract(reader);
     return settings;
 }
--- a/tests/direct/contract_test.cpp
+++ b/tests/direct/contract_test.cpp
@@ -1,5 +1,6 @@
 // The terms of a deployment that a process is told of, compared with those that the program keeps.
 #include "direct/gateway_process.hpp"
+#include "platform/decode.hpp"
 #include "tamarack/contract.hpp"
 #include "tamarack/settings.hpp"
 
@@ -180,6 +181,19 @@
     }
 }
 
+// CONFIG: a gateway was not told that keys which it cannot confirm must be refused.
+TEST_CASE("deployment_templates_pass_on_the_rule_for_revoked_keys") {
+    json fields = deployment_fields();
+    fields["bounds"]["revoke_ms"] = 4'000;
+    for (const bool strict : {false, true}) {
+        fields["bounds"]["strict_revoke"] = strict;
+        const auto gateway = parse_gateway_settings(filled_template("deploy/gateway.json", fields));
+        REQUIRE(ok(gateway));
+        CHECK(value(gateway).strict_revocation_ == strict);
+        CHECK(value(gateway).revocation_limit_ms_ == 4'000);
+    }
+}
+
 // UNASKED, ROUTE, CONFIG, QUOTA: the settings named parts of the contract that nothing kept, and no line said
 // so.
 TEST_CASE_FIXTURE(gateway_process, "contract_terms_that_a_gateway_does_not_keep_are_in_its_log_and_metrics") {
@@ -197,4 +211,29 @@
     }));
 }
 
+// Fields of a service's engine and of its models that nothing follows were skipped without a line.
+TEST_CASE("platform_configuration_with_terms_of_engines_that_are_not_followed_names_them") {
+    json body = json::parse(configuration_text(7));
+    json& engine = body["services"][0]["engine"];
+    const json model = {{"name", "m"},   {"weights_mb", 10}, {"load_time_s", 1}, {"warm_s", 0.4},
+                        {"disk_s", 0.8}, {"adapters", 2},    {"adapter_mb", 1}};
+    engine = {{"slots", 16},         {"kv_tokens", 1'000}, {"weights_mb", 100}, {"adapter_slots", 4},
+              {"loads_per_s", 2},    {"models", {model}},  {"pin_ms", 10},      {"hold_ms", 10},
+              {"handle_s", 1},       {"host_mb", 1},       {"disk_mb", 1},      {"link_mbps", 1},
+              {"token_kv_bytes", 1}, {"max_allowed", 4}};
+    const auto ignored = [&body] {
+        std::vector<std::string> terms = value(platform::decode_configuration(body.dump()))->ignored_terms_;
+        std::erase(terms, "routes.unknown_field");
+        return terms;
+    };
+    CHECK(ignored().empty());
+    engine["walls"] = true;
+    engine["models"][0]["shards"] = 2;
+    CHECK(ignored() == std::vector<std::string>{"services.engine.models.shards", "services.engine.walls"});
+    engine["models"] = "all";
+    CHECK(ignored() == std::vector<std::string>{"services.engine.models", "services.engine.walls"});
+    engine = 5;
+    CHECK(ignored() == std::vector<std::string>{"services.engine"});
+}
+
 } // namespace tamarack::direct
--- a/tests/direct/organisations_test.cpp
+++ b/tests/direct/organisations_test.cpp
@@ -361,6 +361,36 @@
     CHECK(status_of(send(head("open", ""))) == 200);
 }
 
+// CONFIG: a gateway out of touch with the store served keys that had been taken away, where a limit for that
+// was set; without one, a lost store must not end what can be served.
+TEST_CASE_FIXTURE(organisations_fixture,
+                  "organisations_keys_while_the_store_is_away_follow_the_revocation_rule") {
+    constexpr int limit_ms = 3'000;
+    for (const bool strict : {false, true}) {
+        CAPTURE(strict);
+        further_settings_ = {{"strict_revocation", strict}, {"revocation_limit_ms", limit_ms}};
+        start_with_keys();
+        store_.set_fault(fake_store::fault::busy);
+        ::usleep(1'500'000); // longer than a waiting read, which would return the next version
+        put({{"o-2", {other_key}}});
+        ::usleep((limit_ms + 500) * 1'000);
+        set_behaviours_of_both({behaviour::complete});
+        for (const std::string& key : {valid_key, other_key}) {
+            const std::string response = send(head("lookup", "X-Api-Key: " + key + "\r\n"));
+            CHECK(status_of(response) == (strict ? 503 : 200));
+            CHECK(values_of(response, "Retry-After").size() == (strict ? 1 : 0));
+        }
+        CHECK(status_with("lookup", unknown_key) == 503);
+        CHECK(received_count() == (strict ? 0 : 2));
+        CHECK(status_of(send(head("open", ""))) == 200);
+        store_.set_fault(fake_store::fault::none);
+        CHECK(in_time([&] { return status_with("lookup", other_key) == 200; }));
+        CHECK(in_time([&] { return status_with("lookup", valid_key) == 401; }));
+        put({{"o-1", {valid_key}}, {"o-2", {other_key}}});
+        process_.kill();
+    }
+}
+
 // CONFIG, ROUTE: a request must be judged by the keys and the routes of one version.
 TEST_CASE_FIXTURE(organisations_fixture, "organisations_key_and_route_of_one_version_take_effect_together") {
     start_with_keys();
