--- a/src/gateway/request_flow_caller.cpp
+++ b/src/gateway/request_flow_caller.cpp
@@ -50,14 +50,16 @@
         return false;
     }
     const fleet::route_rule& route = deciding_route(*route_, current, metadata_.host_, incoming_.path());
-    const identity::identification found = identity::identify(current.keys_, route, metadata_.keys_);
+    const bool keys_confirmed = context_.fleet_.are_keys_confirmed(boot_now_ms());
+    const identity::identification found =
+        identity::identify(current.keys_, route, metadata_.keys_, keys_confirmed);
     if (identity::is_accepted(found.outcome_)) {
         set_caller(found, current.keys_.required());
         return true;
     }
     const std::string_view outcome = identity::to_string(found.outcome_);
     // A newer version of the configuration may accept the request, and clients do not retry after a 401.
-    const bool unconfirmed = context_.fleet_.is_view_old(boot_now_ms());
+    const bool unconfirmed = !keys_confirmed || context_.fleet_.is_view_old(boot_now_ms());
     context_.metrics_.count("tamarack_callers_refused_total",
                             "Requests refused since their caller was not identified, by reason",
                             {{"reason", unconfirmed ? "unconfirmed" : std::string(outcome)}});
@@ -68,6 +70,7 @@
                             {{"reason", outcome},
                              {"route", route_->name_},
                              {"configuration", current.configuration_->version_},
+                             {"configuration_age_ms", context_.fleet_.configuration_age_ms(boot_now_ms())},
                              {"view_age_ms", context_.fleet_.view_age_ms(boot_now_ms())}}});
     if (unconfirmed) {
         refuse("caller_unconfirmed", unconfirmed_retry_after_ms);
@@ -80,17 +83,20 @@
 }
 
 // Whether the configuration in force gives the request to the same organisation as the one that it was
-// identified with, and the request counts in that organisation's quota, which may be newer than the request.
+// identified with, its key still counts, and the request counts in that organisation's quota, which may be
+// newer than the request.
 bool request_flow::is_still_identified() const {
     if (!quota_ && possible_runs_ == 0 && context_.fleet_.quotas_.limited(caller_.organisation_)) {
         return false;
     }
     const indexed_configuration& current = *context_.fleet_.current();
-    if (configured_.get() == &current) {
+    const bool keys_confirmed = context_.fleet_.are_keys_confirmed(boot_now_ms());
+    if (configured_.get() == &current && (keys_confirmed || caller_.organisation_.empty())) {
         return true;
     }
     const fleet::route_rule& route = deciding_route(*route_, current, metadata_.host_, incoming_.path());
-    const identity::identification found = identity::identify(current.keys_, route, metadata_.keys_);
+    const identity::identification found =
+        identity::identify(current.keys_, route, metadata_.keys_, keys_confirmed);
     const std::string_view name =
         found.organisation_ == nullptr ? std::string_view() : found.organisation_->name_;
     return identity::is_accepted(found.outcome_) && name == caller_.organisation_ &&
--- a/tests/direct/identity_fixture.hpp
+++ b/tests/direct/identity_fixture.hpp
@@ -7,7 +7,7 @@
 
 // Two engines that hold a model, and two organisations of which one has two keys.
 struct identity_fixture : flow_fixture {
-    identity_fixture() {
+    explicit identity_fixture(identity::revocation_rule revocation = {}) : flow_fixture(revocation) {
         configure(2, {{"o-1", {"key-1", "key-2"}, std::nullopt, {}}, {"o-2", {"key-3"}, std::nullopt, {}}});
         fleet_.set_registry_freshness({boot_now_ms(), boot_now_ms(), false});
     }
