Ignore placements whose lists of models differ in length

Seen: by the review, in reading. An engine agent took the sizes of a placement's models by the number of their names. A damaged frame, or a peer with names and no sizes, made it read beyond the lists; its engine then had no agent.

Cause: the frame's verification holds for each list alone, and nothing compared their lengths.

Change: such a placement is ignored, with a line.

Measured: agent_process_placement_without_sizes_is_ignored fails without the check (no line of the process after the placement) and passes with it.

--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -195,12 +195,21 @@
 }
 
 void agent::handle_placement(const links::placement_order& order) {
+    const std::size_t models = order.model_names.size();
+    if (order.model_mb.size() != models || order.adapter_mb.size() != models) {
+        events_.write({event_kind::order,
+                       "agent",
+                       "placement_ignored",
+                       {},
+                       {{"planner", order.planner}, {"reason", "its lists of models differ in length"}}});
+        return;
+    }
     placement requested;
     requested.load_ = order.load;
     requested.drop_ = order.drop;
     requested.capacity_mb_ = order.capacity_mb;
     requested.adapter_slots_ = order.adapter_slots;
-    for (std::size_t index = 0; index < order.model_names.size(); ++index) {
+    for (std::size_t index = 0; index < models; ++index) {
         requested.model_mb_[order.model_names[index]] = order.model_mb[index];
         requested.adapter_mb_[order.model_names[index]] = order.adapter_mb[index];
     }
--- a/tests/direct/engine_agent_test.cpp
+++ b/tests/direct/engine_agent_test.cpp
@@ -75,6 +75,24 @@
     CHECK(agent_.read_line().find(R"("contract_terms_ignored","terms":"sessions")") != std::string::npos);
 }
 
+// An agent read beyond the sizes of a placement that named more models than sizes.
+TEST_CASE_FIXTURE(engine_agent_process, "agent_process_placement_without_sizes_is_ignored") {
+    links::placement_order order;
+    order.planner = "a";
+    order.load = "m0";
+    constexpr int models = 100'000;
+    for (int index = 0; index < models; ++index) {
+        order.model_names.push_back("m" + std::to_string(index));
+    }
+    boost::asio::ip::tcp::socket planner = connect("a");
+    boost::asio::write(planner, boost::asio::buffer(links::encode(links::make_frame(order))));
+    std::string line = agent_.read_line();
+    while (!line.empty() && line.find("placement") == std::string::npos) {
+        line = agent_.read_line();
+    }
+    CHECK(line.find("placement_ignored") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(engine_agent_process, "agent_process_settings_reloaded_twice_still_stops_on_sigterm") {
     agent_.signal(SIGHUP);
     REQUIRE(agent_.read_line().find("settings_kept") != std::string::npos);
