--- a/include/tamarack/dispatch.hpp
+++ b/include/tamarack/dispatch.hpp
@@ -181,7 +181,8 @@
 // Times of a process that has been told to end.
 struct shutdown_schedule {
     time_ms told_at_ = 0;
-    time_ms redirected_at_ = 0;   // from then on, new connections of clients go to other processes
+    time_ms redirected_at_ =
+        0; // time at which the platform has noticed, and clients connect to other processes
     time_ms serving_ends_at_ = 0; // when the requests in service get their last response
 };
 
--- a/include/tamarack/quotas.hpp
+++ b/include/tamarack/quotas.hpp
@@ -213,11 +213,14 @@
     std::string own_id_;
     time_ms learns_until_;
     time_ms updated_at_;
-    bool level_unknown_ = true; // until the peers' levels have been adopted
+    bool level_unknown_ = true; // whether the levels of the peers have not been adopted yet
     bool takes_part_ = true;
     bool isolated_ = false; // most peers are unresponsive
     bool announcement_is_due_ = false;
-    time_ms announces_idle_until_ = 0; // since a peer has started or resumed
+
+    // End of the time in which a peer that has started or resumed learns the levels.
+    time_ms announces_idle_until_ = 0;
+
     std::map<std::string, state, std::less<>> states_;
     std::unordered_map<std::uint64_t, std::string> names_by_hash_;
     std::map<std::string, peer, std::less<>> peers_;
--- a/include/tamarack/settings.hpp
+++ b/include/tamarack/settings.hpp
@@ -72,8 +72,8 @@
     double quota_window_s_ = 8;          // sliding window over which the use of organisations is judged
     double quota_over_ = 0;              // part by which that use may exceed the limit
     double quota_slack_ = 0;             // tokens by which it may exceed that
-    bool strict_revocation_ = false;     // whether keys that are not confirmed in time are refused
-    double revocation_limit_ms_ = 5'000; // that time, since the configuration was known to be the newest
+    bool strict_revocation_ = false;     // whether keys are refused if they are not confirmed in time
+    double revocation_limit_ms_ = 5'000; // greatest age of a configuration that confirms its keys
     contract::terms contract_;           // terms of the deployment's contract, by the platform's names
 
     bool operator==(const gateway_settings&) const = default;
--- a/src/contract/contract.cpp
+++ b/src/contract/contract.cpp
@@ -25,12 +25,12 @@
 }
 
 std::vector<std::string> listed(const std::set<std::string>& all) {
-    constexpr std::size_t most = 32;
-    constexpr std::size_t most_bytes = 64; // of each
+    constexpr std::size_t max_terms = 32;
+    constexpr std::size_t max_term_bytes = 64;
     std::vector<std::string> terms;
     for (const std::string& term : all) {
-        if (terms.size() < most) {
-            terms.push_back(term.substr(0, most_bytes));
+        if (terms.size() < max_terms) {
+            terms.push_back(term.substr(0, max_term_bytes));
         }
     }
     return terms;
--- a/src/gateway/control.hpp
+++ b/src/gateway/control.hpp
@@ -50,7 +50,7 @@
     http::server admin_;
     http::server metrics_server_;
     std::int64_t configuration_version_ = -1;
-    std::vector<std::string> ignored_terms_; // of the configuration in force
+    std::vector<std::string> ignored_terms_; // terms of the configuration in force that are not followed
     bool endpoints_known_ = false;
     bool quarantine_known_ = false;
     bool shutting_down_ = false;
--- a/src/gateway/fleet_state.hpp
+++ b/src/gateway/fleet_state.hpp
@@ -32,7 +32,7 @@
 // How far the use of an organisation may exceed its limit in a sliding window.
 struct quota_tolerance {
     double window_s_ = 0;
-    double over_ = 0;  // as a part of what the limit allows in the window
+    double over_ = 0;  // excess use as a share of what the limit allows in the window
     double slack_ = 0; // tokens
 };
 
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -339,10 +339,12 @@
 
 dispatch::admission_facts request_flow::admission_facts(const dispatch::endpoint_candidate& candidate,
                                                         time_ms wait_ms, time_ms now) const {
-    constexpr double free_share = 0.5; // of the slots, so that one is free when the adapter is resident
+    // With half of the slots free, one is most likely left when the adapter is resident.
+    constexpr double max_used_share = 0.5;
     dispatch::admission_facts facts = admission_facts(wait_ms, now);
     facts.adapter_wait_ms_ = std::min(wait_ms, time_ms(candidate.adapter_wait_ms_));
-    facts.slots_are_free_ = candidate.queued_ < 1 && candidate.running_ <= free_share * candidate.slots_ &&
+    facts.slots_are_free_ = candidate.queued_ < 1 &&
+                            candidate.running_ <= max_used_share * candidate.slots_ &&
                             facts.adapter_wait_ms_ < links::adapter_timeout_ms;
     return facts;
 }
--- a/src/gateway/traffic.hpp
+++ b/src/gateway/traffic.hpp
@@ -139,7 +139,7 @@
     time_ms peers_outdated_since_ = 0;
     int reader_rank_ = 0;
     bool quarantine_known_ = false;
-    std::map<std::string, quota_totals, std::less<>> quota_totals_; // by organisation
+    std::map<std::string, quota_totals, std::less<>> quota_totals_; // keyed by organisation
 };
 
 } // namespace tamarack::gateway
--- a/tests/direct/cut_responses_test.cpp
+++ b/tests/direct/cut_responses_test.cpp
@@ -9,7 +9,7 @@
 
 struct framing_case {
     const char* name_;
-    std::string head_; // without its last line end
+    std::string head_; // head without its last line break
     std::string body_;
 };
 
@@ -157,8 +157,9 @@
 // The response that resumes a stream is cut in its head: the stream must not end as whole.
 TEST_CASE_FIXTURE(gateway_process,
                   "direct_path_head_of_resumed_stream_cut_at_each_byte_client_sees_a_broken_stream") {
-    constexpr int max_tries = 20; // until the endpoint that is to begin the stream is chosen first
-    constexpr int lookups = 10;   // of which each allows a part of a retry
+    // The gateway chooses the endpoint at random, so the case is repeated until the right one begins.
+    constexpr int max_tries = 20;
+    constexpr int lookups = 10; // of which each allows a part of a retry
     start_ready();
     const std::string head = "HTTP/1.1 200 OK\r\n" + stream_type + endpoint_fields + "Server: s\r\n";
     for (std::size_t size = 0; size < head.size() + 2; ++size) {
