Review: show that one adapter's name ends all engine agents

An agent writes the name as a client sent it into the order's JSON, which throws for what is not UTF-8.

--- a/review/standins-2/desk.hpp
+++ b/review/standins-2/desk.hpp
@@ -29,6 +29,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -460,6 +461,8 @@
     void start() {
         pid_ = ::fork();
         if (pid_ == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // it must not outlive the case, whatever ends that
+
             const int out = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
@@ -728,7 +731,13 @@
     json models() const {
         json all = json::array();
         for (const std::string& name : held_) {
-            all.push_back({{"name", name}, {"version", 1}, {"adapters", json::array()}});
+            json adapters = json::array();
+            for (const auto& [model, adapter] : adapters_) {
+                if (model == name) {
+                    adapters.push_back(adapter);
+                }
+            }
+            all.push_back({{"name", name}, {"version", 1}, {"adapters", adapters}});
         }
         return all;
     }
@@ -769,13 +778,24 @@
     bool take_order(int socket, const message& call) {
         const json order = json::parse(call.body_, nullptr, false);
         const std::string model = order.value("model", "");
+        const std::string adapter = order.value("adapter", "");
         std::unique_lock lock(mutex_);
         log_.line("order at " + id_ + " " + call.body_);
+        if (!adapter.empty() && (!held_.contains(model) || !known_adapters_.contains(adapter))) {
+            lock.unlock();
+            return send_all(socket, response(400, "", "{}"));
+        }
         if (busy_ || order.value("expected", accepted_) != accepted_) {
             lock.unlock();
             return send_all(socket, response(409, "", "{}"));
         }
         ++accepted_;
+        if (!adapter.empty()) {
+            order.value("op", "") == "load" ? void(adapters_.insert({model, adapter}))
+                                            : void(adapters_.erase({model, adapter}));
+            lock.unlock();
+            return send_all(socket, response(202, "", "{}"));
+        }
         if (order.value("op", "") == "unload") {
             held_.erase(model);
             lock.unlock();
@@ -794,10 +814,13 @@
 
     bool stream(int socket, const message& call) {
         const std::string request = call.header("Tamarackbeam-Request-Id");
-        const std::string model = call.header("Tamarackbeam-Model");
+        const std::string named = call.header("Tamarackbeam-Model");
+        const std::string model = named.substr(0, named.find('/'));
         {
             const std::lock_guard lock(mutex_);
-            if (!held_.contains(model)) {
+            const bool has_adapter =
+                named == model || adapters_.contains({model, named.substr(model.size() + 1)});
+            if (!held_.contains(model) || !has_adapter) {
                 return reject(socket, call, 421);
             }
         }
@@ -824,6 +847,8 @@
     std::int64_t load_ms_;
     std::mutex mutex_;
     std::set<std::string> held_ = {"m0"};
+    std::set<std::string> known_adapters_ = {"a1", "a2", "a3", "a4"}; // of each model
+    std::set<std::pair<std::string, std::string>> adapters_;          // with their models
     std::int64_t born_ = unix_ms();
     std::int64_t accepted_ = 0;
     std::int64_t beats_ = 0;
