Log and count the calls to the store that fail

A gateway kept no trace of a failed read of the store: the follower passed on only whether the store had answered, so a registry that is never read to its end looked like one that changes little. The gauge tamarack_registry_age_ms tells how old the gateway's view of the registry is.

--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -276,9 +276,13 @@
     std::function<void(std::vector<endpoint_change>, const freshness&)> endpoints_;
 
     std::function<void(bool reached)> store_reached_; // this process reaches the store, or no longer does
-    std::function<void()> rolled_back_;               // the registry has lost what was written last
-    std::function<void(relayed_data)> relay_;         // data for gateways that do not read the store
-    std::function<void(const error&)> skipped_;       // a record could not be used
+
+    // A call that reads a topic of the store has failed.
+    std::function<void(const std::string& topic, const error& why)> read_failed_ = [](const std::string&,
+                                                                                      const error&) {};
+    std::function<void()> rolled_back_;         // the registry has lost what was written last
+    std::function<void(relayed_data)> relay_;   // data for gateways that do not read the store
+    std::function<void(const error&)> skipped_; // a record could not be used
 
     // The records of the quarantine in the store, read once after the start.
     std::function<void(std::map<std::string, std::string>)> quarantine_;
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -89,6 +89,16 @@
     handlers.skipped_ = [this](const error& why) {
         events_.write({event_kind::fleet_view, "gateway", "record_skipped", {}, {{"why", to_string(why)}}});
     };
+    handlers.read_failed_ = [this](const std::string& topic, const error& why) {
+        measures_.count("tamarack_store_reads_failed_total",
+                        "Calls that read a topic of the store and failed",
+                        {{"topic", topic}, {"error", std::string(to_string(why.kind_))}});
+        events_.write({event_kind::dependency,
+                       "gateway",
+                       "store_read_failed",
+                       {},
+                       {{"topic", topic}, {"why", to_string(why)}}});
+    };
     handlers.relay_ = [this](fleet::relayed_data data) { traffic_.relay_store_reading(std::move(data)); };
     handlers.quarantine_ = [this](std::map<std::string, std::string> records) {
         traffic_.restore_quarantine(std::move(records));
@@ -222,6 +232,8 @@
 }
 
 asio::awaitable<void> control::handle_metrics(http::exchange& current) {
+    measures_.set("tamarack_registry_age_ms", "Age of what is known of the registry; -1 if nothing is", {},
+                  double(fleet::age_ms(registry_freshness_, boot_now_ms())));
     http::response response{200, {{"Content-Type", "text/plain; version=0.0.4"}}, measures_.text()};
     co_await current.reply(std::move(response));
 }
--- a/tests/direct/rollback_history_test.cpp
+++ b/tests/direct/rollback_history_test.cpp
@@ -367,7 +367,7 @@
         };
         events.read_ = [this, number, life](topic_span span) { relay(number, life, std::move(span)); };
         events.content_hash_ = content_of;
-        events.call_ended_ = [](bool) {};
+        events.call_ended_ = [](const result<done>&) {};
         events.rolled_back_ = [] {};
         events.skipped_ = [](const error&) {};
         return events;
