Percent-encode the parameters of calls to the store

The key of the last entry of a page of the registry was put into the call for the next page as it was. A key of another writer with a space made the store refuse the call; one with "&" or "+" would have been read as another key.

Targets with parameters are now built by http::make_target, which encodes names and values with Boost.URL, so no caller joins them by hand.

Evidence: the gateway's log has store_read_failed for log-newest from "i- copy 3" with 400. That a reader stops at such a page at all is a fault of its own, mended separately.

--- a/include/tamarack/http.hpp
+++ b/include/tamarack/http.hpp
@@ -35,8 +35,21 @@
 
     // The value of a query parameter, still percent-encoded.
     std::optional<std::string_view> query(std::string_view name) const;
+
+    // The same, decoded; nothing if its encoding is malformed.
+    std::optional<std::string> decoded_query(std::string_view name) const;
+};
+
+// A query parameter, not encoded.
+struct query_parameter {
+    std::string name_;
+    std::string value_;
 };
 
+// Builds the target of a request. Percent-encodes the names and values of the parameters; the path is taken
+// as it is.
+std::string make_target(std::string_view path, const std::vector<query_parameter>& parameters);
+
 struct response {
     int status_ = 200;
     std::vector<header> headers_;
--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -79,6 +79,11 @@
     topics_[topic].push_back({key, std::nullopt, std::chrono::steady_clock::now()});
 }
 
+void fake_store::set_refused_after(std::string key) {
+    const std::lock_guard lock(mutex_);
+    refused_after_ = std::move(key);
+}
+
 void fake_store::roll_back(const std::string& topic, std::size_t count) {
     const std::lock_guard lock(mutex_);
     auto& records = topics_[topic];
@@ -164,7 +169,11 @@
         }
     }
     nlohmann::json items = nlohmann::json::array();
-    auto entry = newest.upper_bound(std::string(call.query("after").value_or("")));
+    const std::string after = call.decoded_query("after").value_or("");
+    if (after == refused_after_) {
+        return http::json_response(400, "{}");
+    }
+    auto entry = newest.upper_bound(after);
     for (; entry != newest.end() && items.size() < page_size_; ++entry) {
         const auto& [value, offset] = entry->second;
         items.push_back({{"key", entry->first}, {"value", base64(value)}, {"offset", offset}});
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -49,6 +49,9 @@
     // Sets the number of records in one page of the newest records.
     void set_page_size(std::size_t size) { page_size_ = size; }
 
+    // Answers 400 to calls for the page of newest records after this key.
+    void set_refused_after(std::string key);
+
     std::size_t record_count(const std::string& topic) { return end_of(topic); }
 
 private:
@@ -74,6 +77,7 @@
     std::atomic<std::size_t> page_size_ = 500;
     std::atomic<int> era_ = 1;
     std::map<std::string, int> calls_by_topic_; // answered ones
+    std::optional<std::string> refused_after_;
     std::thread thread_;
 };
 
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -370,6 +370,23 @@
     CHECK(eventually([&] { return later.endpoints_.contains("i-2"); }));
 }
 
+// DRAIN: a key of another writer was put into the call for the next page as it was. The store refused the
+// call, or took a part of the key for another parameter, and the later entries were never read.
+TEST_CASE_FIXTURE(relaying_sources, "sources_key_is_not_safe_in_a_url_entries_of_later_pages_are_read") {
+    const std::string keys[] = {
+        "i-0 copy 1", "i-0&after=z", "i-0%41", "i-0+",        "i-0#x",
+        "i-0\t",      "i-0\r\nX: y", "i-0?",   "i-0\xc3\xa9", std::string("i-0\0x", 5)};
+    store_.set_page_size(1);
+    for (const std::string& key : keys) {
+        store_.put("keyed.servers", key, "unreadable");
+    }
+    store_.put("keyed.servers", "i-2", endpoint_text(endpoint_));
+    side later;
+    connect(later, first_);
+    later.source_->start();
+    CHECK(eventually([&] { return later.endpoints_ == std::set<std::string>{"i-1", "i-2"}; }));
+}
+
 TEST_CASE_FIXTURE(relaying_sources,
                   "sources_reader_changes_while_an_endpoint_is_removed_both_see_its_return") {
     const auto known = [this](const std::string& id) {
