--- a/tests/direct/rollback_history_test.cpp
+++ b/tests/direct/rollback_history_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <cstdlib>
+#include <numeric>
 #include <queue>
 #include <random>
 
@@ -119,7 +120,9 @@
 
 class history {
 public:
-    explicit history(std::uint64_t seed) : random_(seed) {}
+    // With `refuses_pages`, the store cannot return the page after some key, in turn or until the end.
+    explicit history(std::uint64_t seed, bool refuses_pages = false)
+        : random_(seed), page_random_(seed), refuses_pages_(refuses_pages) {}
 
     // Returns what went wrong; empty if nothing did.
     std::string run() {
@@ -131,13 +134,18 @@
         }
         disturbed_until_ = now_ + 3'000 + below(6'000);
         at(now_ + 50, [this] { act(); });
+        if (refuses_pages_) {
+            choose_refused_page();
+        }
         run_until(disturbed_until_);
         available_ = true;
         for (follower& one : followers_) {
             one.cut_ = false;
         }
         write_all_again();
-        constexpr time_ms quiet_ms = 12'000; // more than a follower waits before it calls again
+        constexpr time_ms call_again_ms = 12'000; // more than a follower waits before it calls again
+        constexpr time_ms renewal_ms = 12'000;    // more than it waits for entries to be written again
+        const time_ms quiet_ms = refuses_pages_ ? call_again_ms + renewal_ms : call_again_ms;
         constexpr time_ms heartbeat_ms = 1'200;
         for (time_ms beat = 2'000; beat < quiet_ms - 1'500; beat += heartbeat_ms) {
             at(now_ + beat, [this] { renew_all(); });
@@ -220,6 +228,16 @@
         }
     }
 
+    void choose_refused_page() {
+        constexpr int keys = endpoint_count + 1; // the last one names no page
+        refused_after_ = "e" + std::to_string(page_random_() % keys);
+        at(now_ + time_ms(page_random_() % 4'000), [this] {
+            if (now_ < disturbed_until_) {
+                choose_refused_page();
+            }
+        });
+    }
+
     // One random event; the next follows.
     void act() {
         if (now_ >= disturbed_until_) {
@@ -289,7 +307,7 @@
         one.left_.clear();
         one.topic_ = std::make_unique<topic_follower>(
             make_io(number, life), "registry",
-            read_timing{std::chrono::milliseconds(0), std::chrono::milliseconds(600)},
+            read_timing{std::chrono::milliseconds(0), std::chrono::milliseconds(600), true},
             make_events(number, life));
         one.topic_->set_reads_store(one.reads_);
         one.topic_->start();
@@ -337,7 +355,13 @@
         io.cancel_ = [this, number] { ++followers_[number].timer_; };
         io.read_newest_ = [this, number, life](const std::string& after, auto done) {
             call<newest_page>(
-                number, life, [this, after] { return result<newest_page>(log_.page(after, 2)); }, done);
+                number, life,
+                [this, after] {
+                    return after == refused_after_
+                               ? result<newest_page>(error{error_kind::invalid, "refused", ""})
+                               : result<newest_page>(log_.page(after, 2));
+                },
+                done);
         };
         io.read_ = [this, number, life](std::int64_t from, std::chrono::milliseconds, auto done) {
             call<read_batch>(
@@ -434,6 +458,9 @@
     }
 
     std::mt19937_64 random_;
+    std::mt19937_64 page_random_;
+    bool refuses_pages_ = false;
+    std::optional<std::string> refused_after_;
     log_model log_;
     std::array<entry, endpoint_count> entries_;
     std::array<bool, endpoint_count> gone_{};
@@ -448,12 +475,21 @@
 
 } // namespace
 
-TEST_CASE("followers_random_histories_of_a_store_that_returns_from_copies_end_with_its_view") {
+namespace {
+
+// `further_seeds` are those beyond the first ones that have failed.
+void check_histories(bool refuses_pages, const std::vector<std::uint64_t>& further_seeds) {
     const char* asked = std::getenv("TAMARACK_HISTORIES"); // for long runs by hand
     const std::uint64_t histories = asked == nullptr ? 10'000 : std::strtoull(asked, nullptr, 10);
+    std::vector<std::uint64_t> seeds(histories);
+    std::iota(seeds.begin(), seeds.end(), 1);
+    seeds.insert(seeds.end(), further_seeds.begin(), further_seeds.end());
     int failed = 0;
-    for (std::uint64_t seed = 1; seed <= histories && failed < 5; ++seed) {
-        const std::string fault = history(seed).run();
+    for (const std::uint64_t seed : seeds) {
+        if (failed == 5) {
+            break;
+        }
+        const std::string fault = history(seed, refuses_pages).run();
         if (!fault.empty()) {
             ++failed;
             CAPTURE(seed);
@@ -462,4 +498,15 @@
     }
 }
 
+} // namespace
+
+TEST_CASE("followers_random_histories_of_a_store_that_returns_from_copies_end_with_its_view") {
+    check_histories(false, {101'225, 107'044});
+}
+
+// DRAIN: a page that could not be read stopped the view for good.
+TEST_CASE("followers_random_histories_with_pages_that_cannot_be_read_end_with_its_view") {
+    check_histories(true, {10'128, 17'790, 17'843, 18'336, 26'306, 34'508, 43'943, 49'787, 101'225});
+}
+
 } // namespace tamarack::platform
