Read pages and reports that hold bytes which are no UTF-8

The JSON parser refuses a document with one string that is no UTF-8. A page of the registry holds keys of all writers, and an engine's report the ids of the requests that run there, which clients choose: one odd key made a page unreadable for all readers, and one odd id made an engine look lost to its agent and so to all gateways.

Such bytes are now kept as code points of a private use area while the document is parsed, and keys are turned back into their bytes, so that the next page starts after the right key.

Whether a platform's store or engines write such JSON was not seen; the stand-in writes the bytes as they are.

--- a/include/tamarack/untrusted.hpp
+++ b/include/tamarack/untrusted.hpp
@@ -18,7 +18,12 @@
 // or nested deeper than `max_depth`.
 nlohmann::json parse_json(std::string_view text);
 
-// The same for CBOR.
+// Parses JSON whose strings may hold bytes that are not UTF-8, since they come from other writers than the
+// document. Each such byte becomes a code point of its own, which `to_bytes` turns back.
+nlohmann::json parse_json_with_bytes(std::string_view text);
+std::string to_bytes(std::string_view text);
+
+// The same as `parse_json` for CBOR.
 nlohmann::json parse_cbor(std::string_view bytes);
 
 // Whole numbers up to this size are exact also where a writer keeps them as floating-point numbers.
--- a/src/untrusted/untrusted.cpp
+++ b/src/untrusted/untrusted.cpp
@@ -1,5 +1,7 @@
 #include "tamarack/untrusted.hpp"
 
+#include <boost/locale/utf.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -121,6 +123,59 @@
     return is_json_too_deep(text) ? json(json::value_t::discarded) : json::parse(text, nullptr, false);
 }
 
+namespace {
+
+using utf8 = boost::locale::utf::utf_traits<char>;
+using boost::locale::utf::code_point;
+
+// Bytes that are not UTF-8 become code points from here on, at the end of the last private use area.
+constexpr code_point first_byte_code = 0x10FF00;
+constexpr code_point last_byte_code = first_byte_code + 0xFF;
+
+// Calls `take` with each code point of the text, or with none and the byte that does not belong to one.
+template <typename Take>
+void for_each_code_point(std::string_view text, Take take) {
+    const char* next = text.data();
+    const char* const end = next + text.size();
+    while (next != end) {
+        const char* const begin = next;
+        const code_point code = utf8::decode(next, end);
+        if (boost::locale::utf::is_valid_codepoint(code)) {
+            take(std::optional(code), *begin);
+        } else {
+            next = begin + 1;
+            take(std::optional<code_point>(), *begin);
+        }
+    }
+}
+
+} // namespace
+
+json parse_json_with_bytes(std::string_view text) {
+    json parsed = parse_json(text);
+    if (!parsed.is_discarded()) {
+        return parsed;
+    }
+    std::string encoded;
+    encoded.reserve(text.size());
+    for_each_code_point(text, [&](std::optional<code_point> code, char byte) {
+        utf8::encode(code.value_or(first_byte_code + std::uint8_t(byte)), std::back_inserter(encoded));
+    });
+    return encoded == text ? parsed : parse_json(encoded);
+}
+
+std::string to_bytes(std::string_view text) {
+    std::string bytes;
+    for_each_code_point(text, [&](std::optional<code_point> code, char byte) {
+        if (!code || (*code >= first_byte_code && *code <= last_byte_code)) {
+            bytes.push_back(code ? char(*code - first_byte_code) : byte);
+        } else {
+            utf8::encode(*code, std::back_inserter(bytes));
+        }
+    });
+    return bytes;
+}
+
 json parse_cbor(std::string_view bytes) {
     return cbor_depth(bytes).is_bad() ? json(json::value_t::discarded) : json::from_cbor(bytes, true, false);
 }
--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -31,6 +31,18 @@
     return text;
 }
 
+// A JSON string that holds the bytes as they are, also where they are not UTF-8.
+std::string json_string(const std::string& bytes) {
+    std::string text = "\"";
+    for (const char byte : bytes) {
+        char escaped[8];
+        std::snprintf(escaped, sizeof(escaped), "\\u%04x", unsigned(std::uint8_t(byte)));
+        const bool plain = std::uint8_t(byte) >= 0x20 && byte != '"' && byte != '\\';
+        text += plain ? std::string(1, byte) : escaped;
+    }
+    return text + "\"";
+}
+
 std::string header_value(const std::string& request, const std::string& name) {
     const std::size_t at = request.find("\r\n" + name + ": ");
     if (at == std::string::npos) {
@@ -168,19 +180,22 @@
             newest.erase(records[offset].key_);
         }
     }
-    nlohmann::json items = nlohmann::json::array();
+    std::string items;
+    std::size_t count = 0;
     const std::string after = call.decoded_query("after").value_or("");
     if (after == refused_after_) {
         return http::json_response(400, "{}");
     }
     auto entry = newest.upper_bound(after);
-    for (; entry != newest.end() && items.size() < page_size_; ++entry) {
+    for (; entry != newest.end() && count < page_size_; ++entry, ++count) {
         const auto& [value, offset] = entry->second;
-        items.push_back({{"key", entry->first}, {"value", base64(value)}, {"offset", offset}});
+        items += (count == 0 ? "" : ",") + std::string("{\"key\":") + json_string(entry->first) +
+                 ",\"value\":\"" + base64(value) + "\",\"offset\":" + std::to_string(offset) + "}";
     }
     const bool has_more = entry != newest.end();
-    const nlohmann::json body = {{"items", items}, {"has_more", has_more}, {"end", records.size()}};
-    return http::json_response(200, body.dump());
+    return http::json_response(200, "{\"items\":[" + items +
+                                        "],\"has_more\":" + (has_more ? "true" : "false") +
+                                        ",\"end\":" + std::to_string(records.size()) + "}");
 }
 
 http::response fake_store::read(const http::request& call) {
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -387,6 +387,34 @@
     CHECK(eventually([&] { return later.endpoints_ == std::set<std::string>{"i-1", "i-2"}; }));
 }
 
+// One key of another writer that was no UTF-8 made the whole page unreadable.
+TEST_CASE_FIXTURE(relaying_sources, "sources_key_is_no_utf8_the_other_entries_are_read") {
+    for (const char* key : {"i-0\xff", "i-0\xc3", "i-0\xed\xa0\x80", "i-0\xc0\xaf", "\x80"}) {
+        store_.put("keyed.servers", key, "unreadable");
+    }
+    store_.put("keyed.servers", "i-2", endpoint_text(endpoint_));
+    for (const std::size_t page_size : {500, 1}) {
+        CAPTURE(page_size);
+        store_.set_page_size(page_size);
+        side later;
+        connect(later, first_);
+        later.source_->start();
+        CHECK(eventually([&] { return later.endpoints_ == std::set<std::string>{"i-1", "i-2"}; }));
+        CHECK(eventually([&] { return later.source_->snapshot().size() == 2; }));
+    }
+}
+
+// The report of an engine lists the ids of its requests, which clients choose. One that was no UTF-8 made the
+// engine look lost.
+TEST_CASE("platform_report_with_an_id_that_is_no_utf8_is_decoded") {
+    const auto decoded =
+        platform::decode_report("{\"running\":3,\"models\":[{\"name\":\"m\"}],\"runs\":[[\"r\xff\",1,0,2]]}");
+    REQUIRE(ok(decoded));
+    CHECK(value(decoded).running_ == 3);
+    CHECK(value(decoded).unread_ == 1);
+    CHECK(value(decoded).models_.size() == 1);
+}
+
 TEST_CASE_FIXTURE(relaying_sources,
                   "sources_reader_changes_while_an_endpoint_is_removed_both_see_its_return") {
     const auto known = [this](const std::string& id) {
