--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -277,8 +277,8 @@
 
     std::function<void(bool reached)> store_reached_; // this process reaches the store, or no longer does
 
-    // A call that reads a topic of the store has failed.
-    std::function<void(const std::string& topic, const error& why)> read_failed_ = [](const std::string&,
+    // A call for a topic of the store has failed.
+    std::function<void(const std::string& topic, const error& why)> call_failed_ = [](const std::string&,
                                                                                       const error&) {};
     std::function<void()> rolled_back_;         // the registry has lost what was written last
     std::function<void(relayed_data)> relay_;   // data for gateways that do not read the store
--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -89,13 +89,13 @@
     handlers.skipped_ = [this](const error& why) {
         events_.write({event_kind::fleet_view, "gateway", "record_skipped", {}, {{"why", to_string(why)}}});
     };
-    handlers.read_failed_ = [this](const std::string& topic, const error& why) {
+    handlers.call_failed_ = [this](const std::string& topic, const error& why) {
         measures_.count("tamarack_store_reads_failed_total",
                         "Calls that read a topic of the store and failed",
                         {{"topic", topic}, {"error", std::string(to_string(why.kind_))}});
         events_.write({event_kind::dependency,
                        "gateway",
-                       "store_read_failed",
+                       "store_call_failed",
                        {},
                        {{"topic", topic}, {"why", to_string(why)}}});
     };
--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -96,6 +96,11 @@
     refused_after_ = std::move(key);
 }
 
+void fake_store::set_refused_key(std::string key) {
+    const std::lock_guard lock(mutex_);
+    refused_key_ = std::move(key);
+}
+
 void fake_store::roll_back(const std::string& topic, std::size_t count) {
     const std::lock_guard lock(mutex_);
     auto& records = topics_[topic];
@@ -225,6 +230,9 @@
     const std::string key = body.substr(length_bytes + 1, key_length);
     const std::string value = body.substr(length_bytes + 1 + key_length);
     const std::lock_guard lock(mutex_);
+    if (key == refused_key_) {
+        return http::json_response(400, "{}");
+    }
     auto& records = topics_[std::string(call.query("topic").value_or(""))];
     records.push_back({key, value.empty() ? std::nullopt : std::optional(value)});
     return http::json_response(200, "{\"offset\":" + std::to_string(records.size() - 1) + "}");
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -52,6 +52,9 @@
     // Answers 400 to calls for the page of newest records after this key.
     void set_refused_after(std::string key);
 
+    // Answers 400 to appends of this key.
+    void set_refused_key(std::string key);
+
     std::size_t record_count(const std::string& topic) { return end_of(topic); }
 
 private:
@@ -78,6 +81,7 @@
     std::atomic<int> era_ = 1;
     std::map<std::string, int> calls_by_topic_; // answered ones
     std::optional<std::string> refused_after_;
+    std::optional<std::string> refused_key_;
     std::thread thread_;
 };
 
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -352,6 +352,35 @@
     CHECK(eventually([&] { return store_.record_count("keyed.quarantine") == 1; }));
 }
 
+// No gateway became ready while one page of the quarantine could not be read.
+TEST_CASE_FIXTURE(relaying_sources, "sources_page_of_the_quarantine_is_refused_the_others_count") {
+    store_.put("keyed.quarantine", "bad", "1");
+    store_.put("keyed.quarantine", "worse", "2");
+    store_.set_page_size(1);
+    store_.set_refused_after("bad");
+    side later;
+    connect(later, first_);
+    later.source_->start();
+    REQUIRE(eventually([&] { return later.quarantined_.has_value(); }));
+    CHECK(*later.quarantined_ == std::map<std::string, std::string>{{"bad", "1"}});
+}
+
+// One record that the store refuses was written again and again, and none of the others.
+TEST_CASE_FIXTURE(relaying_sources, "sources_record_of_the_quarantine_is_refused_the_others_are_written") {
+    REQUIRE(eventually([&] { return first_.quarantined_.has_value(); }));
+    store_.set_refused_key("bad");
+    const std::string too_long(300, 'k'); // the length of a key has one byte
+    first_.source_->write_quarantine({{"bad", "1"}, {too_long, "1"}, {"worse", "2"}});
+    REQUIRE(eventually([&] { return store_.record_count("keyed.quarantine") == 1; }));
+    first_.source_->write_quarantine({{"bad", "1"}, {too_long, "1"}});
+    CHECK(eventually([&] { return store_.record_count("keyed.quarantine") == 2; }));
+    side later;
+    connect(later, first_);
+    later.source_->start();
+    REQUIRE(eventually([&] { return later.quarantined_.has_value(); }));
+    CHECK(later.quarantined_->empty());
+}
+
 // A source stopped following the registry, or ended, when one odd entry was written to it.
 TEST_CASE_FIXTURE(relaying_sources, "sources_odd_entry_is_written_the_others_are_followed_by_all") {
     REQUIRE(
