Drop names of suspects that no gateway gives

What a peer announces of the quarantine was taken as it came and written to the store as JSON. A name that is no UTF-8 makes the encoder throw, which ends the gateway, and each further gateway that is told of it.

Announcements and records are now checked where they are decoded: a name has up to 64 letters, digits and hyphens, as part_name and request_name give them.

Evidence: quarantine_announced_names_that_no_gateway_gives_are_dropped fails without the check (type_error 316 of the JSON library) and passes with it.

--- a/include/tamarack/quarantine.hpp
+++ b/include/tamarack/quarantine.hpp
@@ -106,6 +106,9 @@
 // Whether the suspect is a request, rather than a part of prompts.
 bool names_request(std::string_view suspect);
 
+// Whether `suspect` is a name as these functions give them.
+bool is_name(std::string_view suspect);
+
 // An engine that ended, with the suspects of the requests that a gateway lost there.
 struct engine_end {
     std::string engine_;
@@ -134,6 +137,9 @@
     bool empty() const { return ends_.empty() && states_.empty() && !complete_; }
 };
 
+// Drops what names suspects otherwise than gateways do. To be called with each announcement of a peer.
+void drop_unknown_names(announcement& announced);
+
 // An announcement as records of a store, and back. A record that cannot be read is left out. `unix_ms` is the
 // time of day.
 std::map<std::string, std::string> to_records(const announcement& known, std::int64_t unix_ms);
--- a/src/gateway/traffic_quarantine.cpp
+++ b/src/gateway/traffic_quarantine.cpp
@@ -76,6 +76,7 @@
         announced.states_.push_back({one->part, one->quarantined, one->age_ms, one->trial_ms});
     }
     announced.complete_ = digest.parts_complete;
+    quarantine::drop_unknown_names(announced);
     if (!announced.empty()) {
         fleet_.quarantine_.apply(announced, late_ms, boot_now_ms());
         update_quarantine();
--- a/src/quarantine/names.cpp
+++ b/src/quarantine/names.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view request_prefix = "request-";
+constexpr std::size_t max_bytes = 64; // of a name
 
 // Hash of a sequence of fields. Each is preceded by its length, so that no two sequences are hashed alike.
 class field_hash {
@@ -45,7 +46,6 @@
 } // namespace
 
 std::string part_name(std::string_view id) {
-    constexpr std::size_t max_bytes = 64;
     const bool plain =
         std::all_of(id.begin(), id.end(), [](unsigned char letter) { return std::isalnum(letter); });
     return plain && !id.empty() && id.size() <= max_bytes ? std::string(id)
@@ -62,6 +62,19 @@
     return std::string(request_prefix) + hash.hex(digits);
 }
 
+bool is_name(std::string_view suspect) {
+    return !suspect.empty() && suspect.size() <= max_bytes &&
+           std::all_of(suspect.begin(), suspect.end(),
+                       [](unsigned char letter) { return std::isalnum(letter) || letter == '-'; });
+}
+
+void drop_unknown_names(announcement& announced) {
+    for (engine_end& end : announced.ends_) {
+        std::erase_if(end.suspects_, [](const std::string& suspect) { return !is_name(suspect); });
+    }
+    std::erase_if(announced.states_, [](const suspect_state& state) { return !is_name(state.suspect_); });
+}
+
 bool names_request(std::string_view suspect) {
     return suspect.starts_with(request_prefix);
 }
--- a/src/quarantine/records.cpp
+++ b/src/quarantine/records.cpp
@@ -73,6 +73,7 @@
             known.states_.push_back({key, true, age, value[trial].get<time_ms>()});
         }
     }
+    drop_unknown_names(known);
     known.complete_ = true;
     return known;
 }
--- a/tests/direct/quarantine_request_test.cpp
+++ b/tests/direct/quarantine_request_test.cpp
@@ -308,4 +308,25 @@
     CHECK(ended == names{"ended"});
 }
 
+// A name that a peer announces was written to the store as it was, and one that is no UTF-8 ended the
+// gateway.
+TEST_CASE("quarantine_announced_names_that_no_gateway_gives_are_dropped") {
+    const std::string odd[] = {"", "a\xff", "a b", "a\n", std::string(65, 'a'), "a/b"};
+    const announcement sound{
+        {{"e1", 1, 0, {part_name("5c1e07a2"), part_name("x y"), request_name({})}, false}},
+        {{part_name("x y"), true, 0, usual_trial_ms}},
+        false};
+    announcement announced = sound;
+    for (const std::string& name : odd) {
+        CAPTURE(name);
+        CHECK_FALSE(is_name(name));
+        announced.ends_[0].suspects_.push_back(name);
+        announced.states_.push_back({name, true, 0, usual_trial_ms});
+    }
+    drop_unknown_names(announced);
+    CHECK(announced.ends_[0].suspects_ == sound.ends_[0].suspects_);
+    CHECK(announced.states_.size() == 1);
+    CHECK(to_records(announced, 1'000'000).size() == 2);
+}
+
 } // namespace tamarack::quarantine
