Send no request that a head cannot hold

The id of an endpoint is its key in the registry, and any bytes may stand there. It was written into the header of each request to that endpoint, and the clients of the store and of engines joined targets and headers as they came: a line break in one of them adds headers, or another request, to what is sent.

--- a/include/tamarack/http.hpp
+++ b/include/tamarack/http.hpp
@@ -40,6 +40,13 @@
     std::optional<std::string> decoded_query(std::string_view name) const;
 };
 
+// Whether the text can be the value of a header: it has no control characters, and no space around it.
+bool is_field_value(std::string_view text);
+
+// Whether the method, the target and the headers can be written as the head of one request. The clients of
+// this library send no other.
+bool is_valid(const request& outgoing);
+
 // A query parameter, not encoded.
 struct query_parameter {
     std::string name_;
@@ -151,9 +158,9 @@
     virtual void cancel() = 0;
 };
 
-// Sends a request and waits for the head of the response. Fails with `unreachable` only if no byte was sent,
-// else with `interrupted` or `timeout`. `set_cancel`, if given, receives a function that cancels the call
-// while it waits.
+// Sends a request and waits for the head of the response. Fails with `invalid` or `unreachable` only if no
+// byte was sent, else with `interrupted` or `timeout`. `set_cancel`, if given, receives a function that
+// cancels the call while it waits.
 awaitable<result<std::unique_ptr<response_stream>>>
 open(boost::asio::ip::tcp::endpoint remote, request outgoing, call_limits limits,
      std::function<void(std::function<void()>)> set_cancel = nullptr);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -138,6 +138,10 @@
 awaitable<result<std::unique_ptr<response_stream>>>
 open(tcp::endpoint remote, request outgoing, call_limits limits,
      std::function<void(std::function<void()>)> set_cancel) {
+    if (!is_valid(outgoing)) {
+        co_return error{error_kind::invalid, "the request cannot be written as HTTP",
+                        "encode what comes from outside"};
+    }
     auto current = std::make_shared<call>(co_await asio::this_coro::executor);
     if (set_cancel) {
         set_cancel([weak = std::weak_ptr<call>(current)] {
--- a/src/http/kept_client.cpp
+++ b/src/http/kept_client.cpp
@@ -2,6 +2,7 @@
 
 #include "net/socket_options.hpp"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 namespace tamarack::http {
@@ -38,6 +39,11 @@
       timer_(executor) {}
 
 void kept_client::call(request outgoing, std::chrono::milliseconds limit, response_handler done) {
+    if (!is_valid(outgoing)) {
+        fail({error_kind::invalid, "the request cannot be written as HTTP", "encode what comes from outside"},
+             std::move(done));
+        return;
+    }
     if (!outgoing.find("Host")) {
         outgoing.headers_.push_back(
             {"Host", remote_.address().to_string() + ":" + std::to_string(remote_.port())});
@@ -48,7 +54,17 @@
     }
 }
 
+void kept_client::fail(error why, response_handler done) {
+    asio::post(executor_,
+               [self = shared_from_this(), closes = closes_, why = std::move(why), done = std::move(done)] {
+                   if (closes == self->closes_) {
+                       done(why);
+                   }
+               });
+}
+
 void kept_client::close() {
+    ++closes_;
     calls_.clear();
     ++generation_;
     busy_ = false;
--- a/src/http/kept_client.hpp
+++ b/src/http/kept_client.hpp
@@ -21,10 +21,13 @@
                 std::chrono::milliseconds connect_limit);
 
     // Queues a call. A missing Host header is set to the server's address. `done` receives the response,
-    // whatever its status, or a failure: `unreachable` if no byte was sent, else `interrupted` or `timeout`.
-    // The connection is closed after a failure.
+    // whatever its status, or a failure: `invalid` if no head can hold the request, `unreachable` if no byte
+    // was sent, else `interrupted` or `timeout`. The connection is closed after the latter three.
     void call(request outgoing, std::chrono::milliseconds limit, response_handler done);
 
+    // Fails a call that is not sent. Its handler is called later.
+    void fail(error why, response_handler done);
+
     // Discards all calls and closes the connection. Their handlers are not called.
     void close();
 
@@ -55,6 +58,7 @@
     std::deque<pending_call> calls_;
     // Changes whenever a call starts or ends, so that late completions of earlier calls are ignored.
     std::uint64_t generation_ = 0;
+    std::uint64_t closes_ = 0;
     bool busy_ = false;
     bool connected_ = false;
 };
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -27,6 +27,38 @@
 
 } // namespace
 
+bool is_field_value(std::string_view text) {
+    constexpr std::string_view blank = " \t";
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char delete_character = 0x7f;
+    const bool trimmed = text.empty() || (blank.find(text.front()) == std::string_view::npos &&
+                                          blank.find(text.back()) == std::string_view::npos);
+    return trimmed && std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+               return letter == '\t' || (letter >= first_printable && letter != delete_character);
+           });
+}
+
+namespace {
+
+bool is_token(std::string_view text) {
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](unsigned char letter) {
+        return letter < 0x80 && (std::isalnum(letter) || marks.find(char(letter)) != std::string_view::npos);
+    });
+}
+
+} // namespace
+
+bool is_valid(const request& outgoing) {
+    const std::string& target = outgoing.target_;
+    const bool valid_target = !target.empty() && std::all_of(target.begin(), target.end(), [](char letter) {
+        return letter > 0x20 && letter < 0x7f;
+    });
+    return is_token(outgoing.method_) && valid_target &&
+           std::all_of(outgoing.headers_.begin(), outgoing.headers_.end(),
+                       [](const header& one) { return is_token(one.name_) && is_field_value(one.value_); });
+}
+
 std::optional<std::string_view> request::find(std::string_view name) const {
     return find_header(headers_, name);
 }
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -144,6 +144,17 @@
     CHECK_FALSE(ok(platform::decode_configuration("{\"version\":1e300}")));
 }
 
+// The id of an endpoint is its key in the registry. It was put into the heads of requests as it was.
+TEST_CASE("platform_endpoint_id_that_no_header_can_hold_names_no_endpoint") {
+    const std::string entry = odd_entry("zone", "\"z1\"");
+    for (const std::string& id : {std::string(), std::string("i\r\nX: y"), std::string("i\n"),
+                                  std::string("i\0", 2), std::string(" i"), std::string("i\x7f")}) {
+        CAPTURE(id);
+        CHECK_FALSE(ok(platform::decode_endpoint(id, entry)));
+    }
+    CHECK(ok(platform::decode_endpoint("i-1 b \xc3\xa9", entry)));
+}
+
 // A page of the registry, or a relayed one, with a field of another type ended the process that read it.
 TEST_CASE("platform_odd_pages_and_relays_are_rejected_and_end_no_process") {
     const char* pages[] = {R"({"items":[],"has_more":"yes","end":1})", R"({"items":[],"end":"1"})",
