Bound the number of values of a document that is parsed

An engine's report of 8 MB, the longest answer that is read, may hold millions of small values, and each takes some tens of bytes or more once parsed: its agent grew by 165 MB of the 192 that its machine has. Pages of the store, entries, configurations and relays of peers were read the same way.

The scans for depth, before anything is parsed, now also count the values and refuse a document with over 250,000, JSON and CBOR alike. Several thousand routes and models stay well below that.

Evidence: agent_process_engine_reports_very_many_values_memory_is_bounded failed (165,384 KB of growth, 65,536 allowed) and documents_of_very_many_values_are_refused_with_bounded_memory failed (340,572 KB in the test's process); both pass. Heads and bodies without end from engines, agents, stores and peers were bounded before; their tests pass.

--- a/include/tamarack/untrusted.hpp
+++ b/include/tamarack/untrusted.hpp
@@ -1,5 +1,6 @@
 // Untrusted: reads documents that other programs write. Whatever they hold, the reader neither ends nor
-// overflows: depth is bounded, since copies and destruction of a document recurse, and numbers are checked
+// overflows: depth is bounded, since copies and destruction of a document recurse, the number of values is
+// bounded, since a parsed value takes up to a hundred times the memory of its bytes, and numbers are checked
 // before they are converted.
 #pragma once
 
@@ -14,8 +15,11 @@
 // Deepest nesting of arrays and objects that is read.
 inline constexpr int max_depth = 64;
 
-// Parses JSON. Returns a discarded value, which is neither an object nor an array, if the text is malformed
-// or nested deeper than `max_depth`.
+// Most values of a document that is read. The configuration of thousands of routes and models fits.
+inline constexpr std::size_t max_values = 250'000;
+
+// Parses JSON. Returns a discarded value, which is neither an object nor an array, if the text is malformed,
+// nested deeper than `max_depth` or has more than about `max_values` values.
 nlohmann::json parse_json(std::string_view text);
 
 // Parses JSON whose strings may hold bytes that are not UTF-8, since they come from other writers than the
--- a/src/untrusted/untrusted.cpp
+++ b/src/untrusted/untrusted.cpp
@@ -12,8 +12,10 @@
 
 namespace {
 
-bool is_json_too_deep(std::string_view text) {
+// Whether a text has more values or a deeper nesting than is read.
+bool exceeds_limits(std::string_view text) {
     int depth = 0;
+    std::size_t marks = 0; // brackets and commas, one at least before each value but the first
     bool in_string = false;
     bool escaped = false;
     for (const char one : text) {
@@ -25,7 +27,8 @@
         in_string = one == '"';
         depth += one == '[' || one == '{' ? 1 : 0;
         depth -= one == ']' || one == '}' ? 1 : 0;
-        if (depth > max_depth) {
+        marks += one == '[' || one == '{' || one == ',' ? 1 : 0;
+        if (depth > max_depth || marks > max_values) {
             return true;
         }
     }
@@ -33,20 +36,21 @@
 }
 
 // Reads the heads of CBOR items one after the other (RFC 8949, section 3).
-class cbor_depth {
+class cbor_scan {
 public:
-    explicit cbor_depth(std::string_view bytes) : rest_(bytes) {}
+    explicit cbor_scan(std::string_view bytes) : rest_(bytes) {}
 
-    // Whether the first item is nested too deep, or ends before its length says.
+    // Whether the first item is nested too deep, has too many items, or ends before its length says.
     bool is_bad() {
         std::vector<std::uint64_t> open = {1}; // items still to come in each container
+        std::size_t items = 0;
         while (!open.empty()) {
             if (open.back() == 0) {
                 open.pop_back();
                 continue;
             }
             --open.back();
-            if (rest_.empty()) {
+            if (rest_.empty() || ++items > max_values) {
                 return true;
             }
             const auto head = std::uint8_t(rest_.front());
@@ -120,7 +124,7 @@
 } // namespace
 
 json parse_json(std::string_view text) {
-    return is_json_too_deep(text) ? json(json::value_t::discarded) : json::parse(text, nullptr, false);
+    return exceeds_limits(text) ? json(json::value_t::discarded) : json::parse(text, nullptr, false);
 }
 
 namespace {
@@ -177,7 +181,7 @@
 }
 
 json parse_cbor(std::string_view bytes) {
-    return cbor_depth(bytes).is_bad() ? json(json::value_t::discarded) : json::from_cbor(bytes, true, false);
+    return cbor_scan(bytes).is_bad() ? json(json::value_t::discarded) : json::from_cbor(bytes, true, false);
 }
 
 std::optional<std::int64_t> whole_number(const json& row, const char* field, std::int64_t least,
--- a/tests/direct/endless_bytes_test.cpp
+++ b/tests/direct/endless_bytes_test.cpp
@@ -1,6 +1,9 @@
 // Endpoints, agents and stores that send bytes without end, fast and slowly.
+#include "direct/engine_agent_process.hpp"
 #include "direct/gateway_process.hpp"
 #include "http/kept_client.hpp"
+#include "platform/decode.hpp"
+#include "platform/relay.hpp"
 #include "tamarack/links.hpp"
 
 #include <boost/asio/write.hpp>
@@ -185,4 +188,54 @@
     CHECK(peak_kb(::getpid()) - before_kb <= max_growth_kb);
 }
 
+namespace {
+
+// A JSON document of nearly 8 MB, the longest answer that is read, of one repeated value.
+std::string document_of(const std::string& field, const std::string& one) {
+    constexpr std::size_t size = 8'000'000;
+    std::string document = "{\"end\":1,\"" + field + "\":[" + one;
+    while (document.size() < size) {
+        document += "," + one;
+    }
+    return document + "]}";
+}
+
+constexpr const char* small_values[] = {"[]", "{}", "\"\"", "0", "{\"\":[]}", "[[]]"};
+
+} // namespace
+
+// The parsed form of many small values takes several times the memory of their bytes: an engine's report of
+// 8 MB took over the memory of its agent's machine.
+TEST_CASE("agent_process_engine_reports_very_many_values_memory_is_bounded") {
+    constexpr std::int64_t max_agent_growth_kb = 64 * 1024; // an agent has 192 MB
+    fake_endpoint engine("i-1");
+    engine.set_body(document_of("models", small_values[0]));
+    engine_agent_process agent(
+        nlohmann::json{{"engine", "127.0.0.1:" + std::to_string(engine.address().port())}});
+    const std::int64_t before_kb = peak_kb(agent.agent_.pid());
+    for (const char* one : small_values) {
+        CAPTURE(one);
+        engine.set_body(document_of("models", one));
+        engine.set_behaviours({behaviour::complete});
+        CHECK(gateway_process::eventually([&] { return engine.received_requests().size() > 4; }));
+        CHECK(peak_kb(agent.agent_.pid()) - before_kb <= max_agent_growth_kb);
+    }
+    CHECK(agent.agent_.running());
+}
+
+TEST_CASE("documents_of_very_many_values_are_refused_with_bounded_memory") {
+    const std::int64_t before_kb = peak_kb(::getpid());
+    for (const char* one : small_values) {
+        CAPTURE(one);
+        CHECK_FALSE(ok(platform::decode_newest(document_of("items", one))));
+        CHECK_FALSE(ok(platform::decode_report(document_of("runs", one))));
+        CHECK_FALSE(ok(platform::decode_endpoint("i", document_of("models", one))));
+        CHECK_FALSE(ok(platform::decode_configuration(document_of("routes", one))));
+    }
+    const std::string empty_arrays =
+        std::string("\x81\x9a\x00\x1e\x84\x80", 6) + std::string(2'000'000, '\x80');
+    CHECK_FALSE(ok(platform::decode_relay(empty_arrays)));
+    CHECK(peak_kb(::getpid()) - before_kb <= max_growth_kb);
+}
+
 } // namespace tamarack::direct
