Soak: other writers put odd entries into the registry

With keys of spaces, line breaks, bytes that are no UTF-8 and parts of a query among those of the endpoints, with values of up to 250,000 bytes, on pages of one to six entries, of which the one after a drawn key cannot be read at times.

--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -188,7 +188,7 @@
     std::string items;
     std::size_t count = 0;
     const std::string after = call.decoded_query("after").value_or("");
-    if (after == refused_after_) {
+    if (!after.empty() && after == refused_after_) {
         return http::json_response(400, "{}");
     }
     auto entry = newest.upper_bound(after);
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -49,7 +49,7 @@
     // Sets the number of records in one page of the newest records.
     void set_page_size(std::size_t size) { page_size_ = size; }
 
-    // Answers 400 to calls for the page of newest records after this key.
+    // Answers 400 to calls for the page of newest records after this key; to none if it is empty.
     void set_refused_after(std::string key);
 
     // Answers 400 to appends of this key.
@@ -80,7 +80,7 @@
     std::atomic<std::size_t> page_size_ = 500;
     std::atomic<int> era_ = 1;
     std::map<std::string, int> calls_by_topic_; // answered ones
-    std::optional<std::string> refused_after_;
+    std::string refused_after_;
     std::optional<std::string> refused_key_;
     std::thread thread_;
 };
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -25,6 +25,7 @@
     void use_calm_fleet() {
         settings_.faults_ = false;
         settings_.drills_ = false;
+        settings_.odd_entries_ = false;
         settings_.limits_ = 0;
         settings_.back_offs_ = 0;
         settings_.gateways_ = 6;
@@ -112,6 +113,7 @@
 
 TEST_CASE_FIXTURE(soak_fixture, "fleet_store_returns_from_copies_every_request_is_served") {
     settings_.faults_ = false;
+    settings_.odd_entries_ = false;
     settings_.limits_ = 0;
     settings_.back_offs_ = 0;
     const soak_outcome outcome = check(1);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -20,6 +20,8 @@
 DEFINE_double(quota_slack, 17'000, "tokens that an organisation may use beside its limit in 8 s");
 DEFINE_int32(plain_endpoints, 2, "endpoints of the plain service");
 DEFINE_bool(drills, true, "whether the store returns from a copy now and then");
+DEFINE_bool(odd_entries, true,
+            "whether others write to the registry, of which pages cannot be read at times");
 DEFINE_bool(faults, true, "whether there are faults beside the limits and drills");
 DEFINE_bool(all_served, false, "whether a request that is not served counts as a broken promise");
 DEFINE_string(folder, "", "where the logs of failed soaks stay; a temporary folder if empty");
@@ -48,6 +50,7 @@
         settings.organisations_ = FLAGS_organisations;
         settings.quota_slack_ = FLAGS_quota_slack;
         settings.drills_ = FLAGS_drills;
+        settings.odd_entries_ = FLAGS_odd_entries;
         settings.faults_ = FLAGS_faults;
         settings.folder_ = (base / ("seed-" + std::to_string(settings.seed_))).string();
         std::filesystem::remove_all(settings.folder_);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -35,7 +35,7 @@
           clients_(context_, fleet_, judge_, settings.seed_), limit_random_(settings.seed_ + 1),
           drill_random_(settings.seed_ + 2), part_random_(settings.seed_ + 4),
           request_random_(settings.seed_ + 5), back_off_random_(settings.seed_ + 6),
-          operator_random_(settings.seed_ + 8) {}
+          operator_random_(settings.seed_ + 8), entry_random_(settings.seed_ + 9) {}
 
     soak_outcome run() {
         asio::co_spawn(context_, script(), asio::detached);
@@ -123,6 +123,10 @@
             ++active_;
             asio::co_spawn(context_, drill_store(until), asio::detached);
         }
+        if (settings_.odd_entries_) {
+            ++active_;
+            asio::co_spawn(context_, write_odd_entries(until), asio::detached);
+        }
         while (settings_.leaving_only_ && steady_now_ms() < until) {
             ++active_;
             asio::co_spawn(context_, run_fault(&soak_run::leave), asio::detached);
@@ -185,6 +189,37 @@
         --active_;
     }
 
+    // Other writers put entries into the registry that name no endpoint, with keys of odd bytes among those
+    // of the endpoints, and at times the page after one of them cannot be read. With random numbers of its
+    // own.
+    awaitable<void> write_odd_entries(time_ms until) {
+        static const std::string marks[] = {" ",    "&after=", "%",        "+",  "#",
+                                            "\r\n", "\xff",    "\xc3\xa9", "\"", ""};
+        direct::fake_store& store = fleet_.store();
+        store.set_page_size(std::size_t(draw(entry_random_, 1, 6)));
+        while (steady_now_ms() < until) {
+            co_await pause(draw(entry_random_, 200, 1'500));
+            const std::string& id =
+                fleet_.endpoints()[entry_random_() % fleet_.endpoints().size()].engine_->id();
+            const std::string key = id + marks[entry_random_() % std::size(marks)] + "copy";
+            const std::size_t size = entry_random_() % 8 == 0 ? 250'000 : entry_random_() % 1'000;
+            switch (entry_random_() % 4) {
+            case 0:
+                store.drop("keyed.servers", key);
+                break;
+            case 1:
+                note("no page after " + id);
+                store.set_refused_after(entry_random_() % 2 == 0 ? id : key);
+                break;
+            default:
+                store.put("keyed.servers", key, std::string(size, char(entry_random_())));
+                break;
+            }
+        }
+        store.set_refused_after({});
+        --active_;
+    }
+
     // Endpoints that turn requests away for a while and ask for time without any. With random numbers of its
     // own.
     awaitable<void> ask_for_back_offs(time_ms until) {
@@ -583,6 +618,7 @@
     std::mt19937_64 request_random_;
     std::mt19937_64 back_off_random_;
     std::mt19937_64 operator_random_;
+    std::mt19937_64 entry_random_;
     std::mt19937_64 crash_random_{1};
     soak_outcome outcome_;
     time_ms started_at_ = 0;
