--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -232,8 +232,6 @@
 }
 
 asio::awaitable<void> control::handle_metrics(http::exchange& current) {
-    measures_.set("tamarack_registry_age_ms", "Age of what is known of the registry; -1 if nothing is", {},
-                  double(fleet::age_ms(registry_freshness_, boot_now_ms())));
     http::response response{200, {{"Content-Type", "text/plain; version=0.0.4"}}, measures_.text()};
     co_await current.reply(std::move(response));
 }
