Order models and adapters by names that any format can hold

An order now holds names of a type that only printable ASCII without space and slash of up to 128 bytes can enter, so that the unchecked way does not compile. The gateway refuses other names with 400 before a request is sent anywhere; the agent, which trusts no frame, answers such an adapter as not ready and ignores such a placement, each with a line.

--- a/include/tamarack/engine.hpp
+++ b/include/tamarack/engine.hpp
@@ -29,8 +29,8 @@
 // orders that it has accepted is `expected_accepted_`.
 struct order {
     bool load_ = true; // false to unload
-    std::string model_;
-    std::string adapter_; // empty to load or unload the model itself
+    fleet::plain_name model_;
+    fleet::plain_name adapter_; // empty to load or unload the model itself
     std::string engine_;
     std::int64_t expected_accepted_ = 0;
     std::string holder_;             // id of the agent that sends the order
--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -17,6 +17,26 @@
 
 namespace tamarack::fleet {
 
+// The name of a model or an adapter: 1 to 128 printable ASCII characters other than space and slash. Names
+// come from clients, engines and peers; one of this type can be written in any format.
+class plain_name {
+public:
+    static constexpr std::size_t max_bytes = 128;
+
+    plain_name() = default; // no name
+
+    // Returns nothing if the text is no such name.
+    static std::optional<plain_name> parse(std::string_view text);
+
+    const std::string& text() const { return text_; }
+    bool empty() const { return text_.empty(); }
+    friend bool operator==(const plain_name&, const plain_name&) = default;
+    friend bool operator==(const plain_name& left, std::string_view right) { return left.text_ == right; }
+
+private:
+    std::string text_;
+};
+
 // A model that engines of a service may hold.
 struct model_spec {
     std::string name_;
--- a/src/engine_agent/agent.cpp
+++ b/src/engine_agent/agent.cpp
@@ -153,11 +153,24 @@
     }
     case links::fbs::Body::AdapterWanted: {
         const links::adapter_wanted& wanted = *received.body.AsAdapterWanted();
+        const auto model = fleet::plain_name::parse(wanted.model);
+        const auto adapter = fleet::plain_name::parse(wanted.adapter);
+        if (!model || !adapter) {
+            events_.write({event_kind::order,
+                           "agent",
+                           "adapter_refused",
+                           {},
+                           {{"gateway", from->id_}, {"reason", "it has no valid name"}}});
+            links::adapter_state state;
+            state.number = wanted.number;
+            from->link_->send(links::make_frame(state));
+            return;
+        }
         const std::uint64_t request_id = next_request_id_++;
         from->request_ids_[wanted.number] = request_id;
         adapter_requests_[request_id] = {from->link_, wanted.number};
         scheduler_.set_max_adapters(wanted.most_adapters);
-        scheduler_.request_adapter(request_id, wanted.model, wanted.adapter, steady_now_ms());
+        scheduler_.request_adapter(request_id, *model, *adapter, steady_now_ms());
         send_answers(scheduler_.resolve_requests(steady_now_ms()));
         send_next_order();
         return;
@@ -195,18 +208,30 @@
 }
 
 void agent::handle_placement(const links::placement_order& order) {
-    const std::size_t models = order.model_names.size();
-    if (order.model_mb.size() != models || order.adapter_mb.size() != models) {
+    const auto ignore = [&](const char* reason) {
         events_.write({event_kind::order,
                        "agent",
                        "placement_ignored",
                        {},
-                       {{"planner", order.planner}, {"reason", "its lists of models differ in length"}}});
+                       {{"planner", order.planner}, {"reason", reason}}});
+    };
+    const std::size_t models = order.model_names.size();
+    if (order.model_mb.size() != models || order.adapter_mb.size() != models) {
+        ignore("its lists of models differ in length");
         return;
     }
     placement requested;
-    requested.load_ = order.load;
-    requested.drop_ = order.drop;
+    const auto load = fleet::plain_name::parse(order.load);
+    for (const std::string& dropped : order.drop) {
+        if (const auto name = fleet::plain_name::parse(dropped)) {
+            requested.drop_.push_back(*name);
+        }
+    }
+    if (!load || requested.drop_.size() != order.drop.size()) {
+        ignore("it names a model that has no valid name");
+        return;
+    }
+    requested.load_ = *load;
     requested.capacity_mb_ = order.capacity_mb;
     requested.adapter_slots_ = order.adapter_slots;
     for (std::size_t index = 0; index < models; ++index) {
@@ -341,8 +366,8 @@
                        "agent",
                        order.load_ ? "load" : "unload",
                        {},
-                       {{"model", order.model_},
-                        {"adapter", order.adapter_},
+                       {{"model", order.model_.text()},
+                        {"adapter", order.adapter_.text()},
                         {"engine", order.engine_},
                         {"expected", order.expected_accepted_},
                         {"token", order.fencing_token_},
--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -79,7 +79,7 @@
         std::any_of(pins_.begin(), pins_.end(), [&](const auto& pin) { return pin.second == key; });
     const bool requested =
         std::any_of(adapter_requests_.begin(), adapter_requests_.end(), [&](const adapter_request& request) {
-            return adapter_key(request.model_, request.adapter_) == key;
+            return adapter_key(request.model_.text(), request.adapter_.text()) == key;
         });
     return !pinned && !requested && !unloading_.contains(key);
 }
@@ -130,7 +130,7 @@
         return resident(entry.first) || now - entry.second > loading_timeout_ms;
     });
     std::erase_if(store_load_starts_, [&](time_ms start) { return now - start > store_load_retention_ms; });
-    if (placement_ && (find_model(placement_->load_) != nullptr || now > placement_deadline_)) {
+    if (placement_ && (find_model(placement_->load_.text()) != nullptr || now > placement_deadline_)) {
         placement_.reset();
     }
 }
@@ -141,11 +141,11 @@
         return answers;
     }
     std::erase_if(adapter_requests_, [&](const adapter_request& request) {
-        const bool ready = has_adapter(request.model_, request.adapter_);
+        const bool ready = has_adapter(request.model_.text(), request.adapter_.text());
         const bool failed =
-            find_model(request.model_) == nullptr || request.deadline_ <= now || report_->leaving_;
+            find_model(request.model_.text()) == nullptr || request.deadline_ <= now || report_->leaving_;
         if (ready) {
-            pins_[request.id_] = adapter_key(request.model_, request.adapter_);
+            pins_[request.id_] = adapter_key(request.model_.text(), request.adapter_.text());
         }
         if (ready || failed) {
             answers.push_back({request.id_, ready});
@@ -172,11 +172,10 @@
     placement_deadline_ = now + placement_timeout_ms;
 }
 
-void order_scheduler::request_adapter(std::uint64_t request_id, std::string_view model,
-                                      std::string_view adapter, time_ms now) {
-    last_requested_[adapter_key(model, adapter)] = now;
-    adapter_requests_.push_back(
-        {request_id, std::string(model), std::string(adapter), now + links::adapter_timeout_ms});
+void order_scheduler::request_adapter(std::uint64_t request_id, const fleet::plain_name& model,
+                                      const fleet::plain_name& adapter, time_ms now) {
+    last_requested_[adapter_key(model.text(), adapter.text())] = now;
+    adapter_requests_.push_back({request_id, model, adapter, now + links::adapter_timeout_ms});
 }
 
 void order_scheduler::release_adapter(std::uint64_t request_id) {
@@ -185,7 +184,8 @@
                   [&](const adapter_request& request) { return request.id_ == request_id; });
 }
 
-engine::order order_scheduler::make_order(bool load, std::string_view model, std::string_view adapter) const {
+engine::order order_scheduler::make_order(bool load, const fleet::plain_name& model,
+                                          const fleet::plain_name& adapter) const {
     engine::order order;
     order.load_ = load;
     order.model_ = model;
@@ -224,8 +224,8 @@
         return std::nullopt;
     }
     for (const adapter_request& request : adapter_requests_) {
-        const std::string key = adapter_key(request.model_, request.adapter_);
-        if (has_adapter(request.model_, request.adapter_) || is_adapter_loading(key) ||
+        const std::string key = adapter_key(request.model_.text(), request.adapter_.text());
+        if (has_adapter(request.model_.text(), request.adapter_.text()) || is_adapter_loading(key) ||
             unloading_.contains(key)) {
             continue;
         }
@@ -249,9 +249,11 @@
             }
             const auto requested = last_requested_.find(key);
             const time_ms at = requested == last_requested_.end() ? 0 : requested->second;
-            if (!oldest || at < oldest_at) {
+            const auto model_name = fleet::plain_name::parse(model.name_);
+            const auto adapter_name = fleet::plain_name::parse(adapter);
+            if (model_name && adapter_name && (!oldest || at < oldest_at)) {
                 oldest_at = at;
-                oldest = make_order(false, model.name_, adapter);
+                oldest = make_order(false, *model_name, *adapter_name);
             }
         }
     }
@@ -262,22 +264,22 @@
     if (!placement_ || report_->busy_ || report_->leaving_) {
         return std::nullopt;
     }
-    for (const std::string& model : placement_->drop_) {
-        if (find_model(model) != nullptr) {
-            return make_order(false, model, "");
+    for (const fleet::plain_name& model : placement_->drop_) {
+        if (find_model(model.text()) != nullptr) {
+            return make_order(false, model, {});
         }
     }
-    const auto size = placement_->model_mb_.find(placement_->load_);
+    const auto size = placement_->model_mb_.find(placement_->load_.text());
     if (size == placement_->model_mb_.end() || used_mb() + size->second > placement_->capacity_mb_) {
         placement_.reset();
         return std::nullopt;
     }
-    return make_order(true, placement_->load_, "");
+    return make_order(true, placement_->load_, {});
 }
 
 bool order_scheduler::loads_from_store(const engine::order& order) const {
     return order.load_ && order.adapter_.empty() && report_ &&
-           !report_->cached_models_.contains(order.model_);
+           !report_->cached_models_.contains(order.model_.text());
 }
 
 void order_scheduler::handle_answer(engine::order_answer answer, time_ms now) {
@@ -293,7 +295,8 @@
         }
         unconfirmed_order_.reset();
         if (!order->adapter_.empty()) {
-            (order->load_ ? loading_ : unloading_)[adapter_key(order->model_, order->adapter_)] = now;
+            (order->load_ ? loading_
+                          : unloading_)[adapter_key(order->model_.text(), order->adapter_.text())] = now;
         }
         if (report_) {
             ++report_->accepted_;
@@ -323,7 +326,7 @@
 }
 
 std::string order_scheduler::loading_model() const {
-    return placement_ ? placement_->load_ : std::string();
+    return placement_ ? placement_->load_.text() : std::string();
 }
 
 } // namespace tamarack::engine_agent
--- a/src/engine_agent/order_book.hpp
+++ b/src/engine_agent/order_book.hpp
@@ -10,9 +10,9 @@
 
 // Models that the planner wants this engine to load and unload, and the sizes for computing its memory use.
 struct placement {
-    std::string load_;              // model to load
-    std::vector<std::string> drop_; // models to unload first
-    double capacity_mb_ = 0;        // engine memory for weights and adapters
+    fleet::plain_name load_;              // model to load
+    std::vector<fleet::plain_name> drop_; // models to unload first
+    double capacity_mb_ = 0;              // engine memory for weights and adapters
     int adapter_slots_ = 0;
     std::map<std::string, double, std::less<>> model_mb_;
     std::map<std::string, double, std::less<>> adapter_mb_; // size of one adapter, by model
@@ -42,10 +42,11 @@
     // Sets how many adapters the engine has slots and memory for. The initial value is 0.
     void set_max_adapters(int count) { max_adapters_ = count; }
 
-    // Requests an adapter under an id chosen by the caller. Once `resolve_requests` has answered that it is
-    // ready, the adapter stays resident until `release_adapter`.
-    void request_adapter(std::uint64_t request_id, std::string_view model, std::string_view adapter,
-                         time_ms now);
+    // Requests an adapter under an id chosen by the caller. It fails at once if the engine refuses the order,
+    // as one for an adapter that does not exist. Once `resolve_requests` has answered that it is ready, the
+    // adapter stays resident until `release_adapter`.
+    void request_adapter(std::uint64_t request_id, const fleet::plain_name& model,
+                         const fleet::plain_name& adapter, time_ms now);
     void release_adapter(std::uint64_t request_id);
 
     // Removes and returns the adapter requests that are decided: the adapter is resident, the request has
@@ -72,12 +73,13 @@
 private:
     struct adapter_request {
         std::uint64_t id_ = 0;
-        std::string model_;
-        std::string adapter_;
+        fleet::plain_name model_;
+        fleet::plain_name adapter_;
         time_ms deadline_ = 0;
     };
 
-    engine::order make_order(bool load, std::string_view model, std::string_view adapter) const;
+    engine::order make_order(bool load, const fleet::plain_name& model,
+                             const fleet::plain_name& adapter) const;
     std::optional<engine::order> next_adapter_order();
     std::optional<engine::order> next_eviction_order();
     std::optional<engine::order> next_placement_order();
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -118,9 +118,22 @@
         refuse("no_service", no_endpoint_retry_after_ms);
         return false;
     }
+    if (service_->engine_ && !names_model_plainly()) {
+        send_own_response(status_bad_request, "invalid_model_name");
+        return false;
+    }
     return true;
 }
 
+// Whether the names of the model and the adapter, as far as the request has them, can be written in any order
+// or frame.
+bool request_flow::names_model_plainly() const {
+    const auto is_plain = [](const std::string& name) {
+        return name.empty() || fleet::plain_name::parse(name).has_value();
+    };
+    return is_plain(metadata_.model_) && is_plain(metadata_.adapter_);
+}
+
 std::vector<std::shared_ptr<endpoint>> request_flow::usable_endpoints() const {
     std::vector<std::shared_ptr<endpoint>> usable;
     const std::string model = requested_model();
--- a/src/gateway/request_flow.hpp
+++ b/src/gateway/request_flow.hpp
@@ -126,6 +126,7 @@
 
 private:
     bool find_route();
+    bool names_model_plainly() const;
     bool identify_or_refuse();
     void set_caller(const identity::identification& found, bool keys_required);
     bool is_still_identified() const;
--- a/tests/direct/engine_agent_test.cpp
+++ b/tests/direct/engine_agent_test.cpp
@@ -52,6 +52,48 @@
     CHECK(line.find("placement_ignored") != std::string::npos);
 }
 
+// Fault: a name that is no UTF-8 was written into an order, which ended the agent, and the agents of all
+// further engines that were tried.
+TEST_CASE("agent_process_names_that_no_order_can_hold_are_refused_and_the_agent_stays") {
+    fake_endpoint engine("i-1");
+    engine.set_body(R"({"models":[{"name":"m","adapters":[]}],"born":7})");
+    engine_agent_process agent(
+        nlohmann::json{{"engine", "127.0.0.1:" + std::to_string(engine.address().port())}});
+    boost::asio::ip::tcp::socket socket = agent.connect("a");
+    links::hello greeting;
+    greeting.protocol = links::protocol_version;
+    greeting.id = "a";
+    greeting.engine = "i-1";
+    greeting.engine_incarnation = 7;
+    boost::asio::write(socket, boost::asio::buffer(links::encode(links::make_frame(greeting))));
+    REQUIRE(gateway_process::eventually([&] { return engine.received_requests().size() > 2; }));
+    std::uint64_t number = 0;
+    for (const std::string& odd :
+         {std::string("\xff\xfe"), std::string("a\n"), std::string(200, 'a'), std::string()}) {
+        links::adapter_wanted wanted;
+        wanted.number = ++number;
+        wanted.model = "m";
+        wanted.adapter = odd;
+        wanted.most_adapters = 4;
+        boost::asio::write(socket, boost::asio::buffer(links::encode(links::make_frame(wanted))));
+        links::placement_order order;
+        order.planner = "a";
+        order.load = odd;
+        order.drop = {"m", odd};
+        order.model_names = {odd};
+        order.model_mb = {1};
+        order.adapter_mb = {1};
+        order.capacity_mb = 10;
+        boost::asio::write(socket, boost::asio::buffer(links::encode(links::make_frame(order))));
+    }
+    const std::size_t reports = engine.received_requests().size();
+    CHECK(gateway_process::eventually([&] { return engine.received_requests().size() > reports + 20; }));
+    CHECK(agent.agent_.running());
+    for (const std::string& request : engine.received_requests()) {
+        CHECK(request.starts_with("GET "));
+    }
+}
+
 TEST_CASE_FIXTURE(engine_agent_process, "agent_process_settings_reloaded_twice_still_stops_on_sigterm") {
     agent_.signal(SIGHUP);
     REQUIRE(agent_.read_line().find("settings_kept") != std::string::npos);
--- a/tests/direct/order_book_test.cpp
+++ b/tests/direct/order_book_test.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+fleet::plain_name name(const std::string& text) {
+    return fleet::plain_name::parse(text).value();
+}
+
 struct scheduler_fixture {
     order_scheduler scheduler_{"agent-1"};
     engine::report report_;
@@ -29,10 +33,10 @@
         scheduler_.update_report(report_, now_);
     }
 
-    placement make_placement(const std::string& load, std::vector<std::string> drop) const {
+    placement make_placement(const std::string& load, const std::vector<std::string>& drop) const {
         placement desired;
-        desired.load_ = load;
-        desired.drop_ = std::move(drop);
+        desired.load_ = name(load);
+        std::transform(drop.begin(), drop.end(), std::back_inserter(desired.drop_), name);
         desired.capacity_mb_ = 200;
         desired.adapter_slots_ = 8;
         desired.model_mb_ = {{"base", 60}, {"second", 60}, {"third", 60}, {"fourth", 60}};
@@ -60,15 +64,15 @@
         if (order.expected_accepted_ != report_.accepted_) {
             return engine::order_answer::conflict;
         }
-        if (holds(order.model_) == order.load_) {
+        if (holds(order.model_.text()) == order.load_) {
             return engine::order_answer::done;
         }
         ++report_.accepted_;
         if (order.load_) {
-            report_.models_.push_back({order.model_, {}});
+            report_.models_.push_back({order.model_.text(), {}});
         } else {
             std::erase_if(report_.models_,
-                          [&](const fleet::held_model& held) { return held.name_ == order.model_; });
+                          [&](const fleet::held_model& held) { return order.model_ == held.name_; });
         }
         return engine::order_answer::accepted;
     }
@@ -79,7 +83,7 @@
 // DRAIN: an engine that leaves was ordered to load what requests had wanted before, and told so in one report
 // only.
 TEST_CASE_FIXTURE(scheduler_fixture, "orders_engine_leaves_gets_no_more_of_them_until_it_starts_again") {
-    scheduler_.request_adapter(1, "base", "a1", now_);
+    scheduler_.request_adapter(1, name("base"), name("a1"), now_);
     report_.leaving_ = true;
     scheduler_.update_report(report_, now_);
     report_.leaving_ = false; // an older word, or one that lacks it
@@ -91,7 +95,7 @@
     CHECK_FALSE(answers.front().ready_);
     ++report_.incarnation_;
     scheduler_.update_report(report_, now_);
-    scheduler_.request_adapter(2, "base", "a1", now_);
+    scheduler_.request_adapter(2, name("base"), name("a1"), now_);
     CHECK(scheduler_.next_order(now_));
 }
 
@@ -171,24 +175,25 @@
 
 TEST_CASE_FIXTURE(scheduler_fixture, "adapter_requested_before_any_placement_respects_the_adapter_limit") {
     hold_adapters(4);
-    scheduler_.request_adapter(1, "base", "new", now_);
+    scheduler_.request_adapter(1, name("base"), name("new"), now_);
     scheduler_.set_max_adapters(4);
     const auto order = scheduler_.next_order(now_);
     REQUIRE(order);
     CHECK_FALSE(order->load_); // an adapter is unloaded first
     order_scheduler fresh("agent-2");
     fresh.update_report(report_, now_);
-    fresh.request_adapter(1, "base", "new", now_);
+    fresh.request_adapter(1, name("base"), name("new"), now_);
     CHECK_FALSE(fresh.next_order(now_)); // the adapter limit is not set yet
 }
 
 TEST_CASE_FIXTURE(scheduler_fixture, "adapter_in_use_is_not_unloaded") {
     hold_adapters(8);
     for (int adapter = 0; adapter < 8; ++adapter) {
-        scheduler_.request_adapter(std::uint64_t(adapter), "base", "a" + std::to_string(adapter), now_);
+        scheduler_.request_adapter(std::uint64_t(adapter), name("base"), name("a" + std::to_string(adapter)),
+                                   now_);
     }
     CHECK(scheduler_.resolve_requests(now_).size() == 8);
-    scheduler_.request_adapter(100, "base", "new", now_);
+    scheduler_.request_adapter(100, name("base"), name("new"), now_);
     CHECK_FALSE(scheduler_.next_order(now_));
     scheduler_.release_adapter(3);
     const auto order = scheduler_.next_order(now_);
@@ -199,7 +204,7 @@
 
 TEST_CASE_FIXTURE(scheduler_fixture, "adapter_being_unloaded_gets_no_second_order_and_is_not_usable") {
     hold_adapters(8);
-    scheduler_.request_adapter(1, "base", "new", now_);
+    scheduler_.request_adapter(1, name("base"), name("new"), now_);
     REQUIRE(scheduler_.next_order(now_));
     scheduler_.handle_answer(engine::order_answer::accepted, now_);
     now_ += 200;
@@ -214,7 +219,7 @@
                   "adapter_requested_while_the_engine_is_busy_gets_no_order_and_times_out") {
     report_.busy_ = true;
     scheduler_.update_report(report_, now_);
-    scheduler_.request_adapter(1, "base", "a1", now_);
+    scheduler_.request_adapter(1, name("base"), name("a1"), now_);
     CHECK_FALSE(scheduler_.next_order(now_));
     now_ += 5'000;
     const auto answers = scheduler_.resolve_requests(now_);
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -614,7 +614,7 @@
     const auto client =
         (*registry<engine::client_factory>::instance().find("log-store"))(context, engine.address());
     engine::order order;
-    order.model_ = "m";
+    order.model_ = fleet::plain_name::parse("m").value();
     order.engine_ = "i-1";
     std::optional<engine::order_answer> answer;
     const time_ms began = steady_now_ms();
--- a/tests/direct/request_flow_test.cpp
+++ b/tests/direct/request_flow_test.cpp
@@ -3,6 +3,18 @@
 
 namespace tamarack::gateway {
 
+// Fault: a name that no order or frame can hold went to the agents, and each ended that wrote it.
+TEST_CASE_FIXTURE(flow_fixture,
+                  "request_names_of_model_and_adapter_cannot_be_written_is_refused_at_the_door") {
+    for (const std::string& model : {std::string("m/\xff\xfe"), std::string("\xc3"), std::string("m/a b"),
+                                     std::string("m/a/b"), "m/" + std::string(200, 'a')}) {
+        CAPTURE(model);
+        const auto flow = start(model);
+        CHECK(sink_->status_ == 400);
+        CHECK(adapters_.empty());
+    }
+}
+
 // DRAIN: a request went to the endpoint that had been chosen before its adapter was loaded, though it had
 // left.
 TEST_CASE_FIXTURE(flow_fixture, "request_endpoint_leaves_while_its_adapter_is_loaded_is_sent_elsewhere") {
