Fail the requests for an adapter that the engine refuses to load

An engine answers 400 to an order for an adapter that does not exist. The agent ordered it again every 30 ms until the request timed out after 1.2 s, before the adapters that other requests waited for, and each refusal ended the placement that the planner had asked for.

The requests for that adapter now fail at once, and the placement stays: what is refused says nothing of other orders.

Evidence: adapter_order_is_refused_by_the_engine_request_fails_and_placement_stays failed before and passes.

--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -315,9 +315,12 @@
     case engine::order_answer::conflict:
         paused_until_ = now + order_pause_ms;
         return;
+    case engine::order_answer::invalid:
+        handle_refused_order(*order);
+        paused_until_ = now + order_pause_ms;
+        return;
     case engine::order_answer::fenced:
     case engine::order_answer::wrong_engine:
-    case engine::order_answer::invalid:
         unconfirmed_order_.reset();
         placement_.reset();
         paused_until_ = now + order_pause_ms;
@@ -325,6 +328,20 @@
     }
 }
 
+// Handles an order that the engine will never carry out, as it is. It says nothing of other orders.
+void order_scheduler::handle_refused_order(const engine::order& order) {
+    unconfirmed_order_.reset();
+    if (order.adapter_.empty()) {
+        placement_.reset();
+        return;
+    }
+    for (adapter_request& request : adapter_requests_) {
+        if (request.model_ == order.model_ && request.adapter_ == order.adapter_) {
+            request.deadline_ = 0; // answered as failed
+        }
+    }
+}
+
 std::string order_scheduler::loading_model() const {
     return placement_ ? placement_->load_.text() : std::string();
 }
--- a/src/engine_agent/order_book.hpp
+++ b/src/engine_agent/order_book.hpp
@@ -80,6 +80,7 @@
 
     engine::order make_order(bool load, const fleet::plain_name& model,
                              const fleet::plain_name& adapter) const;
+    void handle_refused_order(const engine::order& order);
     std::optional<engine::order> next_adapter_order();
     std::optional<engine::order> next_eviction_order();
     std::optional<engine::order> next_placement_order();
--- a/tests/direct/order_book_test.cpp
+++ b/tests/direct/order_book_test.cpp
@@ -186,6 +186,23 @@
     CHECK_FALSE(fresh.next_order(now_)); // the adapter limit is not set yet
 }
 
+// A client that asked for adapters that do not exist had each ordered again until its request timed out, and
+// each refusal ended the engine's placement.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "adapter_order_is_refused_by_the_engine_request_fails_and_placement_stays") {
+    scheduler_.set_placement(make_placement("second", {}), now_);
+    scheduler_.request_adapter(1, name("base"), name("none"), now_);
+    REQUIRE(scheduler_.next_order(now_)->adapter_ == "none");
+    scheduler_.handle_answer(engine::order_answer::invalid, now_);
+    const auto answers = scheduler_.resolve_requests(now_);
+    REQUIRE(answers.size() == 1);
+    CHECK_FALSE(answers[0].ready_);
+    now_ += 1'000;
+    const auto next = scheduler_.next_order(now_);
+    REQUIRE(next);
+    CHECK(next->model_ == "second");
+}
+
 TEST_CASE_FIXTURE(scheduler_fixture, "adapter_in_use_is_not_unloaded") {
     hold_adapters(8);
     for (int adapter = 0; adapter < 8; ++adapter) {
