Write the reason of an uncaught exception as a process's last line

A process that ended by an exception told why on standard error at most, in the words of the C++ library, and without its name. The terminate handler now writes one line uncaught_error with the reason, past the event log, which the failing thread may hold.

Evidence: process_exception_is_not_caught_last_line_tells_the_reason; there was no such line before.

--- a/src/observe/program.hpp
+++ b/src/observe/program.hpp
@@ -1,6 +1,7 @@
 // Startup shared by the gateway and the engine agent: flags, settings, logging and exit codes.
 #pragma once
 
+#include "observe/uncaught.hpp"
 #include "tamarack/events.hpp"
 #include "tamarack/observe.hpp"
 
@@ -30,6 +31,7 @@
         return exit_invalid_settings;
     }
     start_logging("info");
+    log_uncaught_errors(value(settings).id_);
     event_log events(value(settings).id_, event_rate(), standard_output_sink());
     return body(value(settings), events);
 }
--- a/tests/direct/events_test.cpp
+++ b/tests/direct/events_test.cpp
@@ -1,10 +1,15 @@
 #include "ctl/story.hpp"
+#include "observe/uncaught.hpp"
 #include "tamarack/events.hpp"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <csignal>
 #include <future>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
 
 namespace tamarack {
 
@@ -91,4 +96,34 @@
     CHECK(ctl::select_request_lines(lines, "r-3", std::chrono::milliseconds(2'000)).empty());
 }
 
+// A process that ended by an exception left no line that told why.
+TEST_CASE("process_exception_is_not_caught_last_line_tells_the_reason") {
+    int ends[2];
+    REQUIRE(::pipe(ends) == 0);
+    const pid_t child = ::fork();
+    if (child == 0) {
+        ::dup2(ends[1], STDOUT_FILENO);
+        ::close(ends[0]);
+        ::close(ends[1]);
+        std::signal(SIGABRT, SIG_DFL);
+        log_uncaught_errors("gateway-1");
+        std::thread([] { throw std::runtime_error("odd \xff"); }).join();
+        std::_Exit(0);
+    }
+    ::close(ends[1]);
+    std::string output;
+    char bytes[512];
+    for (ssize_t count = 0; (count = ::read(ends[0], bytes, sizeof(bytes))) > 0;) {
+        output.append(bytes, std::size_t(count));
+    }
+    ::close(ends[0]);
+    int status = 0;
+    ::waitpid(child, &status, 0);
+    CHECK(WIFSIGNALED(status));
+    CHECK(output.find(
+              R"("process":"gateway-1","kind":"process","part":"process","decision":"uncaught_error")") !=
+          std::string::npos);
+    CHECK(output.find("odd ") != std::string::npos);
+}
+
 } // namespace tamarack
