Forget adapters that were requested and never became resident

Evidence: adapter_names_never_become_resident_are_forgotten asks for 10,000 names in 100 s; all stayed before, since nothing erased one.

--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -129,6 +129,9 @@
     std::erase_if(loading_, [&](const auto& entry) {
         return resident(entry.first) || now - entry.second > loading_timeout_ms;
     });
+    std::erase_if(last_requested_, [&](const auto& entry) {
+        return !resident(entry.first) && now - entry.second > links::adapter_timeout_ms + loading_timeout_ms;
+    });
     std::erase_if(store_load_starts_, [&](time_ms start) { return now - start > store_load_retention_ms; });
     if (placement_ && (find_model(placement_->load_.text()) != nullptr || now > placement_deadline_)) {
         placement_.reset();
--- a/src/engine_agent/order_book.hpp
+++ b/src/engine_agent/order_book.hpp
@@ -67,6 +67,9 @@
     std::string loading_model() const;
     bool has_pending_work() const { return order_in_flight_ || !adapter_requests_.empty() || placement_; }
 
+    // Adapters of which the last request is remembered: those that are resident, and those requested lately.
+    std::size_t remembered_adapters() const { return last_requested_.size(); }
+
     // Start times of recent loads from the weight store. The planner limits the rate of such loads.
     const std::deque<time_ms>& store_load_starts() const { return store_load_starts_; }
 
--- a/tests/direct/order_book_test.cpp
+++ b/tests/direct/order_book_test.cpp
@@ -203,6 +203,24 @@
     CHECK(next->model_ == "second");
 }
 
+// Each name of an adapter that a client made up was kept for good.
+TEST_CASE_FIXTURE(scheduler_fixture, "adapter_names_never_become_resident_are_forgotten") {
+    hold_adapters(2);
+    constexpr int names = 10'000;
+    for (int number = 0; number < names; ++number) {
+        scheduler_.request_adapter(std::uint64_t(number), name("base"), name("n" + std::to_string(number)),
+                                   now_);
+        scheduler_.release_adapter(std::uint64_t(number));
+        now_ += 10;
+        scheduler_.update_report(report_, now_);
+    }
+    constexpr std::size_t requested_lately = 500; // in 5 s
+    CHECK(scheduler_.remembered_adapters() <= requested_lately);
+    scheduler_.request_adapter(names, name("base"), name("a1"), now_);
+    scheduler_.update_report(report_, now_ + 60'000);
+    CHECK(scheduler_.remembered_adapters() == 1);
+}
+
 TEST_CASE_FIXTURE(scheduler_fixture, "adapter_in_use_is_not_unloaded") {
     hold_adapters(8);
     for (int adapter = 0; adapter < 8; ++adapter) {
