Answer requests that were read whole before a stop

A connection also counted as idle between two of them, in which moment the process could end.

The connection now closes after the last request that has been read whole, and the session stays in service between two of them.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -160,6 +160,22 @@
     wait_for_bytes();
 }
 
+// Whether a further request has been read whole, or as far as it will be rejected.
+bool client_session::has_whole_request() const {
+    if (received_.size() == 0) {
+        return false;
+    }
+    const fleet::client_limits limits = context_.limits_();
+    http::request_parser next(limits.header_bytes_, limits.body_bytes_);
+    boost::beast::flat_buffer copy;
+    copy.commit(asio::buffer_copy(copy.prepare(received_.size()), received_.data()));
+    return next.take(copy) || next.fault() != http::parse_fault::none;
+}
+
+bool client_session::closes_after_response() const {
+    return !keep_alive_ || (context_.is_shutting_down_() && !has_whole_request());
+}
+
 void client_session::begin_request() {
     timer_.cancel();
     phase_ = phase::responding;
@@ -168,8 +184,9 @@
     keep_alive_ = keep_alive_ && chunked_;
     response_complete_ = false;
     update_charge();
-    in_service_ = true;
-    context_.on_in_service_(1);
+    if (!std::exchange(in_service_, true)) {
+        context_.on_in_service_(1);
+    }
     const std::size_t bytes = parser_->held_bytes();
     const memory::account& memory = context_.memory_;
     if (!memory::admits(memory.allowed().of(memory::pool::in_service), memory.held(memory::pool::in_service),
@@ -218,7 +235,7 @@
 
 void client_session::queue_head(int status, const std::vector<http::header>& headers,
                                 std::string_view framing) {
-    keep_alive_ = keep_alive_ && !context_.is_shutting_down_();
+    keep_alive_ = !closes_after_response();
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
     head += boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(unsigned(status)));
     head += "\r\n";
@@ -279,7 +296,7 @@
 
 void client_session::finish_response() {
     // Shutdown may have begun after the head of a long stream was sent.
-    keep_alive_ = keep_alive_ && !context_.is_shutting_down_();
+    keep_alive_ = !closes_after_response();
     response_complete_ = true;
     write();
     // Posted, since the request that calls this is still on the stack.
@@ -341,7 +358,9 @@
     }
     response_complete_ = false;
     if (keep_alive_) {
-        if (std::exchange(in_service_, false)) {
+        // A process that is about to end must not take the connection for idle before the next request.
+        const bool is_next_owed = context_.is_shutting_down_() && has_whole_request();
+        if (!is_next_owed && std::exchange(in_service_, false)) {
             context_.on_in_service_(-1);
         }
         read_next_request();
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -23,13 +23,15 @@
     std::function<fleet::client_limits()> limits_;
     std::function<std::shared_ptr<running_request>(std::shared_ptr<response_sink>, http::request)>
         start_request_;
-    std::function<bool()> is_shutting_down_;        // whether each connection closes after its response
+    std::function<bool()>
+        is_shutting_down_; // whether each connection closes once what it has sent is answered
     std::function<void(int change)> on_in_service_; // the number of responses that are owed changes
     std::function<void(const std::shared_ptr<client_session>&)> on_closed_;
 };
 
 // Serves one request at a time. The next one is parsed when the response has been written, so a client that
-// does not read makes the process hold one response at most.
+// does not read makes the process hold one response at most. When the process has been told to end, requests
+// that have been read whole are still served, and the connection closes after the last one.
 //
 // Received bytes have one owner: they are read when the socket is readable and appended to `received_` at
 // once, so no pending operation refers to that buffer while requests are parsed from it.
@@ -83,6 +85,8 @@
     void wait_for_bytes();
     void on_readable();
     void parse_received();
+    bool has_whole_request() const;
+    bool closes_after_response() const;
     void begin_request();
     void reject_request(int status, const std::vector<http::header>& headers = {});
     void arm_timer(time_ms timeout_ms);
--- a/tests/direct/client_session_test.cpp
+++ b/tests/direct/client_session_test.cpp
@@ -34,6 +34,8 @@
     fleet::client_limits limits_;
     std::vector<std::shared_ptr<started_request>> started_;
     int in_service_ = 0;
+    bool was_idle_ = false; // no request was in service for a moment after the process had been told to end
+    bool shutting_down_ = false;
     bool closed_ = false;
     session_context shared_{memory_,
                             read_buffer_,
@@ -44,8 +46,11 @@
                                 started_.back()->sink_ = std::move(sink);
                                 return started_.back();
                             },
-                            [] { return false; },
-                            [this](int change) { in_service_ += change; },
+                            [this] { return shutting_down_; },
+                            [this](int change) {
+                                in_service_ += change;
+                                was_idle_ = was_idle_ || (shutting_down_ && in_service_ == 0);
+                            },
                             [this](const std::shared_ptr<client_session>&) { closed_ = true; }};
     asio::ip::tcp::socket client_{context_};
     std::shared_ptr<client_session> session_;
@@ -237,6 +242,63 @@
     }
 }
 
+// LOST: after SIGTERM, requests that had been read whole behind the one in service got no answer. The process
+// also took a connection between two of them for idle.
+TEST_CASE("session_process_is_told_to_end_each_request_that_was_read_whole_is_answered_in_order") {
+    const std::string partial[] = {"", "GET /r/",
+                                   "POST /r/ HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf"};
+    enum class told { before_response, after_head, after_first_response };
+    for (const told when : {told::before_response, told::after_head, told::after_first_response}) {
+        for (const int ahead : {0, 1, 5}) {
+            for (const std::string& rest : partial) {
+                CAPTURE(int(when));
+                CAPTURE(ahead);
+                CAPTURE(rest);
+                session_fixture one;
+                std::string pipeline;
+                for (int number = 0; number <= ahead; ++number) {
+                    pipeline += get_request(number);
+                }
+                one.send(pipeline + rest);
+                REQUIRE(one.run_until([&] { return one.started_.size() == 1; }));
+                one.shutting_down_ = when == told::before_response;
+                for (int number = 0; number <= ahead; ++number) {
+                    REQUIRE(one.run_until([&] { return one.started_.size() == std::size_t(number) + 1; }));
+                    const auto request = one.started_[std::size_t(number)];
+                    CHECK(request->incoming_.target_ == "/r/" + std::to_string(number));
+                    CHECK_FALSE(one.was_idle_);
+                    if (when == told::after_head && number == 0) {
+                        request->sink_->begin_stream(200, {});
+                        one.shutting_down_ = true;
+                        request->sink_->end_stream();
+                    } else {
+                        request->sink_->send_response(200, {}, "");
+                    }
+                    if (when == told::after_first_response) {
+                        one.shutting_down_ = true;
+                    }
+                }
+                const bool ends = when != told::after_first_response || ahead > 0;
+                CHECK(one.run_until([&] { return one.in_service_ == 0 || !ends; }));
+                std::size_t answers = 0;
+                for (std::size_t at = 0; (at = one.received_.find("HTTP/1.1 200", at)) != std::string::npos;
+                     ++at) {
+                    ++answers;
+                }
+                CHECK(answers == std::size_t(ahead) + 1);
+                CHECK(one.started_.size() == std::size_t(ahead) + 1);
+                const std::size_t close_at = one.received_.find("Connection: close");
+                const bool in_last =
+                    close_at == std::string::npos || close_at > one.received_.rfind("HTTP/1.1 200");
+                CHECK(in_last);
+                const bool told_of_close = close_at != std::string::npos;
+                CHECK(told_of_close == (ends && (when != told::after_head || ahead > 0)));
+                CHECK(one.run_until([&] { return one.closed_ == ends; }));
+            }
+        }
+    }
+}
+
 // A request that is refused for want of memory has not run and may come again.
 TEST_CASE("session_request_is_evicted_while_it_is_received_client_gets_503_and_the_connection_ends") {
     session_fixture one;
