--- a/src/gateway/control.cpp
+++ b/src/gateway/control.cpp
@@ -90,8 +90,7 @@
         events_.write({event_kind::fleet_view, "gateway", "record_skipped", {}, {{"why", to_string(why)}}});
     };
     handlers.call_failed_ = [this](const std::string& topic, const error& why) {
-        measures_.count("tamarack_store_reads_failed_total",
-                        "Calls that read a topic of the store and failed",
+        measures_.count("tamarack_store_calls_failed_total", "Calls for a topic of the store that failed",
                         {{"topic", topic}, {"error", std::string(to_string(why.kind_))}});
         events_.write({event_kind::dependency,
                        "gateway",
