Tests: one simulated clock for followers, and plain names of their figures

virtual_time holds what registry_pages_test and rollback_history_test each had of their own: the order of tasks, and handlers that ignore reports. No check changes.

--- a/tests/direct/registry_pages_test.cpp
+++ b/tests/direct/registry_pages_test.cpp
@@ -1,9 +1,7 @@
 // Pages of the registry that cannot be read, or that lead nowhere: what the store says otherwise still
 // counts.
 #include "direct/gateway_process.hpp"
-#include "platform/topic_follower.hpp"
-
-#include <queue>
+#include "direct/virtual_time.hpp"
 
 namespace tamarack::direct {
 
@@ -16,7 +14,7 @@
 const error unreadable{error_kind::invalid, "unreadable", ""};
 
 // A follower of a log in memory, in simulated time.
-class followed_log {
+class followed_log : public virtual_time {
 public:
     explicit followed_log(bool renewed = true)
         : follower_(make_io(), "registry",
@@ -26,45 +24,27 @@
         records_.emplace_back(key, std::move(value));
     }
 
-    void run_for(time_ms duration) {
-        const time_ms until = now_ + duration;
-        while (!tasks_.empty() && tasks_.top().due_ <= until) {
-            const task next = tasks_.top();
-            tasks_.pop();
-            now_ = next.due_;
-            next.run_();
-        }
-        now_ = until;
-    }
+    // Drops the log, so that the follower has to read the newest record of each key.
+    void expire_history() { first_retained_offset_ = std::int64_t(records_.size()); }
+
+    void run_for(time_ms duration) { run_until(now_ + duration); }
 
-    time_ms now_ = 1'000'000;
     std::vector<std::pair<std::string, std::optional<std::string>>> records_;
-    std::int64_t first_ = 0; // offset of the first retained record
+    std::int64_t first_retained_offset_ = 0;
     std::size_t page_size_ = 2;
-    std::set<std::string> unreadable_after_; // pages after these keys fail
+
+    // The pages that start after these keys cannot be read.
+    std::set<std::string> unreadable_after_;
     std::function<void(newest_page&, const std::string& after)> change_page_ = [](auto&, const auto&) {};
     std::function<result<read_batch>(result<read_batch>)> change_batch_ = [](auto batch) { return batch; };
-    std::vector<std::string> pages_read_; // keys after which pages were asked for
+    std::vector<std::string> page_starts_; // key after which each page that was asked for starts
     int calls_ = 0;
     std::map<std::string, std::string> view_;
     platform::topic_follower follower_;
 
 private:
-    struct task {
-        time_ms due_ = 0;
-        std::uint64_t number_ = 0;
-        std::function<void()> run_;
-        bool operator<(const task& other) const {
-            return std::tie(other.due_, other.number_) < std::tie(due_, number_);
-        }
-    };
-
-    void later(time_ms pause, std::function<void()> run) {
-        tasks_.push({now_ + pause, ++tasks_added_, std::move(run)});
-    }
-
     result<newest_page> page(const std::string& after) {
-        pages_read_.push_back(after);
+        page_starts_.push_back(after);
         if (unreadable_after_.contains(after)) {
             return unreadable;
         }
@@ -91,7 +71,7 @@
 
     result<read_batch> batch(std::int64_t from) {
         const auto end = std::int64_t(records_.size());
-        if (from < first_) {
+        if (from < first_retained_offset_) {
             return error{error_kind::not_found, "expired", ""};
         }
         read_batch read{std::max(from, end), end, 1, {}, 0};
@@ -107,7 +87,7 @@
         platform::follower_io io;
         io.now_ = [this] { return now_; };
         io.run_later_ = [this](std::chrono::milliseconds pause, std::function<void()> step) {
-            later(pause.count(), [this, number = ++timer_, step = std::move(step)] {
+            at(now_ + pause.count(), [this, number = ++timer_, step = std::move(step)] {
                 if (timer_ == number) {
                     step();
                 }
@@ -116,17 +96,17 @@
         io.cancel_ = [this] { ++timer_; };
         io.read_newest_ = [this](const std::string& after, auto answered) {
             ++calls_;
-            later(way, [this, after, answered] { answered(page(after)); });
+            at(now_ + way, [this, after, answered] { answered(page(after)); });
         };
         io.read_ = [this](std::int64_t from, std::chrono::milliseconds, auto answered) {
             ++calls_;
-            later(way, [this, from, answered] { answered(batch(from)); });
+            at(now_ + way, [this, from, answered] { answered(batch(from)); });
         };
         return io;
     }
 
     platform::topic_follower::events make_events() {
-        platform::topic_follower::events events;
+        platform::topic_follower::events events = ignoring_events();
         events.records_ = [this](const std::vector<keyed_record>& records) {
             for (const keyed_record& record : records) {
                 view_.erase(record.key_);
@@ -138,24 +118,19 @@
         events.keys_ = [this](const std::set<std::string>& keys) {
             std::erase_if(view_, [&](const auto& entry) { return !keys.contains(entry.first); });
         };
-        events.read_ = [](const platform::topic_span&) {};
-        events.content_hash_ = [](const keyed_record& record) {
-            return std::optional(hash64(*record.value_));
-        };
-        events.call_ended_ = [](const result<done>&) {};
-        events.rolled_back_ = [] {};
-        events.skipped_ = [](const error&) {};
         return events;
     }
 
-    std::priority_queue<task> tasks_;
-    std::uint64_t tasks_added_ = 0;
     std::uint64_t timer_ = 0;
 };
 
-constexpr time_ms leaving_limit_ms = 2'000; // within which requests to an endpoint that leaves must stop
+// Time within which requests to an endpoint that leaves must stop.
+constexpr time_ms leaving_limit_ms = 2'000;
+
 constexpr time_ms heartbeat_ms = 1'200;
-constexpr time_ms renewal_ms = 10'000; // several heartbeats
+
+// Time of several heartbeats, after which each entry that is still written has been written again.
+constexpr time_ms renewal_ms = 10'000;
 
 struct follower_of_pages : followed_log {
     explicit follower_of_pages(bool renewed = true) : followed_log(renewed) {
@@ -201,11 +176,11 @@
     REQUIRE(view_.size() == 2);
     unreadable_after_.clear();
     put("a", std::nullopt);
-    put("aa", "1"); // sorted before the pages that are still to come
+    put("aa", "1"); // its page has been read already
     run_for(5'000);
     CHECK(view_ == view{{"aa", "1"}, {"b", "1"}, {"c", "1"}, {"d", "1"}, {"e", "1"}});
     CHECK(follower_.snapshot().has_value());
-    CHECK(std::count(pages_read_.begin(), pages_read_.end(), "") == 1);
+    CHECK(std::count(page_starts_.begin(), page_starts_.end(), "") == 1);
 }
 
 // Each endpoint that lives writes its entry again, so that the log alone tells all after some heartbeats.
@@ -225,7 +200,7 @@
     REQUIRE(log.view_.size() == 5);
     log.unreadable_after_ = {"b"};
     log.put("x", "1");
-    log.first_ = std::int64_t(log.records_.size()); // the follower has to read all keys again
+    log.expire_history();
     log.run_for(20'000);
     CHECK(log.view_.size() == 5);
     CHECK_FALSE(log.follower_.snapshot().has_value());
@@ -242,7 +217,7 @@
         }
     };
     put("x", "1");
-    first_ = std::int64_t(records_.size());
+    expire_history();
     run_for(3'000);
     CHECK(view_.contains("d"));
     CHECK(view_.contains("e"));
@@ -315,13 +290,14 @@
 // DRAIN, as callers saw it: a gateway whose full read never ended kept sending to an endpoint that had left.
 TEST_CASE_FIXTURE(gateway_process,
                   "gateway_page_of_the_registry_is_refused_requests_to_a_removed_endpoint_end") {
-    constexpr useconds_t stable_window_us = 3'000'000; // after the start
+    // Time after its start from which bounds hold for a gateway.
+    constexpr useconds_t stable_window_us = 3'000'000;
     constexpr useconds_t leaving_limit_us = 2'000'000;
-    store_.set_page_size(3); // the next page would begin with "i-2"
+    store_.set_page_size(3); // the first page ends with "i-1"
     store_.set_refused_after("i-1");
     start();
     REQUIRE(eventually([&] { return status(request("lookup", "warm-up")) == 200; }));
-    store_.put("keyed.servers", "i-2", endpoint_text(second_)); // a heartbeat
+    store_.put("keyed.servers", "i-2", endpoint_text(second_)); // the heartbeat of the second endpoint
     REQUIRE(eventually([&] {
         status(request("lookup", "warm-up-2"));
         return !second_.received_requests().empty();
--- a/tests/direct/rollback_history_test.cpp
+++ b/tests/direct/rollback_history_test.cpp
@@ -1,12 +1,11 @@
 // Random histories of a store that returns from copies, against a simple model of its log. Followers read it,
 // relay to each other and start in the middle; everything happens in virtual time.
-#include "platform/topic_follower.hpp"
+#include "direct/virtual_time.hpp"
 
 #include <doctest/doctest.h>
 
 #include <cstdlib>
 #include <numeric>
-#include <queue>
 #include <random>
 
 namespace tamarack::platform {
@@ -118,7 +117,7 @@
     std::int64_t epoch_ = 1;
 };
 
-class history {
+class history : direct::virtual_time {
 public:
     // With `refuses_pages`, the store cannot return the page after some key, in turn or until the end.
     explicit history(std::uint64_t seed, bool refuses_pages = false)
@@ -143,8 +142,9 @@
             one.cut_ = false;
         }
         write_all_again();
-        constexpr time_ms call_again_ms = 12'000; // more than a follower waits before it calls again
-        constexpr time_ms renewal_ms = 12'000;    // more than it waits for entries to be written again
+        // More than a follower waits before it calls again, and before it takes unread entries from the log.
+        constexpr time_ms call_again_ms = 12'000;
+        constexpr time_ms renewal_ms = 12'000;
         const time_ms quiet_ms = refuses_pages_ ? call_again_ms + renewal_ms : call_again_ms;
         constexpr time_ms heartbeat_ms = 1'200;
         for (time_ms beat = 2'000; beat < quiet_ms - 1'500; beat += heartbeat_ms) {
@@ -178,29 +178,8 @@
         std::map<std::string, std::int64_t> left_; // incarnations that were seen leaving
     };
 
-    struct task {
-        time_ms due_ = 0;
-        std::uint64_t number_ = 0;
-        std::function<void()> run_;
-        bool operator<(const task& other) const {
-            return std::tie(other.due_, other.number_) < std::tie(due_, number_);
-        }
-    };
-
     time_ms below(time_ms bound) { return time_ms(random_() % std::uint64_t(bound)); }
 
-    void at(time_ms due, std::function<void()> run) { tasks_.push({due, ++task_number_, std::move(run)}); }
-
-    void run_until(time_ms until) {
-        while (!tasks_.empty() && tasks_.top().due_ <= until) {
-            const task next = tasks_.top();
-            tasks_.pop();
-            now_ = std::max(now_, next.due_);
-            next.run_();
-        }
-        now_ = until;
-    }
-
     void write(int endpoint) {
         ++entries_[endpoint].sequence_;
         log_.append("e" + std::to_string(endpoint), entries_[endpoint].text());
@@ -229,8 +208,8 @@
     }
 
     void choose_refused_page() {
-        constexpr int keys = endpoint_count + 1; // the last one names no page
-        refused_after_ = "e" + std::to_string(page_random_() % keys);
+        constexpr int choices = endpoint_count + 1; // the last choice refuses no page
+        refused_after_ = "e" + std::to_string(page_random_() % choices);
         at(now_ + time_ms(page_random_() % 4'000), [this] {
             if (now_ < disturbed_until_) {
                 choose_refused_page();
@@ -371,7 +350,7 @@
     }
 
     topic_follower::events make_events(std::size_t number, std::uint64_t life) {
-        topic_follower::events events;
+        topic_follower::events events = direct::ignoring_events();
         events.records_ = [this, number](std::vector<keyed_record> records) {
             for (const keyed_record& record : records) {
                 apply(followers_[number], record);
@@ -393,9 +372,6 @@
         events.content_hash_ = [](const keyed_record& record) {
             return std::optional(content_of(*record.value_));
         };
-        events.call_ended_ = [](const result<done>&) {};
-        events.rolled_back_ = [] {};
-        events.skipped_ = [](const error&) {};
         return events;
     }
 
@@ -467,12 +443,9 @@
     std::array<entry, endpoint_count> entries_;
     std::array<bool, endpoint_count> gone_{};
     std::array<follower, 3> followers_;
-    std::priority_queue<task> tasks_;
-    std::uint64_t task_number_ = 0;
     std::string fault_;
     bool available_ = true;
     time_ms disturbed_until_ = 0;
-    time_ms now_ = 1'000'000;
 };
 
 } // namespace
