--- a/include/tamarack/engine.hpp
+++ b/include/tamarack/engine.hpp
@@ -30,7 +30,10 @@
 struct order {
     bool load_ = true; // false to unload
     fleet::plain_name model_;
-    fleet::plain_name adapter_; // empty to load or unload the model itself
+
+    // The adapter to load or unload. Without a name, the order is for the model itself.
+    fleet::plain_name adapter_;
+
     std::string engine_;
     std::int64_t expected_accepted_ = 0;
     std::string holder_;             // id of the agent that sends the order
--- a/include/tamarack/fleet.hpp
+++ b/include/tamarack/fleet.hpp
@@ -23,7 +23,8 @@
 public:
     static constexpr std::size_t max_bytes = 128;
 
-    plain_name() = default; // no name
+    // Creates an object that holds no name.
+    plain_name() = default;
 
     // Returns nothing if the text is no such name.
     static std::optional<plain_name> parse(std::string_view text);
--- a/src/engine_agent/order_book.cpp
+++ b/src/engine_agent/order_book.cpp
@@ -340,7 +340,7 @@
     }
     for (adapter_request& request : adapter_requests_) {
         if (request.model_ == order.model_ && request.adapter_ == order.adapter_) {
-            request.deadline_ = 0; // answered as failed
+            request.deadline_ = 0; // `resolve_requests` answers requests past their deadline as failed
         }
     }
 }
--- a/src/engine_agent/order_book.hpp
+++ b/src/engine_agent/order_book.hpp
@@ -10,9 +10,13 @@
 
 // Models that the planner wants this engine to load and unload, and the sizes for computing its memory use.
 struct placement {
-    fleet::plain_name load_;              // model to load
-    std::vector<fleet::plain_name> drop_; // models to unload first
-    double capacity_mb_ = 0;              // engine memory for weights and adapters
+    // The model to load, after the models in `drop_` have been unloaded.
+    fleet::plain_name load_;
+    std::vector<fleet::plain_name> drop_;
+
+    // Memory of the engine for weights and adapters, in MB.
+    double capacity_mb_ = 0;
+
     int adapter_slots_ = 0;
     std::map<std::string, double, std::less<>> model_mb_;
     std::map<std::string, double, std::less<>> adapter_mb_; // size of one adapter, by model
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -23,8 +23,10 @@
     std::function<fleet::client_limits()> limits_;
     std::function<std::shared_ptr<running_request>(std::shared_ptr<response_sink>, http::request)>
         start_request_;
-    std::function<bool()>
-        is_shutting_down_; // whether each connection closes once what it has sent is answered
+
+    // Whether each connection closes once the requests that were read whole are answered.
+    std::function<bool()> is_shutting_down_;
+
     std::function<void(int change)> on_in_service_; // the number of responses that are owed changes
     std::function<void(const std::shared_ptr<client_session>&)> on_closed_;
 };
--- a/src/quarantine/names.cpp
+++ b/src/quarantine/names.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::string_view request_prefix = "request-";
-constexpr std::size_t max_bytes = 64; // of a name
+constexpr std::size_t max_name_bytes = 64;
 
 // Hash of a sequence of fields. Each is preceded by its length, so that no two sequences are hashed alike.
 class field_hash {
@@ -48,8 +48,8 @@
 std::string part_name(std::string_view id) {
     const bool plain =
         std::all_of(id.begin(), id.end(), [](unsigned char letter) { return std::isalnum(letter); });
-    return plain && !id.empty() && id.size() <= max_bytes ? std::string(id)
-                                                          : "hash-" + std::to_string(hash64(id));
+    return plain && !id.empty() && id.size() <= max_name_bytes ? std::string(id)
+                                                               : "hash-" + std::to_string(hash64(id));
 }
 
 std::string request_name(const request_identity& identity) {
@@ -63,7 +63,7 @@
 }
 
 bool is_name(std::string_view suspect) {
-    return !suspect.empty() && suspect.size() <= max_bytes &&
+    return !suspect.empty() && suspect.size() <= max_name_bytes &&
            std::all_of(suspect.begin(), suspect.end(),
                        [](unsigned char letter) { return std::isalnum(letter) || letter == '-'; });
 }
--- a/src/untrusted/untrusted.cpp
+++ b/src/untrusted/untrusted.cpp
@@ -15,7 +15,8 @@
 // Whether a text has more values or a deeper nesting than is read.
 bool exceeds_limits(std::string_view text) {
     int depth = 0;
-    std::size_t marks = 0; // brackets and commas, one at least before each value but the first
+    // Brackets and commas that have been seen. Each value but the first follows one of them.
+    std::size_t marks = 0;
     bool in_string = false;
     bool escaped = false;
     for (const char one : text) {
--- a/tests/direct/client_session_test.cpp
+++ b/tests/direct/client_session_test.cpp
@@ -34,7 +34,10 @@
     fleet::client_limits limits_;
     std::vector<std::shared_ptr<started_request>> started_;
     int in_service_ = 0;
-    bool was_idle_ = false; // no request was in service for a moment after the process had been told to end
+
+    // Whether no request was in service at some moment after the process had been told to end.
+    bool was_idle_ = false;
+
     bool shutting_down_ = false;
     bool closed_ = false;
     session_context shared_{memory_,
--- a/tests/direct/endless_bytes_test.cpp
+++ b/tests/direct/endless_bytes_test.cpp
@@ -207,7 +207,8 @@
 // The parsed form of many small values takes several times the memory of their bytes: an engine's report of
 // 8 MB took over the memory of its agent's machine.
 TEST_CASE("agent_process_engine_reports_very_many_values_memory_is_bounded") {
-    constexpr std::int64_t max_agent_growth_kb = 64 * 1024; // an agent has 192 MB
+    // A third of the 192 MB that the machine of an agent has.
+    constexpr std::int64_t max_agent_growth_kb = 64 * 1024;
     fake_endpoint engine("i-1");
     engine.set_body(document_of("models", small_values[0]));
     engine_agent_process agent(
--- a/tests/direct/order_book_test.cpp
+++ b/tests/direct/order_book_test.cpp
@@ -214,8 +214,8 @@
         now_ += 10;
         scheduler_.update_report(report_, now_);
     }
-    constexpr std::size_t requested_lately = 500; // in 5 s
-    CHECK(scheduler_.remembered_adapters() <= requested_lately);
+    constexpr std::size_t names_in_5_s = 500;
+    CHECK(scheduler_.remembered_adapters() <= names_in_5_s);
     scheduler_.request_adapter(names, name("base"), name("a1"), now_);
     scheduler_.update_report(report_, now_ + 60'000);
     CHECK(scheduler_.remembered_adapters() == 1);
--- a/tests/direct/platform_test.cpp
+++ b/tests/direct/platform_test.cpp
@@ -412,7 +412,7 @@
 TEST_CASE_FIXTURE(relaying_sources, "sources_record_of_the_quarantine_is_refused_the_others_are_written") {
     REQUIRE(eventually([&] { return first_.quarantined_.has_value(); }));
     store_.set_refused_key("bad");
-    const std::string too_long(300, 'k'); // the length of a key has one byte
+    const std::string too_long(300, 'k'); // a key has 255 bytes at most
     first_.source_->write_quarantine({{"bad", "1"}, {too_long, "1"}, {"worse", "2"}});
     REQUIRE(eventually([&] { return store_.record_count("keyed.quarantine") == 1; }));
     first_.source_->write_quarantine({{"bad", "1"}, {too_long, "1"}});
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -19,7 +19,10 @@
     bool organisations_ = false;  // whether requests need keys, which the operator changes
     double quota_slack_ = 17'000; // tokens that an organisation may use beside its limit
     bool drills_ = true;          // whether the store returns from a copy now and then
-    bool odd_entries_ = true; // whether others write to the registry, of which pages cannot be read at times
+
+    // Whether other writers put odd entries into the registry, of which some pages cannot be read at times.
+    bool odd_entries_ = true;
+
     bool leaving_only_ = false; // endpoints leave by their responses alone, and nothing else happens
     bool faults_ = true;        // otherwise only the limits and drills
     std::string folder_;        // folder of the settings and logs
