Go past records of the own log that cannot be read

The client of the product's own log failed a whole read for one record of another form, or with bytes that are no UTF-8, and the follower of the configuration asked for the same records again for good: no later change took effect.

A record that cannot be read now counts as one without data, which readers reject as no change, and bytes that are no UTF-8 are kept. The list of instances keeps its other rows in the same way.

Evidence: own_log_record_cannot_be_read_the_reader_goes_past_it failed before (the read failed) and passes.

--- a/include/tamarack/untrusted.hpp
+++ b/include/tamarack/untrusted.hpp
@@ -23,7 +23,8 @@
 nlohmann::json parse_json(std::string_view text);
 
 // Parses JSON whose strings may hold bytes that are not UTF-8, since they come from other writers than the
-// document. Each such byte becomes a code point of its own, which `to_bytes` turns back.
+// document. Each such byte becomes a code point of its own at the end of the last private use area (U+10FF00
+// to U+10FFFF), which `to_bytes` turns back. No writer is expected to use these code points otherwise.
 nlohmann::json parse_json_with_bytes(std::string_view text);
 std::string to_bytes(std::string_view text);
 
--- a/src/platform/http_clients.cpp
+++ b/src/platform/http_clients.cpp
@@ -1,4 +1,5 @@
 #include "tamarack/http.hpp"
+#include "tamarack/observe.hpp"
 #include "tamarack/platform.hpp"
 #include "tamarack/untrusted.hpp"
 
@@ -49,8 +50,10 @@
     co_return json["offset"].get<std::int64_t>();
 }
 
-result<log_batch> parse_batch(const std::string& text) {
-    const nlohmann::json json = untrusted::parse_json(text);
+// Parses the records that follow the offset `from`, without gaps. A record that cannot be read has no data,
+// and readers reject it like any other that is no change.
+result<log_batch> parse_batch(const std::string& text, std::int64_t from) {
+    const nlohmann::json json = untrusted::parse_json_with_bytes(text);
     const bool well_formed = has_integers(json, {"first", "next", "now_ms", "retention_ms"}) &&
                              json.contains("records") && json["records"].is_array();
     if (!well_formed) {
@@ -63,10 +66,13 @@
     batch.retention_ms_ = json["retention_ms"].get<std::int64_t>();
     for (const nlohmann::json& record : json["records"]) {
         if (!has_integers(record, {"offset", "time_ms"})) {
-            return error{error_kind::invalid, "a log record is malformed", "look at the log service"};
+            const std::int64_t offset = batch.records_.empty() ? from : batch.records_.back().offset_ + 1;
+            log_warning("log", "Record " + std::to_string(offset) + " is malformed and left out.");
+            batch.records_.push_back({offset, 0, ""});
+            continue;
         }
         batch.records_.push_back({record["offset"].get<std::int64_t>(), record["time_ms"].get<std::int64_t>(),
-                                  string_field(record, "data")});
+                                  untrusted::to_bytes(string_field(record, "data"))});
     }
     return batch;
 }
@@ -86,11 +92,11 @@
     if (value(response).status_ != 200) {
         co_return unexpected_status("the log", value(response));
     }
-    co_return parse_batch(value(response).body_);
+    co_return parse_batch(value(response).body_, from);
 }
 
 result<std::vector<listed_instance>> parse_instances(const std::string& text) {
-    const nlohmann::json json = untrusted::parse_json(text);
+    const nlohmann::json json = untrusted::parse_json_with_bytes(text);
     if (!json.is_object() || !json.contains("instances") || !json["instances"].is_array()) {
         return error{error_kind::invalid, "the instance list is malformed", "look at the list service"};
     }
