Count an end as a whole response only after the request was written

Clients got a part of a body as a whole 200: an engine answered a long upload at once without a length, sent part of its body and reset the connection while the upload was still being written. Streams got their proper end after the events so far in the same way.

Cause: a connection reports its reset once. When the write fails with it, the read that follows sees an end in order, and the exchange took that for the end of a response without a length. It did not ask how the write had fared.

The end of the connection now completes a response only if the request was written whole. That holds for a write that failed and for one that is still under way, so also where the endpoint closes in order without having read the request. Responses with a length or in chunks say themselves when they are whole, and an early one is still delivered.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -113,13 +113,18 @@
                 self->parse_received();
                 return;
             }
-            const bool completes_response =
-                failed == asio::error::eof && self->parser_->head_done_ &&
-                self->parser_->take_end() == http::response_parser::progress::done && self->matches_request();
-            self->finish(completes_response ? exchange_outcome::complete : exchange_outcome::broken);
+            const bool completes = failed == asio::error::eof && self->completes_response_at_end();
+            self->finish(completes ? exchange_outcome::complete : exchange_outcome::broken);
         });
 }
 
+// Whether the end of the connection completes the response. It does only if the request was written whole: a
+// reset is reported once, and if the write fails with it, the read sees an end in order.
+bool exchange::completes_response_at_end() {
+    return written_ && parser_->head_done_ && parser_->take_end() == http::response_parser::progress::done &&
+           matches_request();
+}
+
 // Whether the response is a final one with this request's id. One with another id is a late response to an
 // earlier request on the connection.
 bool exchange::matches_request() const {
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -25,7 +25,7 @@
     complete,      // the complete response arrived
     not_connected, // nothing was sent
     withheld,      // nothing was sent, since `may_send_` returned false
-    broken,        // the connection failed, or the bytes received are no response to this request
+    broken,        // the connection failed, or the bytes received are no whole response to this request
 };
 
 // Calls `on_progress_` any number of times and then `on_ended_` once, unless it is abandoned before.
@@ -61,6 +61,7 @@
     void send();
     void read();
     void parse_received();
+    bool completes_response_at_end();
     bool hold_body();
     bool matches_request() const;
     bool skip_unmatched_response();
--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -303,6 +303,16 @@
     last_ = std::move(reply);
 }
 
+// The last reply, if it comes before the rest of this request. Counts the request as received then.
+std::optional<fake_endpoint::last_reply> fake_endpoint::take_early_reply(const std::string& received) {
+    const std::lock_guard lock(mutex_);
+    if (!last_ || !last_->early_) {
+        return std::nullopt;
+    }
+    received_requests_.push_back(received);
+    return std::exchange(last_, std::nullopt);
+}
+
 void fake_endpoint::send_and_close(int socket, last_reply reply, const std::string& request) {
     const std::size_t id_at = reply.text_.find("ID");
     if (id_at != std::string::npos) {
@@ -375,6 +385,10 @@
         if (head == std::string::npos) {
             continue;
         }
+        if (auto early = take_early_reply(received)) {
+            send_and_close(socket, std::move(*early), received);
+            break;
+        }
         const std::string length = header_value(received, "Content-Length");
         const std::size_t whole = head + 4 + (length.empty() ? 0 : std::stoul(length));
         if (received.size() < whole) {
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -122,11 +122,12 @@
     // Answers the following requests with it, instead of a behaviour.
     void set_endless(std::optional<endless_reply> reply);
 
-    // A reply that ends with its connection.
+    // The last reply on its connection.
     struct last_reply {
         std::string text_;   // the text ID in it becomes the request's id
         bool reset_ = false; // the connection is reset after it, instead of closed in order
         std::vector<std::string> further_ = {}; // sent after the text, each with a pause before
+        bool early_ = false; // sent as soon as the head of the request is there; the rest is not read
     };
 
     // Answers the next request with it, instead of a behaviour.
@@ -157,6 +158,7 @@
     void serve(int socket);
     behaviour next_behaviour();
     std::string answer(behaviour selected, const std::string& request) const;
+    std::optional<last_reply> take_early_reply(const std::string& received);
     static void send_and_close(int socket, last_reply reply, const std::string& request);
     void send_endlessly(int socket, endless_reply reply, const std::string& request);
 
--- a/tests/direct/request_flow_fixture.hpp
+++ b/tests/direct/request_flow_fixture.hpp
@@ -16,6 +16,7 @@
     int status_ = 0;
     std::vector<http::header> headers_;
     std::string data_;       // a stream's events, or a body
+    bool responded_ = false; // a response that is no stream has been sent
     bool ended_ = false;     // the stream is complete
     std::size_t unsent_ = 0; // what the client has not read
 
@@ -23,6 +24,7 @@
         status_ = status;
         headers_ = headers;
         data_ += body;
+        responded_ = true;
     }
     void begin_stream(int status, const std::vector<http::header>&) override { status_ = status; }
     void send_data(std::string_view data) override { data_ += data; }
@@ -94,14 +96,15 @@
         fleet_.quarantine_.restore({}, boot_now_ms());
     }
 
-    std::shared_ptr<request_flow> start(const std::string& model) {
+    std::shared_ptr<request_flow> start(const std::string& model, std::string body = "body",
+                                        time_ms deadline_ms = 2'000) {
         http::request request{"POST",
                               "/drafts/x",
                               {{"Host", "shop.example"},
                                {"Tamarackbeam-Request-Id", "r-1"},
-                               {"Tamarackbeam-Deadline-Ms", "2000"},
+                               {"Tamarackbeam-Deadline-Ms", std::to_string(deadline_ms)},
                                {"Tamarackbeam-Model", model}},
-                              "body"};
+                              std::move(body)};
         auto flow = std::make_shared<request_flow>(flows_, sink_, std::move(request));
         flow->on_finished([] {});
         flow->start();
