Close a client's connection if its request is not written

The client of the store and of engines kept a connection on which a whole response had come before its request was written. The next call followed in the midst of the earlier request's bytes and was not answered within its limit.

A connection is now kept only if the request was written whole, as between a gateway and its endpoints.

Held before and now: a part of a body and a reset during the request fail the call at this client and at the one of the product's own interface (http_clients_server_sends_part_of_body_and_resets_during_the_request_*).

--- a/src/http/kept_client.hpp
+++ b/src/http/kept_client.hpp
@@ -22,7 +22,8 @@
 
     // Queues a call. A missing Host header is set to the server's address. `done` receives the response,
     // whatever its status, or a failure: `invalid` if no head can hold the request, `unreachable` if no byte
-    // was sent, else `interrupted` or `timeout`. The connection is closed after the latter three.
+    // was sent, else `interrupted` or `timeout`. The connection is closed after the latter three, and after a
+    // response that came before the request was written.
     void call(request outgoing, std::chrono::milliseconds limit, response_handler done);
 
     // Fails a call that is not sent. Its handler is called later.
@@ -59,6 +60,7 @@
     // Changes whenever a call starts or ends, so that late completions of earlier calls are ignored.
     std::uint64_t generation_ = 0;
     std::uint64_t closes_ = 0;
+    bool written_ = false; // all of the present call's request
     bool busy_ = false;
     bool connected_ = false;
 };
--- a/tests/direct/early_responses_test.cpp
+++ b/tests/direct/early_responses_test.cpp
@@ -2,6 +2,7 @@
 // written.
 #include "direct/gateway_process.hpp"
 #include "direct/request_flow_fixture.hpp"
+#include "http/kept_client.hpp"
 
 #include <boost/asio/write.hpp>
 
@@ -241,6 +242,78 @@
     CHECK(sink_->data_ == event + "id: 2\ndata: word\n\n");
 }
 
+namespace {
+
+constexpr std::chrono::milliseconds call_limit(step_limit_ms);
+const std::string reply_head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+
+const early_case unfinished_replies[] = {
+    {"end of the connection", reply_head + "\r\n" + part, part.size()},
+    {"length", reply_head + "Content-Length: 4000\r\n\r\n" + part, part.size()},
+    {"chunks", reply_head + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + part, part.size()},
+};
+
+} // namespace
+
+// The clients of the store, of engines and of the product's own interface.
+TEST_CASE("http_clients_server_sends_part_of_body_and_resets_during_the_request_call_fails") {
+    for (const early_case& one : unfinished_replies) {
+        CAPTURE(std::string(one.name_));
+        const http::request outgoing{"POST", "/x", {}, std::string(upload_bytes, 'x')};
+        boost::asio::io_context context;
+        unreading_endpoint server;
+        std::optional<bool> succeeded;
+        const auto client =
+            std::make_shared<http::kept_client>(context.get_executor(), server.address(), call_limit);
+        client->call(outgoing, call_limit, [&](result<http::response> outcome) { succeeded = ok(outcome); });
+        REQUIRE(step_until(context, [&] { return server.is_called(); }));
+        server.send(one.response_);
+        server.reset();
+        REQUIRE(step_until(context, [&] { return succeeded.has_value(); }));
+        CHECK_FALSE(*succeeded);
+        client->close();
+
+        unreading_endpoint other;
+        succeeded = std::nullopt;
+        boost::asio::co_spawn(
+            context,
+            [&]() -> boost::asio::awaitable<void> {
+                const auto outcome =
+                    co_await http::fetch(other.address(), outgoing, {call_limit, call_limit});
+                succeeded = ok(outcome);
+            },
+            boost::asio::detached);
+        REQUIRE(step_until(context, [&] { return other.is_called(); }));
+        other.send(one.response_);
+        other.reset();
+        REQUIRE(step_until(context, [&] { return succeeded.has_value(); }));
+        CHECK_FALSE(*succeeded);
+    }
+}
+
+// The next call followed on the same connection, amid the rest of the request before it, and was never
+// answered.
+TEST_CASE("kept_client_server_responds_during_the_request_next_call_has_its_own_connection") {
+    boost::asio::io_context context;
+    unreading_endpoint server;
+    const auto client =
+        std::make_shared<http::kept_client>(context.get_executor(), server.address(), call_limit);
+    std::vector<int> statuses;
+    const auto note = [&](result<http::response> outcome) {
+        statuses.push_back(ok(outcome) ? value(outcome).status_ : 0);
+    };
+    client->call({"POST", "/x", {}, std::string(upload_bytes, 'x')}, call_limit, note);
+    REQUIRE(step_until(context, [&] { return server.is_called(); }));
+    server.send("HTTP/1.1 413 Payload Too Large\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(step_until(context, [&] { return !statuses.empty(); }));
+    client->call({"GET", "/y", {}, ""}, call_limit, note);
+    REQUIRE(step_until(context, [&] { return server.is_called() && server.connection_count() == 2; }));
+    server.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(step_until(context, [&] { return statuses.size() == 2; }));
+    CHECK(statuses == std::vector<int>{413, 200});
+    client->close();
+}
+
 } // namespace tamarack::gateway
 
 namespace tamarack::direct {
