Reject responses whose status is none

Clients got responses with the statuses 600 and 999 as they were. A response with 000 or 099 on a connection that stayed open cost them their whole deadline and a 504; so did 101, which no request asks for.

Cause: Beast's parser takes any three digits for a status. The exchange took what is below 200 for an interim response or one to another request, and waited for the next.

The parser of all responses now accepts 100 and 102 to 599. Anything else is no HTTP, so the exchange ends at once: the request is sent elsewhere if it may run again, or its client gets 502. The clients of the store, of engines and of the product's own interface use the same parser.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -13,6 +13,13 @@
 
 constexpr int http_1_1 = 11;
 
+// Statuses have a class of 1 to 5 (RFC 9110, section 15).
+constexpr int first_status = 100;
+constexpr int last_status = 599;
+
+// No request asks for another protocol, so no response can change to one.
+constexpr int status_switching_protocols = 101;
+
 char lower(char letter) {
     return char(std::tolower(static_cast<unsigned char>(letter)));
 }
@@ -221,7 +228,12 @@
     return !ended && is_done() ? progress::done : progress::broken;
 }
 
-void response_parser::on_response_impl(int status, string_view, int, error_code&) {
+void response_parser::on_response_impl(int status, string_view, int, error_code& failed) {
+    const bool in_class = status >= first_status && status <= last_status;
+    if (!in_class || status == status_switching_protocols) {
+        failed = bhttp::error::bad_status;
+        return;
+    }
     status_ = status;
 }
 
--- a/tests/direct/platform_stand_ins.cpp
+++ b/tests/direct/platform_stand_ins.cpp
@@ -325,6 +325,9 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(50)); // so that it is read apart
         ::send(socket, part.data(), part.size(), MSG_NOSIGNAL);
     }
+    char bytes[256];
+    while (reply.open_ && ::recv(socket, bytes, sizeof(bytes), 0) > 0) {
+    }
     if (reply.reset_) {
         std::this_thread::sleep_for(std::chrono::milliseconds(50)); // so that the text is read before
         const linger at_once{1, 0};
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -127,6 +127,7 @@
         std::string text_;   // the text ID in it becomes the request's id
         bool reset_ = false; // the connection is reset after it, instead of closed in order
         std::vector<std::string> further_ = {}; // sent after the text, each with a pause before
+        bool open_ = false;                     // the connection stays open until the other side closes it
         bool early_ = false; // sent as soon as the head of the request is there; the rest is not read
     };
 
