Reject responses with folded lines in the head

Clients got the stamp of a response with another line joined to it: after "Tamarackbeam-Server-Stamp: i-1", the line " X: z" gave "i-1 X: z".

Cause: Beast's parser joins a line that begins with a blank to the value of the line before it. RFC 9112, section 5.2, leaves a gateway to replace such a response or the fold. Values of the endpoint are returned unchanged, so the response is rejected: other receivers read the line as a field of its own.

The parser of all responses now looks for such lines before it hands bytes of a head to Beast, which parses whole lines only. Bodies may begin with a blank.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -48,6 +48,25 @@
 constexpr std::string_view line_break = "\r\n";
 constexpr std::string_view trailer_end = "\r\n\r\n";
 
+// Whether a line of a head begins with a blank. The text begins with a line and may go on after the head.
+// Beast joins such a line to the value before it, and a receiver may take it for a field of its own instead
+// (RFC 9112, section 5.2).
+bool has_folded_line(std::string_view text) {
+    constexpr std::string_view blanks = " \t";
+    std::size_t line_begin = 0;
+    while (line_begin < text.size() && !text.substr(line_begin).starts_with(line_break)) {
+        if (blanks.find(text[line_begin]) != std::string_view::npos) {
+            return true;
+        }
+        const std::size_t line_end = text.find(line_break, line_begin);
+        if (line_end == std::string_view::npos) {
+            return false;
+        }
+        line_begin = line_end + line_break.size();
+    }
+    return false;
+}
+
 // Whether a chunk's header line names the size 0. A trailer follows it then.
 bool is_last_chunk(std::string_view line) {
     const std::size_t size_end = line.find_first_not_of('0');
@@ -95,6 +114,9 @@
             return bytes.size() > max_unparsed_bytes ? bhttp::error::bad_chunk : bhttp::error::need_more;
         }
         const bool in_body = this->is_header_done();
+        if (!IsRequest && !in_body && has_folded_line(bytes)) {
+            return bhttp::error::bad_field;
+        }
         error_code failed;
         received.consume(this->put(received.data(), failed));
         if (failed) {
--- a/tests/direct/broken_heads_test.cpp
+++ b/tests/direct/broken_heads_test.cpp
@@ -42,6 +42,11 @@
         {"zero byte in a value", status_line, "X: a" + std::string(1, '\0') + "z\r\n" + length},
         {"line break without its first byte", status_line, "X: a\nY: b\r\n" + length},
         {"first line begins with a blank", "HTTP/1.1 200 OK\r\n X: z\r\n", length},
+        {"line begins with a blank", status_line, length + "X: a\r\n Y: z\r\n"},
+        {"line begins with a tab", status_line, length + "X: a\r\n\tY: z\r\n"},
+        {"line of blanks", status_line, length + "X: a\r\n  \r\n"},
+        {"value begins on the next line", status_line, length + "X:\r\n a\r\n"},
+        {"length is continued", status_line, "Content-Length: 4\r\n \r\n"},
         {"chunks and a length", status_line, "Transfer-Encoding: chunked\r\n" + length},
         {"two lengths", status_line, "Content-Length: 3\r\n" + length},
         {"length with a sign", status_line, "Content-Length: +4\r\n"},
@@ -145,12 +150,13 @@
         }
     }
     for (const bool open : {true, false}) {
-        // The head belongs to another request, or an interim response comes before it.
+        // The stamp is continued, the head is another request's, or an interim response comes first.
+        const std::string folded = status_line + endpoint_fields + " X: z\r\n" + length + "\r\n" + body;
         const std::string to_another =
             "HTTP/1.1 000 OK\r\nTamarackbeam-Request-Id: other\r\n" + length + "\r\n" + body;
         const std::string interim =
             "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + endpoint_fields + length + "\r\n" + body;
-        for (const std::string& text : {to_another, interim}) {
+        for (const std::string& text : {folded, to_another, interim}) {
             CHECK(status_after(routes[next_route++ % 4], text, open) == 502);
         }
     }
