Reject responses with a transfer coding that is not decoded

Clients got the bytes of a coded body as the body itself: after "Transfer-Encoding: gzip", alone, beside chunks or beside a length, the gateway dropped the field, as it concerns one connection only, and passed the bytes on. On a connection that stayed open, they waited until their deadline.

Cause: Beast's parser asks only whether the last coding is "chunked" and takes any other body as it is. The parser of requests had a check of its own, the one of responses had none.

Both now share the check. A parser that has failed no longer takes the end of its connection for the end of a response without a body, which its failure in the head could have become.

Evidence: the five heads with such codings fail in response_parser_head_is_no_valid_http_is_broken, direct_path_response_head_is_no_valid_http_* (200 or 504) and http_clients_response_head_is_no_valid_http_* before, and pass; parser_ambiguous_framing_is_rejected holds for requests.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -29,6 +29,13 @@
                                      [&](const header& one) { return same_name(one.name_, name); }));
 }
 
+// Whether the body has another transfer coding than chunks, which this library does not decode.
+bool has_unknown_coding(const std::vector<header>& headers) {
+    const header* coding = find_header(headers, "Transfer-Encoding");
+    return coding != nullptr &&
+           (count_headers(headers, "Transfer-Encoding") > 1 || !same_name(coding->value_, "chunked"));
+}
+
 // Memory that a string allocates beside the object itself. Short ones allocate none.
 std::size_t allocated_bytes(const std::string& text) {
     static const std::size_t in_place = std::string().capacity();
@@ -210,13 +217,11 @@
     for (const header& one : request_.headers_) {
         head_bytes_ += allocated_bytes(one.name_) + allocated_bytes(one.value_);
     }
-    const header* encoding = find_header(request_.headers_, "Transfer-Encoding");
-    const bool framed_twice =
-        count_headers(request_.headers_, "Transfer-Encoding") > 1 ||
-        count_headers(request_.headers_, "Content-Length") > 1 ||
-        (encoding != nullptr && find_header(request_.headers_, "Content-Length") != nullptr);
-    const bool unknown_encoding = encoding != nullptr && !same_name(encoding->value_, "chunked");
-    if (framed_twice || unknown_encoding || count_headers(request_.headers_, "Host") != 1) {
+    const bool framed_twice = count_headers(request_.headers_, "Content-Length") > 1 ||
+                              (find_header(request_.headers_, "Transfer-Encoding") != nullptr &&
+                               find_header(request_.headers_, "Content-Length") != nullptr);
+    if (framed_twice || has_unknown_coding(request_.headers_) ||
+        count_headers(request_.headers_, "Host") != 1) {
         failed = bhttp::error::bad_field;
     }
 }
@@ -239,12 +244,12 @@
 }
 
 response_parser::progress response_parser::take_end() {
-    if (is_done()) {
-        return progress::done;
-    }
     if (failed() || !got_some()) {
         return progress::broken; // the parser takes no end before the first byte
     }
+    if (is_done()) {
+        return progress::done;
+    }
     error_code ended;
     put_eof(ended);
     return !ended && is_done() ? progress::done : progress::broken;
@@ -265,7 +270,11 @@
     }
 }
 
-void response_parser::on_header_impl(error_code&) {
+void response_parser::on_header_impl(error_code& failed) {
+    if (has_unknown_coding(headers_)) {
+        failed = bhttp::error::bad_transfer_encoding;
+        return;
+    }
     head_done_ = true;
 }
 
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -99,8 +99,8 @@
 // Most interim responses (1xx) before the final one.
 inline constexpr int max_interim_responses = 3;
 
-// Parses one response. Its status is 100 or 102 to 599, and its head has no folded lines. The body is
-// appended to `body_`, from which the owner may remove data.
+// Parses one response. Its status is 100 or 102 to 599, its head has no folded lines, and its body has no
+// transfer coding but chunks. The body is appended to `body_`, from which the owner may remove data.
 class response_parser : public incremental_parser<false> {
 public:
     explicit response_parser(std::size_t body_limit);
--- a/tests/direct/broken_heads_test.cpp
+++ b/tests/direct/broken_heads_test.cpp
@@ -1,4 +1,4 @@
-// Endpoints and servers whose response heads are no valid HTTP.
+// Endpoints and servers whose response heads are no valid HTTP, or name a body that cannot be read.
 #include "direct/gateway_process.hpp"
 #include "http/kept_client.hpp"
 #include "http/message_parser.hpp"
@@ -47,6 +47,12 @@
         {"line of blanks", status_line, length + "X: a\r\n  \r\n"},
         {"value begins on the next line", status_line, length + "X:\r\n a\r\n"},
         {"length is continued", status_line, "Content-Length: 4\r\n \r\n"},
+        {"other transfer coding", status_line, "Transfer-Encoding: gzip\r\n"},
+        {"other transfer coding and a length", status_line, "Transfer-Encoding: gzip\r\n" + length},
+        {"other transfer coding in chunks", status_line, "Transfer-Encoding: gzip, chunked\r\n"},
+        {"other transfer coding around chunks", status_line, "Transfer-Encoding: chunked, gzip\r\n"},
+        {"other transfer coding on its own line", status_line,
+         "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"},
         {"chunks and a length", status_line, "Transfer-Encoding: chunked\r\n" + length},
         {"two lengths", status_line, "Content-Length: 3\r\n" + length},
         {"length with a sign", status_line, "Content-Length: +4\r\n"},
