Read the load tool's responses with the product's parser

The load tool and the process tests counted a part of a body as a whole response after a reset during the request, and took statuses, folded lines and transfer codings that the product now rejects. They would have reported broken responses of a gateway or an entry as served.

Cause: the harness used Beast's own parser, and did not ask whether the request had been written before it took the end of the connection for the end of the response.

It now uses the parser of all other clients, and that end counts only after the request was written.

Evidence: http_clients_response_head_is_no_valid_http_call_fails_at_once and http_clients_server_sends_part_of_body_and_resets_during_the_request_call_fails call the harness too; both fail with the reader before and pass.

--- a/tests/direct/broken_heads_test.cpp
+++ b/tests/direct/broken_heads_test.cpp
@@ -186,7 +186,7 @@
     }
 }
 
-// The clients of the store, of engines and of the product's own interface.
+// The clients of the store, of engines, of the product's own interface and of the load tool.
 TEST_CASE("http_clients_response_head_is_no_valid_http_call_fails_at_once") {
     constexpr std::chrono::milliseconds limit(4'000);
     constexpr time_ms at_once_ms = 2'000;
@@ -212,6 +212,8 @@
             CHECK(kept_done);
             server.set_last_reply({.text_ = text, .open_ = open});
             CHECK_FALSE(ok(gateway_process::call(server.address().port(), outgoing)));
+            server.set_last_reply({.text_ = text, .open_ = open});
+            CHECK_FALSE(harness::call(server.address().port(), {"GET", "/x", {}, ""}, limit.count()).whole_);
             CHECK(steady_now_ms() - began < at_once_ms);
         }
     }
--- a/tests/direct/early_responses_test.cpp
+++ b/tests/direct/early_responses_test.cpp
@@ -255,7 +255,7 @@
 
 } // namespace
 
-// The clients of the store, of engines and of the product's own interface.
+// The clients of the store, of engines, of the product's own interface and of the load tool.
 TEST_CASE("http_clients_server_sends_part_of_body_and_resets_during_the_request_call_fails") {
     for (const early_case& one : unfinished_replies) {
         CAPTURE(std::string(one.name_));
@@ -273,21 +273,27 @@
         CHECK_FALSE(*succeeded);
         client->close();
 
-        unreading_endpoint other;
-        succeeded = std::nullopt;
-        boost::asio::co_spawn(
-            context,
-            [&]() -> boost::asio::awaitable<void> {
-                const auto outcome =
-                    co_await http::fetch(other.address(), outgoing, {call_limit, call_limit});
-                succeeded = ok(outcome);
-            },
-            boost::asio::detached);
-        REQUIRE(step_until(context, [&] { return other.is_called(); }));
-        other.send(one.response_);
-        other.reset();
-        REQUIRE(step_until(context, [&] { return succeeded.has_value(); }));
-        CHECK_FALSE(*succeeded);
+        const auto check_fails = [&](auto call) {
+            unreading_endpoint other;
+            std::optional<bool> whole;
+            boost::asio::co_spawn(
+                context, [&]() -> boost::asio::awaitable<void> { whole = co_await call(other.address()); },
+                boost::asio::detached);
+            REQUIRE(step_until(context, [&] { return other.is_called(); }));
+            other.send(one.response_);
+            other.reset();
+            REQUIRE(step_until(context, [&] { return whole.has_value(); }));
+            CHECK_FALSE(*whole);
+        };
+        check_fails([&](boost::asio::ip::tcp::endpoint at) -> boost::asio::awaitable<bool> {
+            co_return ok(co_await http::fetch(at, outgoing, {call_limit, call_limit}));
+        });
+        check_fails([&](boost::asio::ip::tcp::endpoint at) -> boost::asio::awaitable<bool> {
+            const harness::caller_request request{"POST", "/x", {}, outgoing.body_};
+            harness::caller_answer answer;
+            co_await harness::exchange(at.port(), request, call_limit.count(), answer);
+            co_return answer.whole_;
+        });
     }
 }
 
--- a/tools/harness/caller.cpp
+++ b/tools/harness/caller.cpp
@@ -1,5 +1,7 @@
 #include "harness/cluster.hpp"
 
+#include "http/message_parser.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,6 +20,8 @@
 namespace {
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t read_bytes = 64 * 1024;
+constexpr std::uint64_t max_body_bytes = 64 * 1024 * 1024;
 
 std::string lower(std::string text) {
     std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
@@ -47,21 +51,31 @@
     }
     message.body() = request.body_;
     message.prepare_payload();
-    co_await bhttp::async_write(stream, message, no_throw);
-    beast::flat_buffer buffer;
-    bhttp::response_parser<bhttp::string_body> parser;
-    parser.body_limit(std::uint64_t(64) * 1024 * 1024);
-    auto [read_error, read] = co_await bhttp::async_read(stream, buffer, parser, no_throw);
+    auto [write_error, written] = co_await bhttp::async_write(stream, message, no_throw);
+    beast::flat_buffer received;
+    http::response_parser parser(max_body_bytes);
+    auto progress = http::response_parser::progress::more;
+    while (progress == http::response_parser::progress::more) {
+        auto [read_error, count] = co_await stream.async_read_some(received.prepare(read_bytes), no_throw);
+        received.commit(count);
+        if (!read_error) {
+            progress = parser.take(received);
+        } else if (read_error == asio::error::eof && !write_error) {
+            progress = parser.take_end();
+        } else {
+            progress = http::response_parser::progress::broken;
+        }
+    }
     answer.elapsed_ms_ = now_ms() - began;
-    if (!parser.is_header_done()) {
+    if (!parser.head_done_) {
         co_return;
     }
-    answer.status_ = int(parser.get().result_int());
-    answer.whole_ = !read_error;
-    for (const auto& field : parser.get()) {
-        answer.headers_[lower(std::string(field.name_string()))] = std::string(field.value());
+    answer.status_ = parser.status_;
+    answer.whole_ = progress == http::response_parser::progress::done;
+    for (const http::header& one : parser.headers_) {
+        answer.headers_[lower(one.name_)] = one.value_;
     }
-    answer.body_ = parser.get().body();
+    answer.body_ = std::move(parser.body_);
 }
 
 std::string caller_answer::header(const std::string& name) const {
