--- a/tests/fuzz/parser_fuzz.cpp
+++ b/tests/fuzz/parser_fuzz.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t header_limit = 4 * 1024;
 constexpr std::size_t body_limit = 16 * 1024;
 constexpr std::size_t most_unparsed = http::max_unparsed_bytes;
+constexpr int first_status = 100;
+constexpr int last_status = 599;
 
 void require(bool holds) {
     if (!holds) {
@@ -56,6 +58,7 @@
         const auto progress = parser.take(received);
         require(parser.body_.size() <= body_limit);
         if (parser.head_done_) {
+            require(parser.status_ >= first_status && parser.status_ <= last_status);
             events.append(std::exchange(parser.body_, {}), complete_events);
         }
         if (progress != http::response_parser::progress::more) {
