Take an engine's failure for no report

The agent of the product's own interface parsed the body of any response as its engine's report, also of one with 500 or 503, where the other calls to the engine ask for the status first. What it kept in memory then came from a failure. The engine agents of the direct path already ask.

Evidence: engine_client_report_comes_with_a_failure_it_is_no_report fails before for 500 and 503 and passes.

--- a/src/agent/engine_client.cpp
+++ b/src/agent/engine_client.cpp
@@ -84,6 +84,9 @@
     if (!ok(response)) {
         co_return failure(response);
     }
+    if (value(response).status_ != status_ok) {
+        co_return error{error_kind::unavailable, "the engine returned no report", "check the engine"};
+    }
     co_return parse_report(value(response).body_);
 }
 
--- a/src/agent/engine_client.hpp
+++ b/src/agent/engine_client.hpp
@@ -18,6 +18,7 @@
 public:
     explicit engine_client(boost::asio::ip::tcp::endpoint engine) : engine_(engine) {}
 
+    // Fails with `unavailable` if the engine does not return a report.
     boost::asio::awaitable<result<engine_report>> report() const;
 
     // Fails with `conflict` if the number is not above the highest that the engine has seen.
--- a/tests/direct/broken_heads_test.cpp
+++ b/tests/direct/broken_heads_test.cpp
@@ -1,4 +1,5 @@
 // Endpoints and servers whose response heads are no valid HTTP, or name a body that cannot be read.
+#include "agent/engine_client.hpp"
 #include "direct/gateway_process.hpp"
 #include "http/kept_client.hpp"
 #include "http/message_parser.hpp"
@@ -219,4 +220,30 @@
     }
 }
 
+// The agent of the product's own interface took the body of a failure for its engine's report.
+TEST_CASE("engine_client_report_comes_with_a_failure_it_is_no_report") {
+    const std::string report = R"({"engine_incarnation":1,"sequence":2,"capacity_mb":10,"highest_fence":0,)"
+                               R"("newest_agent":0,"resident":[],"loading":[],"ended":[]})";
+    const std::string rest = "Content-Length: " + std::to_string(report.size()) + "\r\n\r\n" + report;
+    fake_endpoint engine("engine");
+    const agent::engine_client client(engine.address());
+    for (const char* status :
+         {"200 OK", "500 Internal Server Error", "503 Service Unavailable", "204 No Content", "000 OK"}) {
+        CAPTURE(std::string(status));
+        engine.set_last_reply({"HTTP/1.1 " + std::string(status) + "\r\n" + rest});
+        boost::asio::io_context context;
+        std::optional<bool> reported;
+        boost::asio::co_spawn(
+            context,
+            [&]() -> boost::asio::awaitable<void> {
+                const auto outcome = co_await client.report();
+                reported = ok(outcome);
+            },
+            boost::asio::detached);
+        context.run();
+        REQUIRE(reported);
+        CHECK(*reported == std::string(status).starts_with("200"));
+    }
+}
+
 } // namespace tamarack::direct
