Reset a client's connection whose stream is not whole and has no chunks

A client of HTTP/1.0 got a stream that had been broken off as a whole one: such a stream has no chunks, so the end of the connection is its end, and the gateway closed the connection in order when it gave the stream up. It is the fault of the endpoints' broken responses on the way to the client.

The connection now resets if it closes before such a stream is complete, whatever closes it.

Streams in chunks are cut visibly as before, and a whole stream without chunks still ends in order.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -265,6 +265,10 @@
         return;
     }
     queue_head(status, headers, chunked_ ? "Transfer-Encoding: chunked\r\n" : "");
+    if (!chunked_) {
+        // An end in order would complete the response.
+        set_reset_on_close(true);
+    }
 }
 
 void client_session::send_data(std::string_view bytes) {
@@ -294,6 +298,11 @@
     finish_response();
 }
 
+void client_session::set_reset_on_close(bool enabled) {
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(enabled, 0), ignored);
+}
+
 void client_session::finish_response() {
     // Shutdown may have begun after the head of a long stream was sent.
     keep_alive_ = !closes_after_response();
@@ -366,6 +375,9 @@
         read_next_request();
         return;
     }
+    if (!chunked_) {
+        set_reset_on_close(false);
+    }
     // Lets the client close first: closing with unread bytes would reset the connection, and the client could
     // lose the response.
     phase_ = phase::closing;
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -95,6 +95,7 @@
     void on_timeout();
     void queue(std::string bytes);
     void queue_head(int status, const std::vector<http::header>& headers, std::string_view framing);
+    void set_reset_on_close(bool enabled);
     void finish_response();
     void end_written_response();
     void write();
--- a/tests/direct/cut_responses_test.cpp
+++ b/tests/direct/cut_responses_test.cpp
@@ -4,6 +4,7 @@
 #include "http/message_parser.hpp"
 #include "tamarack/links.hpp"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 namespace tamarack::direct {
@@ -187,6 +188,28 @@
     }
 }
 
+// A client of HTTP/1.0 has no chunks, and would take an end in order for the end of its stream.
+TEST_CASE_FIXTURE(gateway_process, "direct_path_stream_is_cut_http_1_0_client_sees_a_reset") {
+    start_ready();
+    for (const behaviour reply : {behaviour::complete_stream, behaviour::truncated_stream}) {
+        set_behaviours_of_both({reply});
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket socket(context);
+        socket.connect({boost::asio::ip::address_v4::loopback(), port_});
+        const std::string_view request = "POST /quote/x HTTP/1.0\r\nHost: shop.example\r\n"
+                                         "Tamarackbeam-Request-Id: r-1\r\nTamarackbeam-Deadline-Ms: 1200\r\n"
+                                         "Content-Length: 4\r\n\r\nbody";
+        boost::asio::write(socket, boost::asio::buffer(request));
+        std::string received;
+        boost::system::error_code ended;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(received), ended);
+        const bool whole = reply == behaviour::complete_stream;
+        CAPTURE(ended.message());
+        CHECK((ended == boost::asio::error::eof) == whole);
+        CHECK((!whole || received.ends_with("id: 5\ndata: word\n\n")));
+    }
+}
+
 // Seeds, peers and agents send frames with a length.
 TEST_CASE("link_connection_ends_at_each_byte_of_a_frame_only_whole_frames_are_handled") {
     links::store_relay relay;
