Tests: one place for the steps of an early response, and plain names

Read as a newcomer: seven cases repeated the same steps, and some names needed a half sentence beside them. No check changes. The client's member is named request_written_.

--- a/src/http/kept_client.cpp
+++ b/src/http/kept_client.cpp
@@ -132,13 +132,13 @@
             self->finish(call_error(error_kind::timeout, "no response within the time limit"), false);
         }
     });
-    written_ = false;
+    request_written_ = false;
     asio::async_write(socket_, asio::buffer(calls_.front().bytes_),
                       [self, generation](boost::system::error_code failed, std::size_t) {
                           if (generation != self->generation_) {
                               return;
                           }
-                          self->written_ = !failed;
+                          self->request_written_ = !failed;
                           if (failed) {
                               self->finish(call_error(error_kind::interrupted, "the connection broke"),
                                            false);
@@ -188,7 +188,7 @@
     response received_response{parser_->status_, std::move(parser_->headers_), std::move(parser_->body_)};
     const header* connection_header = find_header(received_response.headers_, "Connection");
     // The rest of a request that is not written would come before the next one.
-    const bool keep = written_ && received_.size() == 0 &&
+    const bool keep = request_written_ && received_.size() == 0 &&
                       (connection_header == nullptr || !same_name(connection_header->value_, "close"));
     finish(std::move(received_response), keep);
 }
--- a/src/http/kept_client.hpp
+++ b/src/http/kept_client.hpp
@@ -60,7 +60,7 @@
     // Changes whenever a call starts or ends, so that late completions of earlier calls are ignored.
     std::uint64_t generation_ = 0;
     std::uint64_t closes_ = 0;
-    bool written_ = false; // all of the present call's request
+    bool request_written_ = false;
     bool busy_ = false;
     bool connected_ = false;
 };
--- a/tests/direct/broken_heads_test.cpp
+++ b/tests/direct/broken_heads_test.cpp
@@ -11,7 +11,7 @@
 struct broken_head {
     const char* name_;
     std::string status_line_;
-    std::string fields_; // each with its line break
+    std::string field_lines_;
 };
 
 const std::string status_line = "HTTP/1.1 200 OK\r\n";
@@ -63,9 +63,9 @@
 
 // The bytes of a response with that head. Its own fields come last.
 std::string response_of(const broken_head& one, const std::string& fields) {
-    const bool is_chunked = one.fields_.find("chunked") != std::string::npos;
+    const bool is_chunked = one.field_lines_.find("chunked") != std::string::npos;
     const std::string framed_body = is_chunked ? "4\r\ndone\r\n0\r\n\r\n" : body;
-    return one.status_line_ + fields + one.fields_ + "\r\n" + framed_body;
+    return one.status_line_ + fields + one.field_lines_ + "\r\n" + framed_body;
 }
 
 using progress = http::response_parser::progress;
@@ -171,12 +171,13 @@
     }
 }
 
-// A request that may run again is sent to another endpoint.
+// A request that may run again is sent to the other endpoint, whose response is broken too.
 TEST_CASE_FIXTURE(broken_heads_fixture, "direct_path_response_head_is_no_valid_http_lookup_is_sent_again") {
     start_ready();
     for (const broken_head& one : broken_heads()) {
         CAPTURE(std::string(one.name_));
-        for (int lookup = 0; lookup < 10; ++lookup) { // of which each allows a part of a retry
+        // The retry budget allows one retry for five requests.
+        for (int lookup = 0; lookup < 10; ++lookup) {
             status(request("lookup", "l-" + std::to_string(lookup)));
         }
         set_behaviours_of_both({behaviour::complete});
@@ -184,7 +185,7 @@
         first_.set_last_reply({.text_ = text, .open_ = true});
         second_.set_last_reply({.text_ = text, .open_ = true});
         const std::string id = "r-" + std::to_string(++calls_);
-        CHECK(status(request("lookup", id)) == 502); // both are broken
+        CHECK(status(request("lookup", id)) == 502);
         CHECK(received_count() == 2);
     }
 }
--- a/tests/direct/early_responses_test.cpp
+++ b/tests/direct/early_responses_test.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr std::size_t upload_bytes = 32 * 1024 * 1024; // more than the system buffers on the way
+// The system buffers less than this on the way to an endpoint that reads nothing.
+constexpr std::size_t upload_bytes = 32 * 1024 * 1024;
 constexpr time_ms step_limit_ms = 8'000;
 
 // An endpoint that reads nothing of a request. The thread of the test plays it between two steps of the
@@ -35,16 +36,16 @@
         listener_.accept(accepted, none_yet);
         if (!none_yet) {
             sockets_.push_back(std::move(accepted));
-            responded_ = false;
+            newest_has_response_ = false;
         }
-        return !sockets_.empty() && !responded_ && sockets_.back().available(none_yet) > 0;
+        return !sockets_.empty() && !newest_has_response_ && sockets_.back().available(none_yet) > 0;
     }
 
     std::size_t connection_count() const { return sockets_.size(); }
 
     void send(const std::string& bytes) {
         boost::asio::write(sockets_.back(), boost::asio::buffer(bytes));
-        responded_ = true;
+        newest_has_response_ = true;
     }
 
     void reset() {
@@ -58,7 +59,7 @@
     boost::asio::io_context context_;
     boost::asio::ip::tcp::acceptor listener_{context_};
     std::vector<boost::asio::ip::tcp::socket> sockets_;
-    bool responded_ = false; // on the newest connection
+    bool newest_has_response_ = false;
 };
 
 // Runs what is ready until the condition holds. Operations that have not ended then wait for a connection.
@@ -79,6 +80,15 @@
                          "Tamarackbeam-Server-Stamp: s\r\n";
 const std::string part(2'000, 'p');
 
+struct early_case {
+    const char* name_;
+    std::string response_;
+    std::size_t body_bytes_;
+};
+
+// How the endpoint ends the connection after its response.
+enum class connection_end { none, reset, in_order };
+
 // A long upload to an endpoint that responds without reading it. A second endpoint answers in order.
 struct upload_fixture : flow_fixture {
     unreading_endpoint early_;
@@ -104,6 +114,18 @@
         }));
     }
 
+    // Uploads to a new client's sink, and runs until its response has ended.
+    void upload(const early_case& one, connection_end end, fleet::repeat_rule rule, bool resumable = false) {
+        sink_ = std::make_shared<status_sink>();
+        start_upload(rule, resumable, one.response_, one.body_bytes_);
+        if (end == connection_end::reset) {
+            early_.reset();
+        } else if (end == connection_end::in_order) {
+            early_.end_in_order();
+        }
+        REQUIRE(step_until(context_, [&] { return is_answered(); }));
+    }
+
     void set_route(fleet::repeat_rule rule, bool resumable) {
         auto configuration = std::make_shared<fleet::configuration>(*fleet_.current()->configuration_);
         ++configuration->version_;
@@ -117,16 +139,6 @@
 
     // Whether the client's response has ended in some way.
     bool is_answered() const { return sink_->responded_ || sink_->ended_ || sink_->status_ == -1; }
-
-    void run_until_answered() {
-        REQUIRE(step_until(context_, [&] { return is_answered(); }));
-    }
-};
-
-struct early_case {
-    const char* name_;
-    std::string response_;
-    std::size_t body_bytes_;
 };
 
 const early_case unfinished[] = {
@@ -150,10 +162,7 @@
 TEST_CASE_FIXTURE(upload_fixture, "upload_endpoint_sends_part_of_body_and_resets_client_gets_502") {
     for (const early_case& one : unfinished) {
         CAPTURE(std::string(one.name_));
-        sink_ = std::make_shared<status_sink>();
-        start_upload(fleet::repeat_rule::at_most_once, false, one.response_, one.body_bytes_);
-        early_.reset();
-        run_until_answered();
+        upload(one, connection_end::reset, fleet::repeat_rule::at_most_once);
         CHECK(sink_->status_ == 502);
         CHECK(sink_->data_.empty());
         CHECK(received_by("e-2") == 0);
@@ -163,11 +172,8 @@
 TEST_CASE_FIXTURE(upload_fixture, "upload_repeatable_endpoint_sends_part_of_body_and_resets_is_sent_again") {
     for (const early_case& one : unfinished) {
         CAPTURE(std::string(one.name_));
-        sink_ = std::make_shared<status_sink>();
         second_.set_behaviours({fake_endpoint::behaviour::complete});
-        start_upload(fleet::repeat_rule::idempotent, false, one.response_, one.body_bytes_);
-        early_.reset();
-        run_until_answered();
+        upload(one, connection_end::reset, fleet::repeat_rule::idempotent);
         CHECK(sink_->status_ == 200);
         CHECK(sink_->data_ == "done");
         CHECK(received_by("e-2") == 1);
@@ -178,10 +184,7 @@
 TEST_CASE_FIXTURE(upload_fixture, "upload_endpoint_begins_stream_and_resets_client_sees_a_broken_stream") {
     for (const early_case& one : unfinished_streams) {
         CAPTURE(std::string(one.name_));
-        sink_ = std::make_shared<status_sink>();
-        start_upload(fleet::repeat_rule::stream, false, one.response_, one.body_bytes_);
-        early_.reset();
-        run_until_answered();
+        upload(one, connection_end::reset, fleet::repeat_rule::stream);
         CHECK(sink_->status_ == -1);
         CHECK_FALSE(sink_->ended_);
     }
@@ -190,11 +193,8 @@
 TEST_CASE_FIXTURE(upload_fixture, "upload_endpoint_begins_resumable_stream_and_resets_stream_is_resumed") {
     for (const early_case& one : unfinished_streams) {
         CAPTURE(std::string(one.name_));
-        sink_ = std::make_shared<status_sink>();
         second_.set_behaviours({fake_endpoint::behaviour::complete_stream});
-        start_upload(fleet::repeat_rule::stream, true, one.response_, one.body_bytes_);
-        early_.reset();
-        run_until_answered();
+        upload(one, connection_end::reset, fleet::repeat_rule::stream, true);
         CHECK(sink_->ended_);
         CHECK(sink_->data_.ends_with("id: 5\ndata: word\n\n"));
         REQUIRE(received_by("e-2") == 1);
@@ -206,10 +206,7 @@
 TEST_CASE_FIXTURE(upload_fixture, "upload_endpoint_sends_part_of_body_and_ends_connection_client_gets_502") {
     for (const early_case& one : unfinished) {
         CAPTURE(std::string(one.name_));
-        sink_ = std::make_shared<status_sink>();
-        start_upload(fleet::repeat_rule::at_most_once, false, one.response_, one.body_bytes_);
-        early_.end_in_order();
-        run_until_answered();
+        upload(one, connection_end::in_order, fleet::repeat_rule::at_most_once);
         CHECK(sink_->status_ == 502);
         CHECK(sink_->data_.empty());
     }
@@ -223,9 +220,7 @@
     };
     for (const early_case& one : whole) {
         CAPTURE(std::string(one.name_));
-        sink_ = std::make_shared<status_sink>();
-        start_upload(fleet::repeat_rule::at_most_once, false, one.response_, one.body_bytes_);
-        run_until_answered();
+        upload(one, connection_end::none, fleet::repeat_rule::at_most_once);
         CHECK(sink_->status_ == 413);
         CHECK(sink_->data_ == "long");
     }
@@ -233,10 +228,8 @@
 
 // The engine that a resumed stream goes to can fail in the same way.
 TEST_CASE_FIXTURE(upload_fixture, "upload_resumed_stream_is_cut_again_client_sees_a_broken_stream") {
-    start_upload(fleet::repeat_rule::stream, true, unfinished_streams[0].response_, event.size());
     second_.set_last_reply({stream_head + "\r\nid: 2\ndata: word\n\nid: 3\nda"});
-    early_.reset();
-    run_until_answered();
+    upload(unfinished_streams[0], connection_end::reset, fleet::repeat_rule::stream, true);
     CHECK(sink_->status_ == -1);
     CHECK_FALSE(sink_->ended_);
     CHECK(sink_->data_ == event + "id: 2\ndata: word\n\n");
--- a/tests/direct/platform_stand_ins.hpp
+++ b/tests/direct/platform_stand_ins.hpp
@@ -127,8 +127,10 @@
         std::string text_;   // the text ID in it becomes the request's id
         bool reset_ = false; // the connection is reset after it, instead of closed in order
         std::vector<std::string> further_ = {}; // sent after the text, each with a pause before
-        bool open_ = false;                     // the connection stays open until the other side closes it
-        bool early_ = false; // sent as soon as the head of the request is there; the rest is not read
+        // Leaves the connection open until the other side closes it.
+        bool open_ = false;
+        // Replies as soon as the head of the request has arrived, and does not read the rest.
+        bool early_ = false;
     };
 
     // Answers the next request with it, instead of a behaviour.
--- a/tests/direct/request_flow_fixture.hpp
+++ b/tests/direct/request_flow_fixture.hpp
@@ -15,8 +15,9 @@
 struct status_sink : response_sink {
     int status_ = 0;
     std::vector<http::header> headers_;
-    std::string data_;       // a stream's events, or a body
-    bool responded_ = false; // a response that is no stream has been sent
+    std::string data_; // a stream's events, or a body
+    // Whether a response that is no stream has been sent.
+    bool responded_ = false;
     bool ended_ = false;     // the stream is complete
     std::size_t unsent_ = 0; // what the client has not read
 
