--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15, to review/build/.
+# Builds the stand-ins of the cases 11 to 13, to review/build/.
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p build
