Keep a connection until its operations have ended

An endpoint that rejected a long request early was enough, and so was a client that left while it uploaded to a sound endpoint.

Cause: a long write is a series of parts, and its handler kept the exchange but not the connection. The end of an exchange closed and freed the connection; if a part had just been written, the next one was started on the freed socket. A write that waits for room is cancelled by the close, so only the moment between two parts shows the fault.

net::connection now starts all operations of an endpoint's connection. Each keeps the connection, and a write its bytes, until its handler has run. The next part of a write then fails on the closed socket. A connection is never opened twice.

Evidence: the five tests upload_*_write_ends_with_its_connection bring a write between two parts by single steps of the event loop and end it by an early or broken response, by a client that leaves, at the deadline, at the end of the process, and by a retry. They pass now.

--- a/src/gateway/endpoint.cpp
+++ b/src/gateway/endpoint.cpp
@@ -28,9 +28,8 @@
     : record_(std::move(record)), executor_(std::move(executor)) {}
 
 endpoint::~endpoint() {
-    boost::system::error_code ignored;
     for (const auto& connection : idle_) {
-        connection->socket_.close(ignored);
+        connection->close();
     }
 }
 
@@ -85,22 +84,13 @@
     return found == held.end() ? nullptr : &*found;
 }
 
-namespace {
-
-// Whether bytes have arrived that no request asked for.
-bool has_unexpected_bytes(const endpoint_connection& connection) {
-    boost::system::error_code failed;
-    return connection.socket_.available(failed) > 0 || failed;
-}
-
-} // namespace
-
 std::shared_ptr<endpoint_connection> endpoint::take_idle_connection(time_ms now, time_ms longest_idle_ms,
                                                                     std::string_view request_id) {
     const std::uint64_t id = hash64(request_id);
     for (std::size_t left = idle_.size(); left > 0; --left) {
         const std::shared_ptr<endpoint_connection> newest = idle_[left - 1];
-        if (newest->usable_until_ <= now || has_unexpected_bytes(*newest)) {
+        // Bytes that have arrived belong to no request.
+        if (newest->usable_until_ <= now || newest->has_unread_bytes()) {
             drop_idle_connection(newest);
             continue;
         }
@@ -136,13 +126,12 @@
         return;
     }
     connection->watched_ = true;
-    connection->socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
-                                   [weak = weak_from_this(), connection](boost::system::error_code) {
-                                       connection->watched_ = false;
-                                       if (const auto self = weak.lock(); self && connection->idle_) {
-                                           self->drop_idle_connection(connection);
-                                       }
-                                   });
+    connection->wait_readable([weak = weak_from_this(), connection](boost::system::error_code) {
+        connection->watched_ = false;
+        if (const auto self = weak.lock(); self && connection->idle_) {
+            self->drop_idle_connection(connection);
+        }
+    });
 }
 
 void endpoint::drop_idle_connection(const std::shared_ptr<endpoint_connection>& connection) {
@@ -151,8 +140,7 @@
     }
     connection->idle_ = false;
     --connections_;
-    boost::system::error_code ignored;
-    connection->socket_.close(ignored);
+    connection->close();
 }
 
 bool endpoint::may_connect(int max_connections, int gateway_count) const {
--- a/src/gateway/endpoint.hpp
+++ b/src/gateway/endpoint.hpp
@@ -1,22 +1,18 @@
 // The traffic thread's state of one endpoint: registry record, load, health and idle connections.
 #pragma once
 
+#include "net/connection.hpp"
 #include "tamarack/dispatch.hpp"
 #include "tamarack/links.hpp"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-
 #include <memory>
 
 namespace tamarack::gateway {
 
 // A connection to an endpoint. It carries one request at a time.
-struct endpoint_connection {
-    explicit endpoint_connection(const boost::asio::any_io_executor& executor) : socket_(executor) {}
+struct endpoint_connection : net::connection {
+    using connection::connection;
 
-    boost::asio::ip::tcp::socket socket_;
-    boost::beast::flat_buffer received_;
     time_ms idle_since_ = 0;
     time_ms usable_until_ = 0;
     std::vector<std::uint64_t> refused_ids_; // hashes of the ids of requests that were refused over it
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,10 +1,7 @@
 #include "gateway/exchange.hpp"
 
-#include "net/socket_options.hpp"
+#include <boost/asio/post.hpp>
 
-#include <boost/asio/write.hpp>
-
-#include <array>
 #include <charconv>
 
 namespace tamarack::gateway {
@@ -64,7 +61,7 @@
             self->finish(exchange_outcome::not_connected);
         }
     });
-    connection_->socket_.async_connect(target_->record().address_, [self](boost::system::error_code failed) {
+    connection_->connect(target_->record().address_, [self](boost::system::error_code failed) {
         if (self->ended_) {
             return;
         }
@@ -73,7 +70,7 @@
             return;
         }
         self->timer_.cancel();
-        net::detect_dead_peer(self->connection_->socket_, silence_limit_ms);
+        self->connection_->detect_dead_peer(silence_limit_ms);
         self->send();
     });
 }
@@ -85,13 +82,11 @@
         return;
     }
     sent_ = true;
-    asio::async_write(
-        connection_->socket_,
-        std::array<asio::const_buffer, 2>{asio::buffer(request_.head_), asio::buffer(*request_.body_)},
-        [self](boost::system::error_code failed, std::size_t) {
-            self->written_ = !failed;
-            // A failed write does not end the exchange: the response may have arrived already.
-        });
+    auto head = std::make_shared<const std::string>(std::move(request_.head_));
+    connection_->write({std::move(head), request_.body_}, [self](boost::system::error_code failed) {
+        self->written_ = !failed;
+        // A failed write does not end the exchange: the response may have arrived already.
+    });
     read();
 }
 
@@ -101,21 +96,18 @@
     }
     reading_ = true;
     const auto self = shared_from_this();
-    connection_->socket_.async_read_some(
-        connection_->received_.prepare(read_bytes),
-        [self](boost::system::error_code failed, std::size_t count) {
-            self->reading_ = false;
-            if (self->ended_) {
-                return;
-            }
-            self->connection_->received_.commit(count);
-            if (!failed) {
-                self->parse_received();
-                return;
-            }
-            const bool completes = failed == asio::error::eof && self->completes_response_at_end();
-            self->finish(completes ? exchange_outcome::complete : exchange_outcome::broken);
-        });
+    connection_->read(read_bytes, [self](boost::system::error_code failed) {
+        self->reading_ = false;
+        if (self->ended_) {
+            return;
+        }
+        if (!failed) {
+            self->parse_received();
+            return;
+        }
+        const bool completes = failed == asio::error::eof && self->completes_response_at_end();
+        self->finish(completes ? exchange_outcome::complete : exchange_outcome::broken);
+    });
 }
 
 // Whether the end of the connection completes the response. It does only if the request was written whole: a
@@ -144,7 +136,7 @@
 
 void exchange::parse_received() {
     while (true) {
-        const auto progress = parser_->take(connection_->received_);
+        const auto progress = parser_->take(connection_->received());
         if (progress == http::response_parser::progress::broken) {
             finish(exchange_outcome::broken);
             return;
@@ -152,7 +144,7 @@
         const bool done = progress == http::response_parser::progress::done;
         if (parser_->head_done_ && !matches_request()) {
             if (done && skip_unmatched_response()) {
-                if (connection_->received_.size() > 0) {
+                if (connection_->received().size() > 0) {
                     continue;
                 }
                 break;
@@ -233,10 +225,8 @@
         return;
     }
     --target_->connections_;
-    boost::system::error_code ignored;
-    // A reset also discards what a hung endpoint has not read yet.
-    connection->socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    connection->socket_.close(ignored);
+    // A hung endpoint may not have read all of the request.
+    connection->reset();
 }
 
 void exchange::finish(exchange_outcome outcome) {
@@ -247,7 +237,7 @@
     timer_.cancel();
     const http::header* closing = http::find_header(parser_->headers_, "Connection");
     bool keep = outcome == exchange_outcome::complete && written_ && parser_->keep_alive() &&
-                connection_->received_.size() == 0 && unmatched_responses_ == 0 &&
+                connection_->received().size() == 0 && unmatched_responses_ == 0 &&
                 (closing == nullptr || !http::same_name(closing->value_, "close"));
     if (keep && parser_->status_ >= first_failed_status) {
         auto& refused = connection_->refused_ids_;
--- /dev/null
+++ b/tests/direct/released_connections_test.cpp
@@ -0,0 +1,124 @@
+// Connections that are closed between two parts of a long write.
+#include "direct/upload_fixture.hpp"
+
+#include <thread>
+
+namespace tamarack::gateway {
+
+namespace {
+
+// Fills memory that was freed just before, as the further work of a process does. A later use of a released
+// object then fails also without an address sanitizer.
+std::vector<std::string> reuse_freed_memory() {
+    constexpr std::size_t granularity_bytes = 16;
+    constexpr std::size_t max_object_bytes = 1'024;
+    constexpr int blocks_per_size = 64;
+    std::vector<std::string> blocks;
+    for (std::size_t size = granularity_bytes; size <= max_object_bytes; size += granularity_bytes) {
+        for (int block = 0; block < blocks_per_size; ++block) {
+            blocks.emplace_back(size, '\xdd');
+        }
+    }
+    return blocks;
+}
+
+// An upload whose endpoint reads again when the request ends, so that parts of it are written at that moment.
+struct released_fixture : upload_fixture {
+    released_fixture() : upload_fixture(wide_receive_bytes) {}
+
+    void begin(fleet::repeat_rule rule = fleet::repeat_rule::at_most_once,
+               time_ms deadline_ms = step_limit_ms) {
+        sink_ = std::make_shared<status_sink>();
+        start_upload(rule, false, deadline_ms);
+    }
+
+    // Returns when the gateway has written one part and its next task writes another one.
+    void write_one_part() {
+        REQUIRE_FALSE(early_.drain().empty());
+        REQUIRE(run_until(context_, [&] { return early_.has_unread_bytes(); }));
+    }
+
+    // Runs what remains of the upload after its end. The endpoint gets no more of it.
+    void check_writing_ends() {
+        const auto reused = reuse_freed_memory();
+        context_.restart();
+        context_.poll();
+        CHECK(early_.drain().size() < upload_bytes / 2);
+        CHECK(fleet_.endpoints().at("e-1")->connections_ == 0);
+    }
+};
+
+struct early_end {
+    const char* name_;
+    std::string response_;
+    int status_; // for the client
+};
+
+const early_end early_ends[] = {
+    {"rejected",
+     "HTTP/1.1 413 Payload Too Large\r\n" + head.substr(head.find("\r\n") + 2) +
+         "Content-Length: 4\r\n\r\nlong",
+     413},
+    {"complete", head + "Content-Length: 4\r\n\r\ndone", 200},
+    {"broken", "no response\r\n\r\n", 502},
+    {"broken after its head", head + "Transfer-Encoding: chunked\r\n\r\nno length\r\n", 502},
+};
+
+} // namespace
+
+// The write went on with the connection that the end of the request had freed, which ended the gateway.
+TEST_CASE_FIXTURE(released_fixture, "upload_response_ends_between_two_parts_write_ends_with_its_connection") {
+    for (const early_end& one : early_ends) {
+        CAPTURE(std::string(one.name_));
+        begin();
+        early_.send(one.response_);
+        early_.drain();
+        REQUIRE(run_until(context_, [&] { return is_answered(); }));
+        CHECK(sink_->status_ == one.status_);
+        check_writing_ends();
+    }
+}
+
+TEST_CASE_FIXTURE(released_fixture, "upload_client_leaves_between_two_parts_write_ends_with_its_connection") {
+    begin();
+    write_one_part();
+    flow_->on_client_disconnected();
+    check_writing_ends();
+}
+
+TEST_CASE_FIXTURE(released_fixture,
+                  "upload_deadline_passes_between_two_parts_write_ends_with_its_connection") {
+    constexpr time_ms deadline_ms = 300;
+    begin(fleet::repeat_rule::at_most_once, deadline_ms);
+    // The deadline and the room to write are found by the same poll.
+    std::this_thread::sleep_for(std::chrono::milliseconds(deadline_ms));
+    early_.drain();
+    REQUIRE(run_until(context_, [&] { return is_answered(); }));
+    CHECK(sink_->status_ == 504);
+    check_writing_ends();
+}
+
+TEST_CASE_FIXTURE(released_fixture, "upload_process_ends_between_two_parts_write_ends_with_its_connection") {
+    begin();
+    write_one_part();
+    flow_->end_before_exit();
+    CHECK(sink_->status_ == 504);
+    check_writing_ends();
+}
+
+TEST_CASE_FIXTURE(released_fixture, "upload_retried_between_two_parts_write_ends_with_its_connection") {
+    constexpr std::chrono::milliseconds silence(800); // after which the request is sent to another endpoint
+    begin(fleet::repeat_rule::idempotent);
+    let_reports_be_overdue();
+    fleet_.endpoints().at("e-2")->engine_.reported_at_ = steady_now_ms() + silence.count();
+    second_.set_behaviours({fake_endpoint::behaviour::complete});
+    std::this_thread::sleep_for(silence);
+    early_.drain();
+    REQUIRE(run_until(context_, [&] { return fleet_.endpoints().at("e-1")->connections_ == 0; }));
+    check_writing_ends();
+    REQUIRE(run_until(context_, [&] { return is_answered(); }));
+    CHECK(sink_->status_ == 200);
+    CHECK(received_by("e-2") == 1);
+}
+
+} // namespace tamarack::gateway
