Give each connection of the store's and engines' client an object of its own

What callers saw: after a long call that ended early, the next connection began with the rest of that call, so the next call was read amid foreign bytes and ran into its limit. No call of the programs is long enough today; by reading, the longest are single records of the quarantine and orders.

Cause: a call's bytes were dropped when it ended, and the client assigned its next socket to the same member. A write that was between two of its parts went on with the freed bytes, over the connection of the next call.

The client now uses net::connection, one object for each connection, and shares a call's bytes with their write. A connection is closed and released when a call does not leave it fit for the next one.

--- a/src/http/kept_client.cpp
+++ b/src/http/kept_client.cpp
@@ -1,9 +1,6 @@
 #include "http/kept_client.hpp"
 
-#include "net/socket_options.hpp"
-
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 
 namespace tamarack::http {
 
@@ -35,8 +32,7 @@
 
 kept_client::kept_client(asio::any_io_executor executor, asio::ip::tcp::endpoint remote,
                          std::chrono::milliseconds connect_limit)
-    : executor_(executor), remote_(std::move(remote)), connect_limit_(connect_limit), socket_(executor),
-      timer_(executor) {}
+    : executor_(executor), remote_(std::move(remote)), connect_limit_(connect_limit), timer_(executor) {}
 
 void kept_client::call(request outgoing, std::chrono::milliseconds limit, response_handler done) {
     if (!is_valid(outgoing)) {
@@ -48,7 +44,7 @@
         outgoing.headers_.push_back(
             {"Host", remote_.address().to_string() + ":" + std::to_string(remote_.port())});
     }
-    calls_.push_back({encode(outgoing), limit, std::move(done)});
+    calls_.push_back({std::make_shared<const std::string>(encode(outgoing)), limit, std::move(done)});
     if (!busy_) {
         start_next_call();
     }
@@ -80,25 +76,20 @@
     ++generation_;
     parser_ = std::make_unique<response_parser>(max_response_bytes);
     interim_responses_ = 0;
-    if (connected_ && has_unexpected_bytes()) {
+    // Bytes that arrived while no call was under way would be taken for the response to this one, since
+    // responses do not name their call.
+    if (connection_ && connection_->has_unread_bytes()) {
         drop_connection();
     }
-    if (connected_) {
+    if (connection_) {
         send();
     } else {
         connect();
     }
 }
 
-// Whether bytes have arrived while no call was under way. They would be taken for the response to the next
-// call, since responses do not name theirs.
-bool kept_client::has_unexpected_bytes() const {
-    boost::system::error_code failed;
-    return socket_.available(failed) > 0 || failed;
-}
-
 void kept_client::connect() {
-    socket_ = asio::ip::tcp::socket(executor_);
+    connection_ = std::make_shared<net::connection>(executor_);
     const std::uint64_t generation = generation_;
     const auto self = shared_from_this();
     timer_.expires_after(connect_limit_);
@@ -109,7 +100,7 @@
                 false);
         }
     });
-    socket_.async_connect(remote_, [self, generation](boost::system::error_code failed) {
+    connection_->connect(remote_, [self, generation](boost::system::error_code failed) {
         if (generation != self->generation_) {
             return;
         }
@@ -117,8 +108,7 @@
             self->finish(call_error(error_kind::unreachable, "cannot connect: " + failed.message()), false);
             return;
         }
-        self->connected_ = true;
-        net::detect_dead_peer(self->socket_, dead_peer_limit_ms);
+        self->connection_->detect_dead_peer(dead_peer_limit_ms);
         self->send();
     });
 }
@@ -133,40 +123,35 @@
         }
     });
     request_written_ = false;
-    asio::async_write(socket_, asio::buffer(calls_.front().bytes_),
-                      [self, generation](boost::system::error_code failed, std::size_t) {
-                          if (generation != self->generation_) {
-                              return;
-                          }
-                          self->request_written_ = !failed;
-                          if (failed) {
-                              self->finish(call_error(error_kind::interrupted, "the connection broke"),
-                                           false);
-                          }
-                      });
+    connection_->write({calls_.front().bytes_}, [self, generation](boost::system::error_code failed) {
+        if (generation != self->generation_) {
+            return;
+        }
+        self->request_written_ = !failed;
+        if (failed) {
+            self->finish(call_error(error_kind::interrupted, "the connection broke"), false);
+        }
+    });
     read();
 }
 
 void kept_client::read() {
     const std::uint64_t generation = generation_;
     const auto self = shared_from_this();
-    socket_.async_read_some(received_.prepare(read_bytes),
-                            [self, generation](boost::system::error_code failed, std::size_t count) {
-                                if (generation != self->generation_) {
-                                    return;
-                                }
-                                if (failed) {
-                                    self->finish(call_error(error_kind::interrupted, "the connection ended"),
-                                                 false);
-                                    return;
-                                }
-                                self->received_.commit(count);
-                                self->parse_received();
-                            });
+    connection_->read(read_bytes, [self, generation](boost::system::error_code failed) {
+        if (generation != self->generation_) {
+            return;
+        }
+        if (failed) {
+            self->finish(call_error(error_kind::interrupted, "the connection ended"), false);
+            return;
+        }
+        self->parse_received();
+    });
 }
 
 void kept_client::parse_received() {
-    switch (parser_->take(received_)) {
+    switch (parser_->take(connection_->received())) {
     case response_parser::progress::more:
         read();
         return;
@@ -182,13 +167,13 @@
             return;
         }
         parser_ = std::make_unique<response_parser>(max_response_bytes);
-        received_.size() > 0 ? parse_received() : read();
+        connection_->received().size() > 0 ? parse_received() : read();
         return;
     }
     response received_response{parser_->status_, std::move(parser_->headers_), std::move(parser_->body_)};
     const header* connection_header = find_header(received_response.headers_, "Connection");
     // The rest of a request that is not written would come before the next one.
-    const bool keep = request_written_ && received_.size() == 0 &&
+    const bool keep = request_written_ && connection_->received().size() == 0 &&
                       (connection_header == nullptr || !same_name(connection_header->value_, "close"));
     finish(std::move(received_response), keep);
 }
@@ -210,10 +195,9 @@
 }
 
 void kept_client::drop_connection() {
-    boost::system::error_code ignored;
-    socket_.close(ignored);
-    connected_ = false;
-    received_.consume(received_.size());
+    if (const auto connection = std::exchange(connection_, nullptr)) {
+        connection->close();
+    }
 }
 
 } // namespace tamarack::http
--- a/src/http/kept_client.hpp
+++ b/src/http/kept_client.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "http/message_parser.hpp"
+#include "net/connection.hpp"
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 #include <deque>
 
@@ -34,7 +34,7 @@
 
 private:
     struct pending_call {
-        std::string bytes_;
+        net::shared_bytes bytes_;
         std::chrono::milliseconds limit_;
         response_handler done_;
     };
@@ -45,15 +45,13 @@
     void read();
     void parse_received();
     void finish(result<response> outcome, bool keep);
-    bool has_unexpected_bytes() const;
     void drop_connection();
 
     boost::asio::any_io_executor executor_;
     boost::asio::ip::tcp::endpoint remote_;
     std::chrono::milliseconds connect_limit_;
-    boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
-    boost::beast::flat_buffer received_;
+    std::shared_ptr<net::connection> connection_; // of the present call or kept for the next one; may be null
     std::unique_ptr<response_parser> parser_;
     int interim_responses_ = 0; // to the present call
     std::deque<pending_call> calls_;
@@ -62,7 +60,6 @@
     std::uint64_t closes_ = 0;
     bool request_written_ = false;
     bool busy_ = false;
-    bool connected_ = false;
 };
 
 } // namespace tamarack::http
