End the time limit of connecting once a call has its connection

What callers saw: a call to the store or an engine could end as unreachable, which says that nothing was sent, after it had been sent; its response was then dropped with the connection.

Cause: cancelling a timer does not reach a handler that is about to run. If the connection came as the limit passed, that handler found the generation of the same call and ended it, while the call was on its way.

The generation now also changes when the connection is made, as it does when a call starts or ends.

Evidence: kept_client_connects_as_its_limit_passes_* lets one poll find both.

--- a/src/http/kept_client.cpp
+++ b/src/http/kept_client.cpp
@@ -108,6 +108,8 @@
             self->finish(call_error(error_kind::unreachable, "cannot connect: " + failed.message()), false);
             return;
         }
+        // The time limit of the connection may have passed too, with its handler about to run.
+        ++self->generation_;
         self->connection_->detect_dead_peer(dead_peer_limit_ms);
         self->send();
     });
--- a/src/http/kept_client.hpp
+++ b/src/http/kept_client.hpp
@@ -55,7 +55,8 @@
     std::unique_ptr<response_parser> parser_;
     int interim_responses_ = 0; // to the present call
     std::deque<pending_call> calls_;
-    // Changes whenever a call starts or ends, so that late completions of earlier calls are ignored.
+    // Changes whenever a call starts, has its connection, or ends, so that late completions of earlier calls
+    // are ignored.
     std::uint64_t generation_ = 0;
     std::uint64_t closes_ = 0;
     bool request_written_ = false;
--- a/tests/direct/kept_client_connections_test.cpp
+++ b/tests/direct/kept_client_connections_test.cpp
@@ -91,4 +91,24 @@
     check_next_call();
 }
 
+// The call ended as unreachable, which says that nothing was sent, after it had been sent.
+TEST_CASE("kept_client_connects_as_its_limit_passes_call_that_was_sent_is_not_unreachable") {
+    constexpr std::chrono::milliseconds connect_limit(50);
+    boost::asio::io_context context;
+    unreading_endpoint server;
+    const auto client =
+        std::make_shared<http::kept_client>(context.get_executor(), server.address(), connect_limit);
+    std::optional<result<http::response>> ended;
+    client->call({"GET", "/x", {}, {}}, std::chrono::milliseconds(step_limit_ms),
+                 [&](result<http::response> outcome) { ended = std::move(outcome); });
+    // The limit and the connection are found by the same poll.
+    std::this_thread::sleep_for(2 * connect_limit);
+    REQUIRE(step_until(context, [&] { return server.is_called(); }));
+    server.send("HTTP/1.1 204 No Content\r\n\r\n");
+    REQUIRE(step_until(context, [&] { return ended.has_value(); }));
+    REQUIRE(ok(*ended));
+    CHECK(value(*ended).status_ == 204);
+    client->close();
+}
+
 } // namespace tamarack::gateway
