Cancel the connection to a seed when the next seed is asked

A gateway that started without the store kept connections to seeds that were slow to accept: the link to a later seed was replaced by one to an earlier seed and then never closed, for as long as that seed lived.

Cause: asking the next seed closed the link to the one before, but not a connection that was still being established. When it was, it took the place of the present link.

The connection that is being established is now held beside the link, and both are closed before the next seed is asked.

Evidence: seed_accepts_after_next_one_was_asked_* asks a seed whose backlog is full, and lets it accept later.

--- a/src/gateway/seed_exchange.cpp
+++ b/src/gateway/seed_exchange.cpp
@@ -94,11 +94,18 @@
     timer->async_wait([requester, timer](boost::system::error_code) { requester->close(); });
 }
 
-void seed_exchange::ask_next_seed() {
-    if (current_link_) {
-        current_link_->close();
-        current_link_ = nullptr;
+void seed_exchange::end_current_ask() {
+    if (const auto connecting = std::exchange(connecting_, nullptr)) {
+        boost::system::error_code ignored;
+        connecting->close(ignored);
+    }
+    if (const auto link = std::exchange(current_link_, nullptr)) {
+        link->close();
     }
+}
+
+void seed_exchange::ask_next_seed() {
+    end_current_ask();
     if (fleet_known_() || seeds_.empty()) {
         return;
     }
@@ -113,8 +120,13 @@
 
 void seed_exchange::ask_seed(const asio::ip::tcp::endpoint& seed) {
     const auto socket = std::make_shared<asio::ip::tcp::socket>(context_);
+    connecting_ = socket;
     const time_ms asked_at = boot_now_ms();
     socket->async_connect(seed, [this, socket, seed, asked_at](boost::system::error_code failed) {
+        if (connecting_ != socket) {
+            return; // the next seed is asked, or none
+        }
+        connecting_ = nullptr;
         if (failed || fleet_known_()) {
             return;
         }
--- a/src/gateway/seed_exchange.hpp
+++ b/src/gateway/seed_exchange.hpp
@@ -28,6 +28,7 @@
     void transfer(boost::asio::ip::tcp::socket socket);
     void ask_next_seed();
     void ask_seed(const boost::asio::ip::tcp::endpoint& seed);
+    void end_current_ask();
 
     boost::asio::io_context& context_;
     fleet::fleet_source& source_;
@@ -37,6 +38,8 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
     std::function<bool()> fleet_known_;
+    // To the seed that is asked; one of them at most.
+    std::shared_ptr<boost::asio::ip::tcp::socket> connecting_;
     std::shared_ptr<links::link> current_link_;
     std::deque<std::weak_ptr<links::link>> transfers_; // gateways being sent the state, oldest first
     std::size_t next_seed_ = 0;
