Cancel the connection to an agent when its engine has gone

A gateway that was connecting to an engine's agent when the registry dropped that engine kept the connection as a link that nothing closed.

Cause: the entry of the agent was erased and its link closed, but not a connection that was still being established.

The entry now holds that connection, and erasing the entry closes it.

--- a/src/gateway/agent_links.cpp
+++ b/src/gateway/agent_links.cpp
@@ -24,7 +24,7 @@
     std::string endpoint_;
     asio::ip::tcp::endpoint address_;
     std::shared_ptr<links::link> link_;
-    bool connecting_ = false;
+    std::shared_ptr<asio::ip::tcp::socket> connecting_; // null unless a connection is being established
     time_ms next_attempt_ = 0;
     time_ms heard_at_ = 0;
     std::int64_t announced_incarnation_ = 0; // incarnation of the engine in the last hello
@@ -48,6 +48,10 @@
         if (gone->link_) {
             gone->link_->close();
         }
+        if (gone->connecting_) {
+            boost::system::error_code ignored;
+            gone->connecting_->close(ignored);
+        }
     }
     for (const auto& [id, known] : fleet_.endpoints()) {
         const fleet::service_spec* service =
@@ -77,8 +81,8 @@
 }
 
 void agent_links::connect(const std::shared_ptr<agent>& one) {
-    one->connecting_ = true;
     const auto socket = std::make_shared<asio::ip::tcp::socket>(fleet_.executor_);
+    one->connecting_ = socket;
     const auto timer = std::make_shared<asio::steady_timer>(fleet_.executor_, connect_timeout);
     timer->async_wait([socket](boost::system::error_code cancelled) {
         if (!cancelled) {
@@ -88,7 +92,7 @@
     });
     socket->async_connect(one->address_, [this, one, socket, timer](boost::system::error_code failed) {
         timer->cancel();
-        one->connecting_ = false;
+        one->connecting_ = nullptr;
         one->next_attempt_ = steady_now_ms() + reconnect_delay_ms;
         if (!failed && socket->is_open()) {
             on_connected(one, std::move(*socket));
--- a/tests/direct/late_connections_test.cpp
+++ b/tests/direct/late_connections_test.cpp
@@ -1,5 +1,6 @@
 // Connections that are established after whoever asked for them has gone on.
 #include "direct/upload_fixture.hpp"
+#include "gateway/agent_links.hpp"
 #include "gateway/seed_exchange.hpp"
 
 namespace tamarack::gateway {
@@ -103,4 +104,18 @@
     }));
 }
 
+// A connection that was made after its engine had gone became a link that nothing closed.
+TEST_CASE_FIXTURE(flow_fixture, "agent_accepts_after_its_engine_has_gone_connection_is_closed") {
+    mute_listener agents(16);
+    agent_links links(fleet_, "gateway-1", 1, agents.address().port(), events_, {});
+    links.tick(steady_now_ms());
+    fleet_.apply_endpoints({});
+    links.tick(steady_now_ms());
+    REQUIRE(step_until(context_, [&] {
+        agents.accept_all();
+        return agents.accepted() == records_.size();
+    }));
+    CHECK(step_until(context_, [&] { return agents.open_connections() == 0; }));
+}
+
 } // namespace tamarack::gateway
