Cancel a session's time limit also when its handler is about to run

What callers saw: a request that began as the idle limit of its connection passed could get 408 although its own limit had only begun, and a client whose request was rejected as the limit passed could have its connection closed before it read the response.

Cause: cancelling or resetting a timer does not reach a handler that is about to run. It then acted on what the connection had become since.

The handler now carries the number of its limit, which changes whenever the timer is set or cancelled.

Evidence: session_idle_limit_passes_as_request_begins_* and session_header_limit_passes_as_request_is_rejected_* let one poll find the limit and the bytes.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -58,12 +58,20 @@
 }
 
 void client_session::arm_timer(time_ms timeout_ms) {
+    cancel_timer();
     timer_.expires_after(std::chrono::milliseconds(timeout_ms));
-    timer_.async_wait([self = shared_from_this()](boost::system::error_code cancelled) {
-        if (!cancelled && self->phase_ != phase::closed) {
-            self->on_timeout();
-        }
-    });
+    timer_.async_wait(
+        [self = shared_from_this(), number = timer_number_](boost::system::error_code cancelled) {
+            if (!cancelled && number == self->timer_number_ && self->phase_ != phase::closed) {
+                self->on_timeout();
+            }
+        });
+}
+
+// Also reaches a handler that is about to run, since the time has passed.
+void client_session::cancel_timer() {
+    timer_.cancel();
+    ++timer_number_;
 }
 
 void client_session::on_timeout() {
@@ -177,7 +185,7 @@
 }
 
 void client_session::begin_request() {
-    timer_.cancel();
+    cancel_timer();
     phase_ = phase::responding;
     keep_alive_ = parser_->keep_alive();
     chunked_ = parser_->is_http_1_1();
@@ -209,7 +217,7 @@
 // Responds to a request that is malformed, incomplete or too large, or that there is no memory for, and
 // closes the connection, since the bytes that follow cannot be parsed reliably.
 void client_session::reject_request(int status, const std::vector<http::header>& headers) {
-    timer_.cancel();
+    cancel_timer();
     keep_alive_ = false;
     phase_ = phase::closing;
     parser_->request_ = {};
@@ -462,7 +470,7 @@
         return;
     }
     phase_ = phase::closed;
-    timer_.cancel();
+    cancel_timer();
     boost::system::error_code ignored;
     socket_.close(ignored);
     if (const auto request = std::exchange(request_, nullptr)) {
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/client_session.hpp
@@ -92,6 +92,7 @@
     void begin_request();
     void reject_request(int status, const std::vector<http::header>& headers = {});
     void arm_timer(time_ms timeout_ms);
+    void cancel_timer();
     void on_timeout();
     void queue(std::string bytes);
     void queue_head(int status, const std::vector<http::header>& headers, std::string_view framing);
@@ -105,6 +106,7 @@
     boost::asio::ip::tcp::socket socket_;
     const session_context& context_;
     boost::asio::steady_timer timer_;
+    std::uint64_t timer_number_ = 0; // changes whenever the timer is set or cancelled
     boost::beast::flat_buffer received_;
     std::unique_ptr<http::request_parser> parser_;
     std::shared_ptr<running_request> request_;
--- a/tests/direct/client_session_test.cpp
+++ b/tests/direct/client_session_test.cpp
@@ -345,4 +345,29 @@
     }
 }
 
+// A time limit that passed as bytes arrived ended what had begun with these bytes.
+TEST_CASE("session_idle_limit_passes_as_request_begins_request_is_read") {
+    session_fixture one;
+    one.send(get_request(1));
+    REQUIRE(one.run_until([&] { return one.started_.size() == 1; }));
+    one.limits_.idle_ms_ = 400;
+    one.started_.back()->sink_->send_response(200, {}, "a");
+    REQUIRE(one.run_until([&] { return one.received_.ends_with("a"); }));
+    // The limit and the bytes are found by the same poll.
+    ::usleep(500'000);
+    one.send("GET /r/2 HTTP/1.1\r\n");
+    one.send("Host: a\r\n\r\n");
+    CHECK(one.run_until([&] { return one.started_.size() == 2; }));
+}
+
+TEST_CASE("session_header_limit_passes_as_request_is_rejected_client_may_read_the_response") {
+    session_fixture one;
+    one.limits_.header_ms_ = 400;
+    one.send("GET /r/1 HTTP/1.1\r\n");
+    ::usleep(500'000);
+    one.send("no header\r\n\r\n");
+    REQUIRE(one.run_until([&] { return one.received_.starts_with("HTTP/1.1 400 "); }));
+    CHECK_FALSE(one.closed_);
+}
+
 } // namespace tamarack::gateway
