Tests: links, sessions and HTTP calls that are closed amid a long write

They hold: each of these keeps its connection and the bytes of a write until the write has ended. The tests close them between two parts of a write, as those of the exchanges do.

--- a/tests/direct/client_session_test.cpp
+++ b/tests/direct/client_session_test.cpp
@@ -370,4 +370,26 @@
     CHECK_FALSE(one.closed_);
 }
 
+// Held before: a session keeps its connection and its bytes until a write has ended.
+TEST_CASE("session_closed_between_two_parts_of_a_response_write_ends") {
+    constexpr std::size_t response_bytes = 32 * 1024 * 1024;
+    session_fixture one;
+    one.send(get_request(1));
+    REQUIRE(one.run_until([&] { return one.started_.size() == 1; }));
+    one.started_.back()->sink_->send_response(200, {}, std::string(response_bytes, 'x'));
+    one.run(); // until the kernel takes no more
+    one.read();
+    one.received_.clear();
+    while (one.received_.empty()) {
+        one.context_.restart();
+        one.context_.poll_one();
+        one.read();
+    }
+    one.session_->close();
+    one.run();
+    CHECK(one.closed_);
+    CHECK(one.run_until([&] { return one.memory_.held(memory::pool::responses) == 0; }));
+    CHECK(one.received_.size() < response_bytes / 2);
+}
+
 } // namespace tamarack::gateway
--- a/tests/direct/released_connections_test.cpp
+++ b/tests/direct/released_connections_test.cpp
@@ -1,5 +1,11 @@
 // Connections that are closed between two parts of a long write.
 #include "direct/upload_fixture.hpp"
+#include "tamarack/http.hpp"
+#include "tamarack/links.hpp"
+#include "tamarack/wire.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 #include <thread>
 
@@ -7,21 +13,6 @@
 
 namespace {
 
-// Fills memory that was freed just before, as the further work of a process does. A later use of a released
-// object then fails also without an address sanitizer.
-std::vector<std::string> reuse_freed_memory() {
-    constexpr std::size_t granularity_bytes = 16;
-    constexpr std::size_t max_object_bytes = 1'024;
-    constexpr int blocks_per_size = 64;
-    std::vector<std::string> blocks;
-    for (std::size_t size = granularity_bytes; size <= max_object_bytes; size += granularity_bytes) {
-        for (int block = 0; block < blocks_per_size; ++block) {
-            blocks.emplace_back(size, '\xdd');
-        }
-    }
-    return blocks;
-}
-
 // An upload whose endpoint reads again when the request ends, so that parts of it are written at that moment.
 struct released_fixture : upload_fixture {
     released_fixture() : upload_fixture(wide_receive_bytes) {}
@@ -121,4 +112,74 @@
     CHECK(received_by("e-2") == 1);
 }
 
+namespace {
+
+// A connection to a peer that reads again when the connection is closed.
+struct closed_fixture {
+    boost::asio::io_context context_;
+    unreading_endpoint peer_{wide_receive_bytes};
+
+    boost::asio::ip::tcp::socket connect() {
+        boost::asio::ip::tcp::socket socket(context_);
+        socket.connect(peer_.address());
+        return socket;
+    }
+
+    // Writes as much as the system takes, then one part, closes, and runs what remains of the write.
+    template <typename Close>
+    void check_close_ends_writing(Close close) {
+        REQUIRE(step_until(context_, [&] { return peer_.is_called(); }));
+        REQUIRE_FALSE(peer_.drain().empty());
+        REQUIRE(run_until(context_, [&] { return peer_.has_unread_bytes(); }));
+        close();
+        const auto reused = reuse_freed_memory();
+        context_.restart();
+        context_.poll();
+        CHECK(peer_.drain().size() < upload_bytes / 2);
+    }
+};
+
+} // namespace
+
+// The same for the connections that own their operations otherwise.
+TEST_CASE_FIXTURE(closed_fixture, "link_closed_between_two_parts_write_ends") {
+    auto link = std::make_shared<links::link>(
+        connect(), links::link::events{[](const links::frame&) {}, [] {}}, links::max_frame_bytes);
+    link->start();
+    // The first frame fits into the system's buffers, so that a part of the second waits.
+    for (int number = 0; number < 2; ++number) {
+        link->send_encoded(links::share(std::string(links::max_queued_bytes, 'x')));
+        context_.poll();
+    }
+    check_close_ends_writing([&] { std::exchange(link, nullptr)->close(); });
+}
+
+TEST_CASE_FIXTURE(closed_fixture, "wire_connection_closed_between_two_parts_write_ends") {
+    auto connection = std::make_shared<wire::connection>(connect());
+    wire::submit request;
+    request.body_ = std::string(wire::max_frame_bytes / 2, 'x');
+    REQUIRE(connection->send({1, request}));
+    check_close_ends_writing([&] { std::exchange(connection, nullptr)->close(); });
+}
+
+TEST_CASE_FIXTURE(closed_fixture, "http_call_cancelled_between_two_parts_write_ends") {
+    bool ended = false;
+    std::function<void()> cancel;
+    boost::asio::co_spawn(
+        context_,
+        [&]() -> boost::asio::awaitable<void> {
+            http::request outgoing{"POST", "/x", {}, std::string(upload_bytes, 'x')};
+            const http::call_limits limits{std::chrono::milliseconds(step_limit_ms),
+                                           std::chrono::milliseconds(step_limit_ms)};
+            std::function<void(std::function<void()>)> started = [&](std::function<void()> one) {
+                cancel = std::move(one);
+            };
+            ended =
+                !ok(co_await http::open(peer_.address(), std::move(outgoing), limits, std::move(started)));
+        },
+        boost::asio::detached);
+    check_close_ends_writing([&] { cancel(); });
+    CHECK(step_until(context_, [&] { return ended; }));
+}
+
 } // namespace tamarack::gateway
--- a/tests/direct/upload_fixture.hpp
+++ b/tests/direct/upload_fixture.hpp
@@ -107,6 +107,21 @@
     return condition();
 }
 
+// Fills memory that was freed just before, as the further work of a process does. A later use of a released
+// object then fails also without an address sanitizer.
+inline std::vector<std::string> reuse_freed_memory() {
+    constexpr std::size_t granularity_bytes = 16;
+    constexpr std::size_t max_object_bytes = 1'024;
+    constexpr int blocks_per_size = 64;
+    std::vector<std::string> blocks;
+    for (std::size_t size = granularity_bytes; size <= max_object_bytes; size += granularity_bytes) {
+        for (int block = 0; block < blocks_per_size; ++block) {
+            blocks.emplace_back(size, '\xdd');
+        }
+    }
+    return blocks;
+}
+
 const std::string head = "HTTP/1.1 200 OK\r\n"
                          "Tamarackbeam-Request-Id: r-1\r\n"
                          "Tamarackbeam-Server-Stamp: s\r\n";
