--- a/src/gateway/seed_exchange.cpp
+++ b/src/gateway/seed_exchange.cpp
@@ -124,7 +124,7 @@
     const time_ms asked_at = boot_now_ms();
     socket->async_connect(seed, [this, socket, seed, asked_at](boost::system::error_code failed) {
         if (connecting_ != socket) {
-            return; // the next seed is asked, or none
+            return; // another seed has been asked since
         }
         connecting_ = nullptr;
         if (failed || fleet_known_()) {
--- a/src/http/kept_client.hpp
+++ b/src/http/kept_client.hpp
@@ -51,7 +51,7 @@
     boost::asio::ip::tcp::endpoint remote_;
     std::chrono::milliseconds connect_limit_;
     boost::asio::steady_timer timer_;
-    std::shared_ptr<net::connection> connection_; // of the present call or kept for the next one; may be null
+    std::shared_ptr<net::connection> connection_; // null if the next call needs a new one
     std::unique_ptr<response_parser> parser_;
     int interim_responses_ = 0; // to the present call
     std::deque<pending_call> calls_;
--- a/tests/direct/client_session_test.cpp
+++ b/tests/direct/client_session_test.cpp
@@ -377,7 +377,7 @@
     one.send(get_request(1));
     REQUIRE(one.run_until([&] { return one.started_.size() == 1; }));
     one.started_.back()->sink_->send_response(200, {}, std::string(response_bytes, 'x'));
-    one.run(); // until the kernel takes no more
+    one.run();
     one.read();
     one.received_.clear();
     while (one.received_.empty()) {
--- a/tests/direct/kept_client_connections_test.cpp
+++ b/tests/direct/kept_client_connections_test.cpp
@@ -17,7 +17,8 @@
     unreading_endpoint server_{wide_receive_bytes};
     std::shared_ptr<http::kept_client> client_ = std::make_shared<http::kept_client>(
         context_.get_executor(), server_.address(), std::chrono::milliseconds(step_limit_ms));
-    std::vector<int> statuses_; // of the calls that ended; 0 for a failure
+    // A status for each call that has ended; 0 if it failed.
+    std::vector<int> statuses_;
 
     kept_client_fixture() {
         // The bytes of a call that has ended stay readable, as those of small blocks do.
--- a/tests/direct/released_connections_test.cpp
+++ b/tests/direct/released_connections_test.cpp
@@ -42,7 +42,7 @@
 struct early_end {
     const char* name_;
     std::string response_;
-    int status_; // for the client
+    int client_status_;
 };
 
 const early_end early_ends[] = {
@@ -65,7 +65,7 @@
         early_.send(one.response_);
         early_.drain();
         REQUIRE(run_until(context_, [&] { return is_answered(); }));
-        CHECK(sink_->status_ == one.status_);
+        CHECK(sink_->status_ == one.client_status_);
         check_writing_ends();
     }
 }
@@ -98,7 +98,8 @@
 }
 
 TEST_CASE_FIXTURE(released_fixture, "upload_retried_between_two_parts_write_ends_with_its_connection") {
-    constexpr std::chrono::milliseconds silence(800); // after which the request is sent to another endpoint
+    // A silent endpoint's request has been moved to another one after this time.
+    constexpr std::chrono::milliseconds silence(800);
     begin(fleet::repeat_rule::idempotent);
     let_reports_be_overdue();
     fleet_.endpoints().at("e-2")->engine_.reported_at_ = steady_now_ms() + silence.count();
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -143,23 +143,13 @@
         const bool leaves = random() % 2 == 0;
         const std::chrono::milliseconds stay(random() % max_stay_ms);
         sent_request sent;
-        sent.id_ = std::to_string(seed_) + "-" + std::to_string(next_id_++);
-        sent.gateway_ = fleet_.gateways()[gateway].process_.name_;
         sent.repeatable_ = random() % 2 == 0;
-        sent.sent_at_ = steady_now_ms();
-        sent.limit_ms_ = deadline_ms;
         sent.owed_ = false;
         http::request outgoing{"POST",
                                sent.repeatable_ ? "/lookup/x" : "/booking/x",
-                               {{"Host", "soak.example"},
-                                {"Tamarackbeam-Request-Id", sent.id_},
-                                {"Tamarackbeam-Deadline-Ms", std::to_string(deadline_ms)}},
+                               {{"Host", "soak.example"}},
                                std::string(min_bytes + random() % (max_bytes - min_bytes), 'x')};
-        if (const organisations* customers = fleet_.customers()) {
-            sent.key_rule_ = key_rule::needed;
-            sent.keys_ = {customers->largest().keys_.front()};
-            outgoing.headers_.push_back({"X-Api-Key", sent.keys_.front()});
-        }
+        identify(outgoing, sent, gateway);
         judge_.sent(sent);
         ++open_;
         const auto leave = std::make_shared<std::function<void()>>();
@@ -376,6 +366,21 @@
     co_return seen.status_;
 }
 
+// Gives a request that is about to be sent a new id, the usual deadline and, where it needs one, a sound key.
+void clients::identify(http::request& outgoing, sent_request& sent, std::size_t gateway) {
+    sent.id_ = std::to_string(seed_) + "-" + std::to_string(next_id_++);
+    sent.gateway_ = fleet_.gateways()[gateway].process_.name_;
+    sent.sent_at_ = steady_now_ms();
+    sent.limit_ms_ = deadline_ms;
+    if (const organisations* customers = fleet_.customers()) {
+        sent.key_rule_ = key_rule::needed;
+        sent.keys_ = {customers->largest().keys_.front()};
+        outgoing.headers_.push_back({"X-Api-Key", sent.keys_.front()});
+    }
+    outgoing.headers_.push_back({"Tamarackbeam-Request-Id", sent.id_});
+    outgoing.headers_.push_back({"Tamarackbeam-Deadline-Ms", std::to_string(deadline_ms)});
+}
+
 awaitable<void> clients::repeat(http::request request, time_ms until, std::uint64_t seed) {
     constexpr int most_at_once = 3;
     constexpr time_ms least_pause_ms = 300;
@@ -385,24 +390,14 @@
     while (steady_now_ms() < until) {
         int status = 0;
         for (int number = 0; number < most_at_once && (status == 0 || status == 502); ++number) {
-            sent_request sent;
-            sent.id_ = std::to_string(seed_) + "-" + std::to_string(next_id_++);
             const std::size_t gateway = random() % fleet_.gateways().size();
-            sent.gateway_ = fleet_.gateways()[gateway].process_.name_;
+            sent_request sent;
             sent.repeatable_ = true;
-            sent.sent_at_ = steady_now_ms();
-            sent.limit_ms_ = deadline_ms;
             sent.crashing_request_ = std::string(request.path());
             http::request outgoing = request;
-            if (const organisations* customers = fleet_.customers()) {
-                sent.key_rule_ = key_rule::needed;
-                sent.keys_ = {customers->largest().keys_.front()};
-                outgoing.headers_.push_back({"X-Api-Key", sent.keys_.front()});
-            }
+            identify(outgoing, sent, gateway);
             judge_.sent(sent);
             ++open_;
-            outgoing.headers_.push_back({"Tamarackbeam-Request-Id", sent.id_});
-            outgoing.headers_.push_back({"Tamarackbeam-Deadline-Ms", std::to_string(deadline_ms)});
             status = co_await call_stream(gateway, std::move(outgoing));
         }
         const time_ms pause = std::uniform_int_distribution<time_ms>(least_pause_ms, most_pause_ms)(random);
--- a/tests/soak/clients.hpp
+++ b/tests/soak/clients.hpp
@@ -13,7 +13,7 @@
 public:
     clients(boost::asio::io_context& context, fleet& parts, referee& judge, std::uint64_t seed);
 
-    // Sends requests until told to stop, and as many long uploads at a time.
+    // Sends requests until told to stop, among them `uploads` long bodies at a time.
     void start(double requests_per_s, int uploads);
     void stop() { stopped_ = true; }
 
@@ -37,6 +37,7 @@
     boost::asio::awaitable<int> call_stream(std::size_t gateway, http::request outgoing);
     void call_plain(std::size_t gateway, http::request outgoing);
     http::request make_request();
+    void identify(http::request& outgoing, sent_request& sent, std::size_t gateway);
     void add_prompt(http::request& outgoing, sent_request& sent);
     void add_key(http::request& outgoing, sent_request& sent);
     void add_unsound_key(http::request& outgoing, sent_request& sent);
--- a/tests/soak/fleet.hpp
+++ b/tests/soak/fleet.hpp
@@ -99,7 +99,7 @@
     std::vector<endpoint_place> endpoints_;
     std::uint16_t agent_port_ = 0;
     std::optional<organisations> organisations_;
-    std::size_t max_body_bytes_; // of requests
+    std::size_t max_body_bytes_; // limit in the configuration
     int version_ = 0;
 };
 
